--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/clock/HybridTimestamp.java
@@ -0,0 +1,21 @@
+package org.magnoliaswitch.core.clock;
+
+import java.util.Comparator;
+
+/**
+ * A time stamp that respects causality across processes.
+ *
+ * <p>Source: Kulkarni et al., "Logical Physical Clocks" (OPODIS 2014).
+ *
+ * @param millis largest wall-clock time seen
+ * @param counter orders events within the same millisecond
+ */
+public record HybridTimestamp(long millis, int counter) implements Comparable<HybridTimestamp> {
+  private static final Comparator<HybridTimestamp> ORDER =
+      Comparator.comparingLong(HybridTimestamp::millis).thenComparingInt(HybridTimestamp::counter);
+
+  @Override
+  public int compareTo(HybridTimestamp other) {
+    return ORDER.compare(this, other);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
@@ -0,0 +1,99 @@
+package org.magnoliaswitch.core.connection;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+
+/** One HTTP/1.1 connection to a backend server, used by one exchange at a time. */
+public final class BackendConnection {
+  private static final Http1Config CONFIG =
+      Http1Config.custom()
+          .setBufferSize(8 * 1024)
+          .setMaxHeaderCount(200)
+          .setMaxLineLength(16 * 1024)
+          .build();
+
+  private final DefaultBHttpClientConnection http;
+  private final long openedNanos;
+  private volatile long lastSuccessNanos;
+
+  private BackendConnection(DefaultBHttpClientConnection http, long openedNanos) {
+    this.http = http;
+    this.openedNanos = openedNanos;
+    this.lastSuccessNanos = openedNanos;
+  }
+
+  /** Opens a connection; blocks for the timeout at most. */
+  public static BackendConnection open(InetSocketAddress address, int timeoutMillis, long nowNanos)
+      throws IOException {
+    Socket socket = new Socket();
+    try {
+      socket.setTcpNoDelay(true);
+      socket.connect(address, Math.max(1, timeoutMillis));
+      DefaultBHttpClientConnection http = new DefaultBHttpClientConnection(CONFIG);
+      http.bind(socket);
+      return new BackendConnection(http, nowNanos);
+    } catch (IOException e) {
+      socket.close();
+      throw e;
+    }
+  }
+
+  /** Sends a request whole; bytes may have left as soon as this was called. */
+  public void send(ClassicHttpRequest request) throws IOException, HttpException {
+    http.sendRequestHeader(request);
+    if (request.getEntity() != null) {
+      http.sendRequestEntity(request);
+    }
+    http.flush();
+  }
+
+  /** Waits for the final response head; informational responses are skipped. */
+  public ClassicHttpResponse receiveHead() throws IOException, HttpException {
+    ClassicHttpResponse response = http.receiveResponseHeader();
+    while (response.getCode() < HttpStatus.SC_OK) {
+      response = http.receiveResponseHeader();
+    }
+    return response;
+  }
+
+  /** Attaches the body, if the response has one, as the response's entity. */
+  public void receiveBody(ClassicHttpResponse response) throws IOException, HttpException {
+    http.receiveResponseEntity(response);
+  }
+
+  /** Bounds each following read. */
+  public void readTimeout(long nanos) {
+    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(nanos));
+    http.setSocketTimeout(Timeout.ofMilliseconds(millis));
+  }
+
+  /** Notes that an exchange ended with a whole answer. */
+  public void succeeded(long nowNanos) {
+    lastSuccessNanos = nowNanos;
+  }
+
+  /** When it was opened. */
+  public long openedNanos() {
+    return openedNanos;
+  }
+
+  /** When it last carried a whole answer, or was opened. */
+  public long lastSuccessNanos() {
+    return lastSuccessNanos;
+  }
+
+  /** Closes at once; a late answer then meets nobody. */
+  public void abort() {
+    http.close(CloseMode.IMMEDIATE);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/PeerConnection.java
@@ -0,0 +1,89 @@
+package org.magnoliaswitch.core.peer;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * One authenticated connection between two instances.
+ *
+ * <p>The accepting side sends a random challenge; the connecting side answers with the challenge
+ * signed by the shared secret. Nothing else is read before that answer was right.
+ */
+final class PeerConnection implements AutoCloseable {
+  private static final int MAX_HANDSHAKE = 64;
+
+  private final Socket socket;
+  private final DataInputStream in;
+  private final DataOutputStream out;
+  private final AtomicLong bytes;
+
+  PeerConnection(Socket socket, AtomicLong bytes) throws IOException {
+    this.socket = socket;
+    this.bytes = bytes;
+    socket.setTcpNoDelay(true);
+    this.in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 2048));
+    this.out = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream(), 2048));
+  }
+
+  /** Accepting side: sends a challenge and checks the answer. */
+  void authenticateCaller(String challenge, PeerSecret secret) throws IOException {
+    writeHandshake(challenge.getBytes(StandardCharsets.US_ASCII));
+    if (!secret.matches(challenge, readHandshake())) {
+      throw new FrameException(FrameException.Reason.UNAUTHENTICATED, "a wrong signature");
+    }
+  }
+
+  /** Connecting side: signs the challenge. */
+  void answerChallenge(PeerSecret secret) throws IOException {
+    String challenge = new String(readHandshake(), StandardCharsets.US_ASCII);
+    writeHandshake(secret.sign(challenge));
+  }
+
+  void write(PeerMessage message) throws IOException {
+    byte[] frame = FrameCodec.encode(message);
+    bytes.addAndGet(frame.length + Integer.BYTES);
+    FrameCodec.write(out, frame);
+  }
+
+  PeerMessage read() throws IOException {
+    byte[] frame = FrameCodec.read(in);
+    bytes.addAndGet(frame.length + Integer.BYTES);
+    return FrameCodec.decode(frame);
+  }
+
+  void readTimeout(int millis) throws IOException {
+    socket.setSoTimeout(millis);
+  }
+
+  @Override
+  public void close() {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // A socket that fails to close is of no more use either way.
+      return;
+    }
+  }
+
+  private void writeHandshake(byte[] text) throws IOException {
+    bytes.addAndGet(text.length + 1L);
+    out.writeByte(text.length);
+    out.write(text);
+    out.flush();
+  }
+
+  private byte[] readHandshake() throws IOException {
+    int length = in.readUnsignedByte();
+    if (length > MAX_HANDSHAKE) {
+      throw new FrameException(FrameException.Reason.OVERSIZE, "a handshake of " + length);
+    }
+    bytes.addAndGet(length + 1L);
+    return in.readNBytes(length);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/PeerHandler.java
@@ -0,0 +1,8 @@
+package org.magnoliaswitch.core.peer;
+
+/** Answers requests of peers. */
+@FunctionalInterface
+public interface PeerHandler {
+  /** Returns the reply to a request. */
+  PeerMessage answer(PeerMessage request);
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/PeerMessage.java
@@ -0,0 +1,43 @@
+package org.magnoliaswitch.core.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Map;
+
+/** A message between entry instances; each request has one reply on the same connection. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t", include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = PeerMessage.Gossip.class, name = "g"),
+  @JsonSubTypes.Type(value = PeerMessage.FetchContent.class, name = "f"),
+  @JsonSubTypes.Type(value = PeerMessage.Content.class, name = "c"),
+  @JsonSubTypes.Type(value = PeerMessage.ClaimKeys.class, name = "k"),
+  @JsonSubTypes.Type(value = PeerMessage.ClaimResults.class, name = "r"),
+  @JsonSubTypes.Type(value = PeerMessage.Unsupported.class, name = "u")
+})
+public sealed interface PeerMessage {
+  /** A summary; the reply is the receiver's own. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Gossip(GossipDigest digest) implements PeerMessage {}
+
+  /** Asks for content by digest. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record FetchContent(List<String> digests) implements PeerMessage {}
+
+  /** Content by digest; what the sender lacks is left out. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Content(Map<String, byte[]> byDigest) implements PeerMessage {}
+
+  /** Asks the receiver to claim keys for the sender in one of its grouped transactions. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ClaimKeys(List<Claim> claims, int windowMillis, int waitMillis) implements PeerMessage {}
+
+  /** Results in the order of the claims. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record ClaimResults(List<ClaimResult> results) implements PeerMessage {}
+
+  /** The receiver does not serve this request. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Unsupported(String reason) implements PeerMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/PeerServer.java
@@ -0,0 +1,106 @@
+package org.magnoliaswitch.core.peer;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Accepts connections of peers; each is served by a virtual thread of its own. */
+public final class PeerServer implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int HANDSHAKE_TIMEOUT_MILLIS = 2_000;
+  private static final int IDLE_TIMEOUT_MILLIS = 300_000;
+  private static final int CHALLENGE_BYTES = 16;
+  private static final int MAX_CONNECTIONS = 1_024;
+
+  private final ServerSocket listener;
+  private final PeerSecret secret;
+  private final PeerHandler handler;
+  private final PeerTraffic traffic;
+  private final SecureRandom random = new SecureRandom();
+  private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
+
+  public PeerServer(Address address, PeerSecret secret, PeerHandler handler, PeerTraffic traffic)
+      throws IOException {
+    this.secret = secret;
+    this.handler = handler;
+    this.traffic = traffic;
+    this.listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(new InetSocketAddress(address.host(), address.port()));
+    Thread.ofVirtual().name("peer-accept").start(this::acceptAll);
+  }
+
+  /** The port listened on, also when the settings said 0. */
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  @Override
+  public void close() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      logger.atFine().log("event=peer_listener_close_failed cause=%s", e);
+    }
+    connections.forEach(PeerConnection::close);
+  }
+
+  private void acceptAll() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        if (connections.size() >= MAX_CONNECTIONS) {
+          socket.close();
+        } else {
+          Thread.ofVirtual().name("peer-serve").start(() -> serve(socket));
+        }
+      } catch (IOException e) {
+        logger.atFine().log("event=peer_accept_ended cause=%s", e);
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (PeerConnection connection = new PeerConnection(socket, traffic.bytes())) {
+      connections.add(connection);
+      try {
+        connection.readTimeout(HANDSHAKE_TIMEOUT_MILLIS);
+        connection.authenticateCaller(challenge(), secret);
+        connection.readTimeout(IDLE_TIMEOUT_MILLIS);
+        answerAll(connection);
+      } finally {
+        connections.remove(connection);
+      }
+    } catch (FrameException e) {
+      traffic.refused().incrementAndGet();
+      logger.atWarning().log(
+          "event=peer_frame_refused reason=%s from=%s",
+          e.reason(), socket.getRemoteSocketAddress());
+    } catch (EOFException e) {
+      logger.atFine().log("event=peer_connection_ended from=%s", socket.getRemoteSocketAddress());
+    } catch (IOException e) {
+      logger.atFine().log("event=peer_connection_failed cause=%s", e);
+    }
+  }
+
+  private void answerAll(PeerConnection connection) throws IOException {
+    while (!listener.isClosed()) {
+      PeerMessage request = connection.read();
+      traffic.messages().addAndGet(2);
+      connection.write(handler.answer(request));
+    }
+  }
+
+  private String challenge() {
+    byte[] bytes = new byte[CHALLENGE_BYTES];
+    random.nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ConfigurationFollower.java
@@ -0,0 +1,94 @@
+package org.magnoliaswitch.core.process;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliaswitch.core.peer.Address;
+import org.magnoliaswitch.core.peer.PeerClient;
+import org.magnoliaswitch.core.peer.PeerMessage;
+import org.magnoliaswitch.core.platform.PlatformException;
+import org.magnoliaswitch.core.version.Digest;
+
+/** Brings newer versions to this instance, from peers first and from the store otherwise. */
+public final class ConfigurationFollower {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int FETCH_TIMEOUT_MILLIS = 2_000;
+
+  private final CurrentVersion current;
+  private final ContentCache cache;
+  private final ConfigurationStore store;
+  private final PeerClient peers;
+
+  public ConfigurationFollower(
+      CurrentVersion current, ContentCache cache, ConfigurationStore store, PeerClient peers) {
+    this.current = current;
+    this.cache = cache;
+    this.store = store;
+    this.peers = peers;
+  }
+
+  /** Where contents come from. */
+  private interface Source {
+    Map<String, byte[]> fetch(List<String> digests) throws IOException, PlatformException;
+  }
+
+  /** Adopts a version a peer has, when it is newer; true when it was. */
+  public boolean followPeer(Address peer, long version, String manifest) {
+    return follow(version, manifest, digests -> fromPeer(peer, digests));
+  }
+
+  /** Reads the head and adopts it, when it is newer. */
+  public boolean followStore() throws PlatformException {
+    ConfigurationStore.Head head = store.head();
+    return follow(head.version(), head.manifest(), this::fromStore);
+  }
+
+  private synchronized boolean follow(long version, String manifest, Source source) {
+    if (!current.wants(version, manifest)) {
+      return false;
+    }
+    try {
+      if (cache.get(manifest).isEmpty()) {
+        keep(source.fetch(List.of(manifest)), List.of(manifest));
+      }
+      List<String> missing = current.missing(manifest);
+      if (!missing.isEmpty()) {
+        keep(source.fetch(missing), missing);
+      }
+      return current.adopt(manifest);
+    } catch (IOException | PlatformException e) {
+      logger.atFine().log("event=version_fetch_failed version=%d cause=%s", version, e);
+      return false;
+    }
+  }
+
+  private void keep(Map<String, byte[]> contents, List<String> wanted) throws IOException {
+    for (String digest : wanted) {
+      byte[] content = contents.get(digest);
+      // The digest is checked, so a peer with damaged content cannot pass it on.
+      if (content == null || !Digest.of(content).equals(digest)) {
+        throw new IOException("content " + digest + " is not there");
+      }
+      cache.put(content);
+    }
+  }
+
+  private Map<String, byte[]> fromPeer(Address peer, List<String> digests) throws IOException {
+    PeerMessage reply =
+        peers.call(peer, new PeerMessage.FetchContent(digests), FETCH_TIMEOUT_MILLIS);
+    return reply instanceof PeerMessage.Content content ? content.byDigest() : Map.of();
+  }
+
+  private Map<String, byte[]> fromStore(List<String> digests) throws PlatformException {
+    List<byte[]> contents = new ArrayList<>();
+    for (String digest : digests) {
+      Optional<byte[]> content = store.content(digest);
+      content.ifPresent(contents::add);
+    }
+    return contents.stream()
+        .collect(java.util.stream.Collectors.toMap(Digest::of, c -> c, (a, b) -> a));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ConfigurationStore.java
@@ -0,0 +1,178 @@
+package org.magnoliaswitch.core.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliaswitch.core.platform.ConditionalWrite;
+import org.magnoliaswitch.core.platform.ObjectStore;
+import org.magnoliaswitch.core.platform.PlatformException;
+import org.magnoliaswitch.core.platform.PlatformTable;
+import org.magnoliaswitch.core.platform.Row;
+import org.magnoliaswitch.core.platform.TransactionResult;
+import org.magnoliaswitch.core.version.Json;
+import org.magnoliaswitch.core.version.Manifest;
+
+/**
+ * Accepted configuration versions in the platform's services.
+ *
+ * <p>A version is accepted by one transaction that moves the head row from the version it was made
+ * from to the next one and inserts a row for the change id. Contents are stored before, under their
+ * digests. The head row is the only place where versions are ordered, so two operators cannot both
+ * win; the change row makes a repeated change recognisable after its answer was lost.
+ */
+public final class ConfigurationStore {
+  /** Row that holds the number and digest of the latest accepted version. */
+  private static final String HEAD_KEY = "configuration/head";
+
+  private static final String CHANGE_PREFIX = "configuration/change/";
+  private static final String VERSION_PREFIX = "configuration/version/";
+  private static final long CHANGE_RETENTION_SECONDS = 7L * 24 * 3_600;
+  private static final long HISTORY_RETENTION_SECONDS = 400L * 24 * 3_600;
+  private static final String CONTENT_PREFIX = "configuration/content/";
+
+  /**
+   * A version and where its manifest is.
+   *
+   * @param version number, 0 for none
+   * @param manifest digest of the manifest
+   */
+  public record Head(long version, String manifest) {
+    /** Nothing was ever accepted. */
+    public static final Head NONE = new Head(0, "");
+  }
+
+  /** What came of a change. */
+  public sealed interface Acceptance {
+    /** Accepted now or, when {@code repeated}, earlier under the same change id. */
+    record Accepted(Head head, boolean repeated) implements Acceptance {}
+
+    /** Refused since another change came first. */
+    record Raced(Head current) implements Acceptance {}
+
+    /** The platform did not say; the same change id may be sent again. */
+    record Undecided(String reason) implements Acceptance {}
+  }
+
+  private final PlatformTable table;
+  private final ObjectStore objects;
+
+  public ConfigurationStore(PlatformTable table, ObjectStore objects) {
+    this.table = table;
+    this.objects = objects;
+  }
+
+  /** The latest accepted version. */
+  public Head head() throws PlatformException {
+    return readHead(table.read(List.of(HEAD_KEY)).getFirst());
+  }
+
+  /** A content by digest. */
+  public Optional<byte[]> content(String digest) throws PlatformException {
+    return objects.get(CONTENT_PREFIX + digest);
+  }
+
+  /** The latest versions, newest first. */
+  public List<Head> history(int limit) throws PlatformException {
+    return table.scan(VERSION_PREFIX, limit).stream()
+        .map(ConfigurationStore::readUnchecked)
+        .toList();
+  }
+
+  /**
+   * Accepts a manifest when its predecessor is still the head.
+   *
+   * @param manifest the version to accept
+   * @param contents manifest and parts by digest
+   */
+  public Acceptance accept(Manifest manifest, String digest, Map<String, byte[]> contents) {
+    try {
+      Optional<Head> earlier = changeOf(manifest.changeId());
+      if (earlier.isPresent()) {
+        return new Acceptance.Accepted(earlier.get(), true);
+      }
+      Row headRow = table.read(List.of(HEAD_KEY)).getFirst();
+      Head current = readHead(headRow);
+      if (current.version() != manifest.version() - 1) {
+        return new Acceptance.Raced(current);
+      }
+      for (Map.Entry<String, byte[]> content : contents.entrySet()) {
+        objects.put(CONTENT_PREFIX + content.getKey(), content.getValue());
+      }
+      return commit(manifest, headRow, new Head(manifest.version(), digest));
+    } catch (PlatformException e) {
+      return new Acceptance.Undecided(String.valueOf(e.getMessage()));
+    }
+  }
+
+  private Acceptance commit(Manifest manifest, Row headRow, Head next) throws PlatformException {
+    String value = write(next);
+    TransactionResult result =
+        table.transact(
+            List.of(
+                new ConditionalWrite(HEAD_KEY, headRow.version(), value, 0),
+                new ConditionalWrite(
+                    CHANGE_PREFIX + manifest.changeId(), 0, value, CHANGE_RETENTION_SECONDS),
+                new ConditionalWrite(
+                    versionKey(next.version()), 0, value, HISTORY_RETENTION_SECONDS)));
+    return switch (result) {
+      case TransactionResult.Committed committed -> new Acceptance.Accepted(next, false);
+      case TransactionResult.Conflict conflict -> afterConflict(manifest);
+      case TransactionResult.Unknown unknown -> afterLostAnswer(manifest, unknown);
+    };
+  }
+
+  private Acceptance afterConflict(Manifest manifest) throws PlatformException {
+    // The own earlier try may be the winner, when its answer was lost and its write landed late.
+    Optional<Head> own = changeOf(manifest.changeId());
+    return own.isPresent()
+        ? new Acceptance.Accepted(own.get(), true)
+        : new Acceptance.Raced(head());
+  }
+
+  private Acceptance afterLostAnswer(Manifest manifest, TransactionResult.Unknown unknown)
+      throws PlatformException {
+    Optional<Head> own = changeOf(manifest.changeId());
+    // Absence proves nothing here: the write may still land. Only presence does.
+    return own.isPresent()
+        ? new Acceptance.Accepted(own.get(), false)
+        : new Acceptance.Undecided(unknown.reason());
+  }
+
+  private Optional<Head> changeOf(String changeId) throws PlatformException {
+    Row row = table.read(List.of(CHANGE_PREFIX + changeId)).getFirst();
+    return row.version() == 0 ? Optional.empty() : Optional.of(readHead(row));
+  }
+
+  private static String versionKey(long version) {
+    return VERSION_PREFIX + String.format("%012d", version);
+  }
+
+  private static Head readHead(Row row) throws PlatformException {
+    if (row.version() == 0) {
+      return Head.NONE;
+    }
+    try {
+      return Json.MAPPER.readValue(row.value(), Head.class);
+    } catch (IOException e) {
+      throw new PlatformException("unreadable row " + row.key(), e);
+    }
+  }
+
+  private static Head readUnchecked(Row row) {
+    try {
+      return readHead(row);
+    } catch (PlatformException e) {
+      return Head.NONE;
+    }
+  }
+
+  private static String write(Head head) {
+    try {
+      return Json.MAPPER.writeValueAsString(head);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a head is always writable as JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/KeyIssuer.java
@@ -0,0 +1,94 @@
+package org.magnoliaswitch.core.process;
+
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.peer.PeerSecret;
+
+/**
+ * Issues idempotency keys that name the incarnation which alone may execute them.
+ *
+ * <p>Since nobody else ever runs such a key, the incarnation's memory is enough to run it at most
+ * once, without a write to the platform, through a platform outage of any length.
+ */
+public final class KeyIssuer {
+  private static final String PREFIX = "mk1";
+  private static final int PARTS = 5;
+  private static final int RADIX = 36;
+  private static final int SIGNATURE_BYTES = 12;
+
+  /**
+   * An issued key's content.
+   *
+   * @param incarnation who may execute it
+   * @param issuedMillis when it was issued, on the monotonic clock of its incarnation
+   * @param sequence number within the incarnation
+   */
+  public record IssuedKey(String incarnation, long issuedMillis, long sequence) {
+    private String text() {
+      return PREFIX
+          + '.'
+          + incarnation
+          + '.'
+          + Long.toString(issuedMillis, RADIX)
+          + '.'
+          + Long.toString(sequence, RADIX);
+    }
+  }
+
+  private final String incarnation;
+  private final PeerSecret secret;
+  private final Clocks clocks;
+  private final long startNanos;
+  private final AtomicLong sequence = new AtomicLong();
+
+  public KeyIssuer(String incarnation, PeerSecret secret, Clocks clocks) {
+    this.incarnation = incarnation;
+    this.secret = secret;
+    this.clocks = clocks;
+    this.startNanos = clocks.nanos();
+  }
+
+  /** A key that was never issued before. */
+  public String issue() {
+    String text = new IssuedKey(incarnation, now(), sequence.incrementAndGet()).text();
+    return text + '.' + signature(text);
+  }
+
+  /** The content of a key that an instance of this system issued; nothing for any other text. */
+  public Optional<IssuedKey> parse(String key) {
+    String[] parts = key.split("\\.", -1);
+    if (parts.length != PARTS || !parts[0].equals(PREFIX)) {
+      return Optional.empty();
+    }
+    try {
+      IssuedKey issued =
+          new IssuedKey(parts[1], Long.parseLong(parts[2], RADIX), Long.parseLong(parts[3], RADIX));
+      boolean genuine =
+          java.security.MessageDigest.isEqual(
+              signature(issued.text()).getBytes(java.nio.charset.StandardCharsets.US_ASCII),
+              parts[4].getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+      return genuine ? Optional.of(issued) : Optional.empty();
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Whether a key of this incarnation is older than the retention of outcomes. */
+  public boolean expired(IssuedKey key, long retentionSeconds) {
+    // The monotonic clock counts: a wall clock set back would revive a key whose outcome is
+    // forgotten.
+    return now() - key.issuedMillis() >= TimeUnit.SECONDS.toMillis(retentionSeconds);
+  }
+
+  private long now() {
+    return TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - startNanos);
+  }
+
+  private String signature(String text) {
+    return HexFormat.of().formatHex(Arrays.copyOf(secret.sign(text), SIGNATURE_BYTES));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
@@ -0,0 +1,161 @@
+package org.magnoliaswitch.core.process;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.magnoliaswitch.core.version.BackendServer;
+
+/**
+ * What this instance knows of one backend server, updated without locks.
+ *
+ * <p>First-hand signs (own latency, own failures) are kept apart from the server's reports, since
+ * reports lag or mislead and are overruled by what this instance's own requests met.
+ */
+public final class ServerLoad {
+  /** Weight of one sample in the moving averages. */
+  private static final double SAMPLE_WEIGHT = 0.15;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /**
+   * The last report and what this instance had in flight when it arrived.
+   *
+   * @param report what the server said
+   * @param atNanos when it arrived
+   * @param ownInFlight requests of this instance in flight then
+   */
+  public record TimedReport(LoadReport report, long atNanos, int ownInFlight) {}
+
+  /**
+   * Averages of recent own exchanges.
+   *
+   * @param latencyMillis moving average of the latency of whole answers
+   * @param failureShare moving average of failures, refusals included, 0 to 1
+   * @param samples number of exchanges seen
+   */
+  public record Averages(double latencyMillis, double failureShare, long samples) {}
+
+  private final String serverId;
+  private final long createdNanos;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicReference<TimedReport> lastReport;
+  private final AtomicReference<Averages> averages = new AtomicReference<>(new Averages(0, 0, 0));
+  private final AtomicLong lastHeardNanos;
+  private final AtomicLong lastProbeNanos = new AtomicLong(Long.MIN_VALUE);
+  private final AtomicReference<Ejection> ejection = new AtomicReference<>(Ejection.NONE);
+
+  public ServerLoad(BackendServer server, long nowNanos) {
+    this.serverId = server.id();
+    this.createdNanos = nowNanos;
+    this.lastReport =
+        new AtomicReference<>(
+            new TimedReport(new LoadReport(0, server.slots(), false), nowNanos, 0));
+    this.lastHeardNanos = new AtomicLong(nowNanos);
+  }
+
+  /** Counts a request that is about to be sent. */
+  public void sent() {
+    inFlight.incrementAndGet();
+  }
+
+  /** Counts the end of a request whose answer was whole. */
+  public void answered(long latencyNanos, long nowNanos) {
+    inFlight.decrementAndGet();
+    lastHeardNanos.set(nowNanos);
+    averages.updateAndGet(before -> withSample(before, latencyNanos / NANOS_PER_MILLI));
+  }
+
+  /** Counts the end of a request that failed or was refused. */
+  public void failed() {
+    inFlight.decrementAndGet();
+    averages.updateAndGet(
+        before ->
+            new Averages(
+                before.latencyMillis(), mix(before.failureShare(), 1), before.samples() + 1));
+  }
+
+  /** Counts the end of a request that was given up without fault of the server. */
+  public void abandoned() {
+    inFlight.decrementAndGet();
+  }
+
+  /** Notes that a request takes longer than the average, before it has ended. */
+  public void slow(long elapsedNanos) {
+    double elapsedMillis = elapsedNanos / NANOS_PER_MILLI;
+    averages.updateAndGet(
+        before ->
+            elapsedMillis > before.latencyMillis() ? withLatency(before, elapsedMillis) : before);
+  }
+
+  /** Takes a report that rode on a response or answered a probe. */
+  public void reported(LoadReport report, long nowNanos) {
+    lastReport.set(new TimedReport(report, nowNanos, inFlight.get()));
+    lastHeardNanos.set(nowNanos);
+  }
+
+  /** Reserves the right to send one probe when none was sent within the window. */
+  public boolean claimProbe(long nowNanos, long windowNanos) {
+    long before = lastProbeNanos.get();
+    boolean due = before == Long.MIN_VALUE || nowNanos - before >= windowNanos;
+    return due && lastProbeNanos.compareAndSet(before, nowNanos);
+  }
+
+  /** Sets how long the server gets no ordinary requests. */
+  public void eject(Ejection next) {
+    ejection.set(next);
+  }
+
+  /** The ejection in force or last in force. */
+  public Ejection ejection() {
+    return ejection.get();
+  }
+
+  /** Requests of this instance now at the server. */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /** The last report. */
+  public TimedReport lastReport() {
+    return lastReport.get();
+  }
+
+  /** Averages of recent own exchanges. */
+  public Averages averages() {
+    return averages.get();
+  }
+
+  /** Forgets failures, so that a restored server is judged by what it does next. */
+  public void forgive() {
+    averages.updateAndGet(before -> new Averages(before.latencyMillis(), 0, 0));
+  }
+
+  /** When the server was last heard of. */
+  public long lastHeardNanos() {
+    return lastHeardNanos.get();
+  }
+
+  /** When this instance first knew the server. */
+  public long createdNanos() {
+    return createdNanos;
+  }
+
+  /** Id of the server. */
+  public String serverId() {
+    return serverId;
+  }
+
+  private static Averages withSample(Averages before, double millis) {
+    double latency = before.samples() == 0 ? millis : mix(before.latencyMillis(), millis);
+    return new Averages(latency, mix(before.failureShare(), 0), before.samples() + 1);
+  }
+
+  private static Averages withLatency(Averages before, double millis) {
+    return new Averages(
+        mix(before.latencyMillis(), millis), before.failureShare(), before.samples());
+  }
+
+  private static double mix(double average, double sample) {
+    return average + SAMPLE_WEIGHT * (sample - average);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ServiceRegistry.java
@@ -0,0 +1,150 @@
+package org.magnoliaswitch.core.process;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.connection.ConnectionPool;
+import org.magnoliaswitch.core.version.BackendServer;
+import org.magnoliaswitch.core.version.Profile;
+import org.magnoliaswitch.core.version.Service;
+import org.magnoliaswitch.core.version.Snapshot;
+
+/**
+ * The services in force, replaced as a whole by each version and each change of shares.
+ *
+ * <p>Requests read one immutable state and finish under it; handles of servers that stay keep their
+ * load and connections.
+ */
+public final class ServiceRegistry {
+  /**
+   * What requests read.
+   *
+   * @param snapshot configuration in force
+   * @param services state by service name
+   */
+  public record State(Snapshot snapshot, Map<String, ServiceState> services) {
+    public State {
+      services = Map.copyOf(services);
+    }
+
+    /** The service that covers a path. */
+    public Optional<ServiceState> serviceOf(String path) {
+      return snapshot.serviceOf(path).map(service -> services.get(service.name()));
+    }
+
+    /** Handles of all servers of this instance's shares. */
+    public Collection<ServerHandle> handles() {
+      return services.values().stream().flatMap(s -> s.servers().stream()).toList();
+    }
+  }
+
+  private final Clocks clocks;
+  private final Membership membership;
+  private volatile State state = new State(Snapshot.EMPTY, Map.of());
+
+  public ServiceRegistry(Membership membership, Clocks clocks) {
+    this.membership = membership;
+    this.clocks = clocks;
+  }
+
+  /** The state in force. */
+  public State state() {
+    return state;
+  }
+
+  /** Puts a snapshot in force. */
+  public synchronized void apply(Snapshot snapshot) {
+    rebuild(snapshot);
+  }
+
+  /** Shares servers anew when the number of instances has changed. */
+  public synchronized void shareAnew() {
+    rebuild(state.snapshot());
+  }
+
+  private void rebuild(Snapshot snapshot) {
+    State before = state;
+    Map<String, ServerHandle> handles = new HashMap<>();
+    before.handles().forEach(handle -> handles.put(handle.id(), handle));
+    Membership.Rank rank = membership.rank();
+    Map<String, ServiceState> services = new HashMap<>();
+    for (Service service : snapshot.services().values()) {
+      Optional<ServiceState> old = Optional.ofNullable(before.services().get(service.name()));
+      services.put(service.name(), build(service, snapshot.profileOf(service), old, handles, rank));
+    }
+    state = new State(snapshot, services);
+    closeRemoved(before, state);
+  }
+
+  private ServiceState build(
+      Service service,
+      Profile profile,
+      Optional<ServiceState> old,
+      Map<String, ServerHandle> handles,
+      Membership.Rank rank) {
+    List<BackendServer> share = ServerShare.select(service.servers(), rank);
+    List<ServerHandle> servers = new ArrayList<>();
+    for (BackendServer server : share) {
+      int connections =
+          ServerShare.connections(server, service.servers().size(), share.size(), rank.size());
+      servers.add(handle(server, handles.get(server.id()), connections));
+    }
+    ServiceAdmission admission = admission(profile, old, share, rank);
+    ServiceState.Counters counters =
+        old.map(ServiceState::counters).orElseGet(ServiceState.Counters::new);
+    return new ServiceState(service, profile, servers, admission, counters);
+  }
+
+  private ServerHandle handle(
+      BackendServer server, @org.jspecify.annotations.Nullable ServerHandle old, int connections) {
+    boolean sameAddress =
+        old != null
+            && old.server().host().equals(server.host())
+            && old.server().port() == server.port();
+    if (old != null && sameAddress) {
+      old.pool().limit(connections);
+      return new ServerHandle(server, old.load(), old.pool());
+    }
+    InetSocketAddress address = new InetSocketAddress(server.host(), server.port());
+    return new ServerHandle(
+        server,
+        new ServerLoad(server, clocks.nanos()),
+        new ConnectionPool(address, connections, clocks));
+  }
+
+  private ServiceAdmission admission(
+      Profile profile,
+      Optional<ServiceState> old,
+      List<BackendServer> share,
+      Membership.Rank rank) {
+    double slots = share.stream().mapToInt(BackendServer::slots).sum();
+    double most = slots * profile.admission().loadPerSlot();
+    boolean keep =
+        old.isPresent()
+            && old.get().profile().admission().equals(profile.admission())
+            && old.get().profile().kinds().equals(profile.kinds());
+    ServiceAdmission admission =
+        keep
+            ? old.get().admission()
+            : new ServiceAdmission(
+                profile.admission(), profile.kinds(), most / Math.max(1, rank.size()), clocks);
+    admission.maxWindow(most);
+    return admission;
+  }
+
+  private static void closeRemoved(State before, State after) {
+    Map<String, ServerHandle> kept = new HashMap<>();
+    after.handles().forEach(handle -> kept.put(handle.id(), handle));
+    for (ServerHandle handle : before.handles()) {
+      ServerHandle now = kept.get(handle.id());
+      if (now == null || now.pool() != handle.pool()) {
+        handle.pool().closeIdle();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
@@ -0,0 +1,242 @@
+package org.magnoliaswitch.core.request;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpException;
+import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.process.EjectionPolicy;
+import org.magnoliaswitch.core.process.EventKind;
+import org.magnoliaswitch.core.process.LeavingServers;
+import org.magnoliaswitch.core.process.LoadReport;
+import org.magnoliaswitch.core.process.ServerHandle;
+import org.magnoliaswitch.core.process.Timeline;
+
+/** Runs one attempt at one server and learns from how it ended. */
+public final class AttemptRunner {
+  /** Header by which the remaining time is passed on, in milliseconds. */
+  public static final String DEADLINE_HEADER = "Request-Timeout-Ms";
+
+  /** Header by which the number of the attempt is passed on. */
+  public static final String ATTEMPT_HEADER = "Request-Attempt";
+
+  /** Header that carries the request id. */
+  public static final String ID_HEADER = "X-Request-Id";
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 250;
+
+  /** A connection that answered so recently is taken to be alive for work that must not be lost. */
+  private static final long FRESH_CONNECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private static final long ANY_IDLE_NANOS = Long.MAX_VALUE;
+
+  private final Clocks clocks;
+  private final Timeline timeline;
+  private final LeavingServers leaving;
+  private final Runnable leavingNews;
+
+  public AttemptRunner(
+      Clocks clocks, Timeline timeline, LeavingServers leaving, Runnable leavingNews) {
+    this.clocks = clocks;
+    this.timeline = timeline;
+    this.leaving = leaving;
+    this.leavingNews = leavingNews;
+  }
+
+  /** Called while an attempt waits longer than the hedge delay. */
+  @FunctionalInterface
+  public interface SlowListener {
+    /** Told once. */
+    void slow();
+  }
+
+  /** One attempt that can be cancelled from another thread. */
+  public final class Attempt {
+    private final InboundRequest request;
+    private final ServerHandle server;
+    private final int number;
+    private final Exchange exchange;
+
+    Attempt(InboundRequest request, ServerHandle server, int number) {
+      this.request = request;
+      this.server = server;
+      this.number = number;
+      this.exchange = new Exchange(server.pool(), request.deadline(), clocks);
+    }
+
+    /** The server tried. */
+    public ServerHandle server() {
+      return server;
+    }
+
+    /** Closes the connection under the attempt. */
+    public void cancel() {
+      exchange.cancel();
+    }
+
+    /**
+     * Runs the attempt to its end.
+     *
+     * @param slowAfterNanos wait after which the listener is told, {@link Long#MAX_VALUE} for never
+     */
+    public AttemptResult run(long slowAfterNanos, SlowListener listener) {
+      long started = clocks.nanos();
+      server.load().sent();
+      event(EventKind.ATTEMPT_SENT, "attempt=" + number);
+      AttemptResult result = exchangeAll(slowAfterNanos, listener);
+      learn(result, started);
+      event(EventKind.ATTEMPT_ENDED, "attempt=" + number + " result=" + describe(result));
+      return result;
+    }
+
+    private AttemptResult exchangeAll(long slowAfterNanos, SlowListener listener) {
+      try {
+        exchange.connect(
+            request.idempotent() ? ANY_IDLE_NANOS : FRESH_CONNECTION_NANOS, CONNECT_TIMEOUT_MILLIS);
+        exchange.send(Exchange.outbound(request, passedOn()));
+        Exchange.Head head = awaitHead(slowAfterNanos, listener);
+        if (head == null) {
+          exchange.fail();
+          return new AttemptResult.TimedOut();
+        }
+        report(head);
+        Reply reply = exchange.receive(head, request.method());
+        return request.service().profile().refusalStatuses().contains(reply.status())
+            ? new AttemptResult.Refused(reply.status())
+            : new AttemptResult.Answered(reply);
+      } catch (IOException | HttpException e) {
+        exchange.fail();
+        return failure(e);
+      }
+    }
+
+    private Exchange.@Nullable Head awaitHead(long slowAfterNanos, SlowListener listener)
+        throws IOException, HttpException {
+      Exchange.Head head = exchange.awaitHead(slowAfterNanos);
+      if (head != null || request.deadline().expired(clocks.nanos())) {
+        return head;
+      }
+      listener.slow();
+      return exchange.awaitHead(Long.MAX_VALUE);
+    }
+
+    private AttemptResult failure(Exception cause) {
+      if (!exchange.bytesMayHaveLeft()) {
+        return new AttemptResult.NotSent(cause.toString());
+      }
+      return request.deadline().expired(clocks.nanos())
+          ? new AttemptResult.TimedOut()
+          : new AttemptResult.Broken(cause.toString());
+    }
+
+    private List<Field> passedOn() {
+      long left = TimeUnit.NANOSECONDS.toMillis(request.deadline().remaining(clocks.nanos()));
+      List<Field> fields = new ArrayList<>();
+      fields.add(new Field("Host", server.server().host() + ':' + server.server().port()));
+      fields.add(new Field(ID_HEADER, request.id()));
+      fields.add(new Field(DEADLINE_HEADER, String.valueOf(Math.max(1, left))));
+      int attempt = Math.max(number, request.attempt().number());
+      fields.add(new Field(ATTEMPT_HEADER, String.valueOf(attempt)));
+      return fields;
+    }
+
+    private void report(Exchange.Head head) {
+      var header = head.response().getFirstHeader(LoadReport.HEADER);
+      if (header == null || header.getValue() == null) {
+        return;
+      }
+      Optional<LoadReport> report = LoadReport.parse(header.getValue());
+      report.ifPresent(
+          told -> {
+            server.load().reported(told, clocks.nanos());
+            request.service().admission().reported(told);
+            if (told.draining()) {
+              noteLeaving("report");
+            }
+          });
+    }
+
+    private void learn(AttemptResult result, long started) {
+      long now = clocks.nanos();
+      switch (result) {
+        case AttemptResult.Answered answered -> {
+          server.load().answered(now - started, now);
+          request.service().counters().latency().add(now - started);
+        }
+        case AttemptResult.Refused refused -> {
+          server.load().failed();
+          request.service().admission().refused();
+          ejectIfNeeded(now);
+        }
+        case AttemptResult.NotSent notSent -> {
+          server.load().failed();
+          ejectIfNeeded(now);
+        }
+        case AttemptResult.Broken broken -> {
+          failedOrCancelled(now, started);
+        }
+        case AttemptResult.TimedOut timedOut -> {
+          server.load().slow(now - started);
+          server.load().abandoned();
+          suspectSilence(started);
+        }
+      }
+    }
+
+    private void failedOrCancelled(long now, long started) {
+      if (exchange.wasCancelled()) {
+        // The other attempt won. How long this one took is a first-hand sign of a slow server.
+        server.load().slow(now - started);
+        server.load().abandoned();
+      } else {
+        server.load().failed();
+        ejectIfNeeded(now);
+      }
+    }
+
+    /** An exchange without any sign of life casts doubt on connections of the same age. */
+    private void suspectSilence(long started) {
+      server.pool().doubt(started);
+      event(EventKind.CONNECTION_SILENT, "attempt=" + number);
+    }
+
+    private void ejectIfNeeded(long now) {
+      EjectionPolicy.decide(server.load(), request.service().servers(), now)
+          .ifPresent(
+              ejection -> {
+                server.load().eject(ejection);
+                server.load().forgive();
+                event(EventKind.SERVER_EJECTED, "count=" + ejection.count());
+              });
+    }
+
+    private void noteLeaving(String sign) {
+      if (leaving.noticed(server.id())) {
+        event(EventKind.SERVER_LEAVING, "sign=" + sign);
+        leavingNews.run();
+      }
+    }
+
+    private void event(EventKind kind, String detail) {
+      timeline.record(kind, request.id(), request.service().service().name(), server.id(), detail);
+    }
+  }
+
+  /** Prepares an attempt. */
+  public Attempt prepare(InboundRequest request, ServerHandle server, int number) {
+    return new Attempt(request, server, number);
+  }
+
+  private static String describe(AttemptResult result) {
+    return switch (result) {
+      case AttemptResult.Answered answered -> "answered status=" + answered.reply().status();
+      case AttemptResult.Refused refused -> "refused status=" + refused.status();
+      case AttemptResult.NotSent notSent -> "not_sent";
+      case AttemptResult.Broken broken -> "broken";
+      case AttemptResult.TimedOut timedOut -> "timed_out";
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Exchange.java
@@ -0,0 +1,269 @@
+package org.magnoliaswitch.core.request;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.Method;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.InputStreamEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.connection.BackendConnection;
+import org.magnoliaswitch.core.connection.ConnectionPool;
+
+/**
+ * One request and its answer on one connection.
+ *
+ * <p>The connection goes back to its pool only after a whole answer. In every other case it is
+ * closed, so that a late or half-read answer can never meet another request.
+ */
+public final class Exchange {
+  /** Larger answers are passed on while they arrive. */
+  public static final int MAX_WHOLE_BYTES = 64 * 1024;
+
+  private final ConnectionPool pool;
+  private final Clocks clocks;
+  private final Deadline deadline;
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private final AtomicBoolean cancelled = new AtomicBoolean();
+  private volatile @Nullable BackendConnection connection;
+  private volatile boolean bytesMayHaveLeft;
+
+  public Exchange(ConnectionPool pool, Deadline deadline, Clocks clocks) {
+    this.pool = pool;
+    this.deadline = deadline;
+    this.clocks = clocks;
+  }
+
+  /** What the head of a response told. */
+  public record Head(ClassicHttpResponse response) {}
+
+  /** Whether anything may have reached the server. */
+  public boolean bytesMayHaveLeft() {
+    return bytesMayHaveLeft;
+  }
+
+  /** When the connection in use was opened, or the time now when there is none. */
+  public long connectionOpenedNanos() {
+    BackendConnection used = connection;
+    return used == null ? clocks.nanos() : used.openedNanos();
+  }
+
+  /** Takes or opens a connection. */
+  public void connect(long maxIdleNanos, int connectTimeoutMillis) throws IOException {
+    long left = TimeUnit.NANOSECONDS.toMillis(deadline.remaining(clocks.nanos()));
+    int timeout = (int) Math.max(1, Math.min(connectTimeoutMillis, left));
+    connection = pool.take(maxIdleNanos, timeout);
+    if (cancelled.get()) {
+      end(false);
+      throw new IOException("cancelled");
+    }
+  }
+
+  /**
+   * Sends the request.
+   *
+   * <p>The deadline is looked at last of all: a process that was paused after it decided to send
+   * must not do so when the caller has long been told otherwise.
+   */
+  public void send(ClassicHttpRequest request) throws IOException, HttpException {
+    if (deadline.expired(clocks.nanos())) {
+      throw new SocketTimeoutException("the deadline passed before sending");
+    }
+    BackendConnection used = inUse();
+    bytesMayHaveLeft = true;
+    used.send(request);
+  }
+
+  /**
+   * Waits for the response head.
+   *
+   * @return nothing when the wait was over first; it can be called again
+   */
+  public @Nullable Head awaitHead(long waitNanos) throws IOException, HttpException {
+    BackendConnection used = inUse();
+    long left = Math.min(waitNanos, deadline.remaining(clocks.nanos()));
+    if (left <= 0) {
+      return null;
+    }
+    used.readTimeout(left);
+    try {
+      return new Head(used.receiveHead());
+    } catch (SocketTimeoutException e) {
+      return null;
+    }
+  }
+
+  /** Reads a small body whole, or hands a large one on as a stream. */
+  public Reply receive(Head head, String method) throws IOException, HttpException {
+    BackendConnection used = inUse();
+    ClassicHttpResponse response = head.response();
+    List<Field> fields = endToEnd(response);
+    if (!hasBody(response, method)) {
+      finish(response);
+      return new Reply(
+          response.getCode(), fields, new Reply.Body.Whole(new byte[0]), Outcome.EXECUTED);
+    }
+    used.receiveBody(response);
+    HttpEntity entity = response.getEntity();
+    if (entity.getContentLength() < 0 && !entity.isChunked()) {
+      // Without a length or chunks the end of the connection ends the body, so a body cut short
+      // could not be told from a whole one.
+      throw new IOException("the answer has neither a length nor chunks");
+    }
+    InputStream content = new DeadlineStream(entity.getContent(), used);
+    byte[] start = content.readNBytes(MAX_WHOLE_BYTES);
+    if (start.length < MAX_WHOLE_BYTES) {
+      finish(response);
+      return new Reply(response.getCode(), fields, new Reply.Body.Whole(start), Outcome.EXECUTED);
+    }
+    InputStream whole =
+        new java.io.SequenceInputStream(new java.io.ByteArrayInputStream(start), content);
+    Reply.End end = read -> endStream(read, response);
+    return new Reply(
+        response.getCode(),
+        fields,
+        new Reply.Body.Streaming(whole, entity.getContentLength(), end),
+        Outcome.EXECUTED);
+  }
+
+  /** Closes the connection under an exchange that is no longer wanted; safe from any thread. */
+  public void cancel() {
+    cancelled.set(true);
+    end(false);
+  }
+
+  /** Whether {@link #cancel()} was called. */
+  public boolean wasCancelled() {
+    return cancelled.get();
+  }
+
+  /** Ends the exchange without a whole answer. */
+  public void fail() {
+    end(false);
+  }
+
+  /** Builds the request as it goes to the server. */
+  public static ClassicHttpRequest outbound(InboundRequest request, List<Field> extra) {
+    BasicClassicHttpRequest outbound =
+        new BasicClassicHttpRequest(request.method(), request.target());
+    request.fields().stream()
+        .filter(field -> !field.hopByHop())
+        .forEach(field -> outbound.addHeader(field.name(), field.value()));
+    extra.forEach(field -> outbound.setHeader(field.name(), field.value()));
+    switch (request.body()) {
+      case InboundRequest.Body.Whole whole -> {
+        boolean sendsLength = whole.content().length > 0 || !Method.GET.isSame(request.method());
+        if (sendsLength) {
+          outbound.setHeader(HttpHeaders.CONTENT_LENGTH, String.valueOf(whole.content().length));
+          outbound.setEntity(new ByteArrayEntity(whole.content(), null));
+        }
+      }
+      case InboundRequest.Body.Streaming streaming -> {
+        if (streaming.length() >= 0) {
+          outbound.setHeader(HttpHeaders.CONTENT_LENGTH, String.valueOf(streaming.length()));
+        } else {
+          outbound.setHeader(HttpHeaders.TRANSFER_ENCODING, "chunked");
+        }
+        outbound.setEntity(new InputStreamEntity(streaming.stream(), streaming.length(), null));
+      }
+    }
+    return outbound;
+  }
+
+  private void endStream(boolean read, ClassicHttpResponse response) {
+    if (read) {
+      finish(response);
+    } else {
+      end(false);
+    }
+  }
+
+  private void finish(ClassicHttpResponse response) {
+    boolean keep =
+        DefaultConnectionReuseStrategy.INSTANCE.keepAlive(null, response, HttpCoreContext.create());
+    end(keep);
+  }
+
+  private void end(boolean keep) {
+    BackendConnection used = connection;
+    if (used == null || !ended.compareAndSet(false, true)) {
+      return;
+    }
+    if (keep) {
+      pool.giveBack(used);
+    } else {
+      pool.discard(used);
+    }
+  }
+
+  private BackendConnection inUse() throws IOException {
+    BackendConnection used = connection;
+    if (used == null || ended.get()) {
+      throw new IOException("the exchange has ended");
+    }
+    return used;
+  }
+
+  private static List<Field> endToEnd(ClassicHttpResponse response) {
+    List<Field> fields = new ArrayList<>();
+    for (Header header : response.getHeaders()) {
+      Field field = new Field(header.getName(), header.getValue() == null ? "" : header.getValue());
+      if (!field.hopByHop()) {
+        fields.add(field);
+      }
+    }
+    return fields;
+  }
+
+  private static boolean hasBody(ClassicHttpResponse response, String method) {
+    int status = response.getCode();
+    return !Method.HEAD.isSame(method)
+        && status != HttpStatus.SC_NO_CONTENT
+        && status != HttpStatus.SC_NOT_MODIFIED;
+  }
+
+  /** Bounds every read by what is left of the deadline. */
+  private final class DeadlineStream extends java.io.FilterInputStream {
+    private final BackendConnection used;
+
+    private DeadlineStream(InputStream in, BackendConnection used) {
+      super(in);
+      this.used = used;
+    }
+
+    @Override
+    public int read() throws IOException {
+      bound();
+      return super.read();
+    }
+
+    @Override
+    public int read(byte[] buffer, int offset, int length) throws IOException {
+      bound();
+      return super.read(buffer, offset, length);
+    }
+
+    private void bound() throws IOException {
+      long left = deadline.remaining(clocks.nanos());
+      if (left <= 0) {
+        throw new SocketTimeoutException("the deadline passed within the answer");
+      }
+      used.readTimeout(left);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/HolderForwarder.java
@@ -0,0 +1,81 @@
+package org.magnoliaswitch.core.request;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpException;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.connection.ConnectionPool;
+import org.magnoliaswitch.core.peer.Address;
+import org.magnoliaswitch.core.peer.Member;
+
+/** Passes a request on to the instance whose incarnation holds its key. */
+public final class HolderForwarder {
+  /** Marks a request that was passed on once already, so that it is not passed on again. */
+  public static final String HOP_HEADER = "Key-Holder-Hop";
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 250;
+  private static final int MAX_CONNECTIONS = 64;
+  private static final long FRESH_CONNECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final Clocks clocks;
+  private final Map<Address, ConnectionPool> pools = new ConcurrentHashMap<>();
+
+  public HolderForwarder(Clocks clocks) {
+    this.clocks = clocks;
+  }
+
+  /** Sends the request to the holder and takes its whole answer. */
+  public AttemptResult forward(InboundRequest request, Member holder) {
+    ConnectionPool pool =
+        pools.computeIfAbsent(
+            holder.callerAddress(), a -> new ConnectionPool(a.socket(), MAX_CONNECTIONS, clocks));
+    Exchange exchange = new Exchange(pool, request.deadline(), clocks);
+    try {
+      exchange.connect(FRESH_CONNECTION_NANOS, CONNECT_TIMEOUT_MILLIS);
+      exchange.send(Exchange.outbound(request, hopFields(request, holder)));
+      Exchange.Head head = exchange.awaitHead(Long.MAX_VALUE);
+      if (head == null) {
+        exchange.fail();
+        return new AttemptResult.TimedOut();
+      }
+      Reply reply = exchange.receive(head, request.method());
+      return new AttemptResult.Answered(withOutcome(reply));
+    } catch (IOException | HttpException e) {
+      exchange.fail();
+      return exchange.bytesMayHaveLeft()
+          ? new AttemptResult.Broken(e.toString())
+          : new AttemptResult.NotSent(e.toString());
+    }
+  }
+
+  private List<Field> hopFields(InboundRequest request, Member holder) {
+    long left = TimeUnit.NANOSECONDS.toMillis(request.deadline().remaining(clocks.nanos()));
+    return List.of(
+        new Field("Host", holder.callerAddress().toString()),
+        new Field(HOP_HEADER, "1"),
+        new Field(AttemptRunner.ID_HEADER, request.id()),
+        new Field(AttemptRunner.DEADLINE_HEADER, String.valueOf(Math.max(1, left))));
+  }
+
+  /** The holder's outcome; an answer without one did not come from an instance of this system. */
+  private static Reply withOutcome(Reply reply) {
+    String told =
+        reply.fields().stream()
+            .filter(field -> field.named(Outcome.HEADER))
+            .map(Field::value)
+            .findFirst()
+            .orElse("");
+    Outcome outcome = Outcome.UNKNOWN;
+    for (Outcome candidate : Outcome.values()) {
+      if (candidate.text().equals(told)) {
+        outcome = candidate;
+      }
+    }
+    List<Field> fields =
+        reply.fields().stream().filter(field -> !field.named(Outcome.HEADER)).toList();
+    return new Reply(reply.status(), fields, reply.body(), outcome);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/OnceGate.java
@@ -0,0 +1,343 @@
+package org.magnoliaswitch.core.request;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.peer.Claim;
+import org.magnoliaswitch.core.peer.ClaimResult;
+import org.magnoliaswitch.core.peer.Member;
+import org.magnoliaswitch.core.platform.PlatformException;
+import org.magnoliaswitch.core.process.ClaimService;
+import org.magnoliaswitch.core.process.EventKind;
+import org.magnoliaswitch.core.process.KeyIssuer;
+import org.magnoliaswitch.core.process.KeyOutcome;
+import org.magnoliaswitch.core.process.Membership;
+import org.magnoliaswitch.core.process.OutcomeLedger;
+import org.magnoliaswitch.core.process.OutcomeRecords;
+import org.magnoliaswitch.core.process.StoredAnswer;
+import org.magnoliaswitch.core.process.Timeline;
+import org.magnoliaswitch.core.version.KeyPolicy;
+
+/**
+ * Lets each idempotency key be executed at most once.
+ *
+ * <p>Only one incarnation ever executes a key: the one an issued key names, or the one whose claim
+ * row a caller's own key has. Others pass the request on to it, and when it is gone they answer
+ * from its records. Nothing here depends on time: a paused holder that wakes up is still the only
+ * one.
+ */
+public final class OnceGate {
+  private static final int UNPROCESSABLE = 422;
+  private static final int PRECONDITION_REQUIRED = 428;
+  private static final int CONFLICT = 409;
+  private static final int GONE = 410;
+  private static final int UNAVAILABLE = 503;
+  private static final int TIMEOUT = 504;
+  private static final int RETRY_AFTER_SECONDS = 1;
+  private static final int MAX_JOINS = 3;
+
+  /**
+   * The parts that the gate works with.
+   *
+   * @param issuer issues and recognises keys of this system
+   * @param ledger keys of this incarnation
+   * @param claims claims of callers' own keys
+   * @param records outcomes of incarnations that are gone
+   * @param membership instances known
+   * @param forwarder way to other instances
+   */
+  public record Parts(
+      KeyIssuer issuer,
+      OutcomeLedger ledger,
+      ClaimService claims,
+      OutcomeRecords records,
+      Membership membership,
+      HolderForwarder forwarder) {}
+
+  private final Parts parts;
+  private final Function<InboundRequest, Reply> execute;
+  private final boolean callersBalancerResends;
+  private final Clocks clocks;
+  private final Timeline timeline;
+
+  /**
+   * Creates the gate.
+   *
+   * @param callersBalancerResends whether the balancer in front may send a request twice by itself;
+   *     then a caller's word that it is a first attempt proves nothing
+   */
+  public OnceGate(
+      Parts parts,
+      Function<InboundRequest, Reply> execute,
+      boolean callersBalancerResends,
+      Clocks clocks,
+      Timeline timeline) {
+    this.parts = parts;
+    this.execute = execute;
+    this.callersBalancerResends = callersBalancerResends;
+    this.clocks = clocks;
+    this.timeline = timeline;
+  }
+
+  /** Serves a request of an at-most-once kind. */
+  public Reply serve(InboundRequest request) {
+    KeyPolicy policy = request.service().profile().keys();
+    if (!policy.protectionEnabled()) {
+      return execute.apply(request);
+    }
+    if (request.key().isEmpty()) {
+      return policy.required()
+          ? Reply.own(
+              PRECONDITION_REQUIRED, Outcome.NOT_EXECUTED, "an Idempotency-Key is needed", 0)
+          : execute.apply(request);
+    }
+    String key = request.key().get();
+    Optional<KeyIssuer.IssuedKey> issued = parts.issuer().parse(key);
+    String scoped = request.service().service().name() + '/' + key;
+    Keyed keyed = new Keyed(request, scoped, fingerprint(request), policy);
+    if (issued.isEmpty()) {
+      return local(keyed, true);
+    }
+    if (!issued.get().incarnation().equals(self())) {
+      return elsewhere(keyed, issued.get().incarnation(), Optional.empty());
+    }
+    return parts.issuer().expired(issued.get(), policy.retentionSeconds())
+        ? Reply.own(GONE, Outcome.UNKNOWN, "the key is older than outcomes are kept", 0)
+        : local(keyed, false);
+  }
+
+  private record Keyed(InboundRequest request, String key, String fingerprint, KeyPolicy policy) {}
+
+  private Reply local(Keyed keyed, boolean needsClaim) {
+    for (int joins = 0; joins < MAX_JOINS; joins++) {
+      OutcomeLedger.Admission admission =
+          parts.ledger().begin(keyed.key(), keyed.fingerprint(), keyed.policy().retentionSeconds());
+      switch (admission) {
+        case OutcomeLedger.Admission.Execute execution -> {
+          return needsClaim ? claimAndRun(keyed, 0) : run(keyed);
+        }
+        case OutcomeLedger.Admission.Known known -> {
+          return replay(known.outcome());
+        }
+        case OutcomeLedger.Admission.Mismatch mismatch -> {
+          return mismatch();
+        }
+        case OutcomeLedger.Admission.Join join -> {
+          KeyOutcome outcome = await(join.result(), keyed.request().deadline());
+          if (!(outcome instanceof KeyOutcome.NotExecuted)) {
+            return replay(outcome);
+          }
+        }
+      }
+    }
+    return Reply.own(UNAVAILABLE, Outcome.UNKNOWN, "the key is in use", RETRY_AFTER_SECONDS);
+  }
+
+  /** Claims the key for this incarnation; the ledger has a run open that must be ended here. */
+  private Reply claimAndRun(Keyed keyed, long replacesRow) {
+    InboundRequest request = keyed.request();
+    Claim claim =
+        new Claim(
+            keyed.key(),
+            self(),
+            keyed.fingerprint(),
+            replacesRow,
+            keyed.policy().retentionSeconds());
+    long wait = request.deadline().remaining(clocks.nanos()) / 2;
+    ClaimResult result = parts.claims().claim(claim, keyed.policy().claimWindowMillis(), wait);
+    event(keyed, EventKind.CLAIMED, "status=" + result.status());
+    return switch (result.status()) {
+      case GRANTED -> run(keyed);
+      case HELD -> {
+        parts.ledger().withdraw(keyed.key());
+        yield result.fingerprint().equals(keyed.fingerprint())
+            ? elsewhere(keyed, result.holder(), Optional.of(result))
+            : mismatch();
+      }
+      case UNAVAILABLE -> {
+        parts.ledger().finish(keyed.key(), new KeyOutcome.NotExecuted());
+        yield unavailable(request);
+      }
+    };
+  }
+
+  /**
+   * The table gave no answer, so this request was not run. Whether an earlier one under the key
+   * was, nobody can tell without the table, unless the caller says that there was none and nothing
+   * in between sends requests twice.
+   */
+  private Reply unavailable(InboundRequest request) {
+    boolean first = request.attempt().declared() && request.attempt().number() == 1;
+    Outcome outcome = first && !callersBalancerResends ? Outcome.NOT_EXECUTED : Outcome.UNKNOWN;
+    return Reply.own(UNAVAILABLE, outcome, "keys cannot be claimed now", RETRY_AFTER_SECONDS);
+  }
+
+  private Reply run(Keyed keyed) {
+    KeyOutcome outcome = new KeyOutcome.Unknown();
+    try {
+      Reply reply = execute.apply(keyed.request());
+      outcome = outcomeOf(reply);
+      return reply;
+    } finally {
+      parts.ledger().finish(keyed.key(), outcome);
+    }
+  }
+
+  private static KeyOutcome outcomeOf(Reply reply) {
+    return switch (reply.outcome()) {
+      case EXECUTED -> new KeyOutcome.Executed(stored(reply));
+      case NOT_EXECUTED -> new KeyOutcome.NotExecuted();
+      case UNKNOWN -> new KeyOutcome.Unknown();
+    };
+  }
+
+  private static Optional<StoredAnswer> stored(Reply reply) {
+    byte[] body = reply.whole();
+    if (body == null) {
+      return Optional.empty();
+    }
+    Map<String, String> fields = new LinkedHashMap<>();
+    reply
+        .fields()
+        .forEach(field -> fields.merge(field.name(), field.value(), (a, b) -> a + ", " + b));
+    return Optional.of(new StoredAnswer(reply.status(), fields, body));
+  }
+
+  /** The key belongs to another incarnation: ask it, or its records when it is gone. */
+  private Reply elsewhere(Keyed keyed, String holder, Optional<ClaimResult> claim) {
+    InboundRequest request = keyed.request();
+    boolean passedOn = request.field(HolderForwarder.HOP_HEADER).isPresent();
+    Optional<Member> member = parts.membership().live(holder);
+    if (member.isPresent() && !passedOn) {
+      event(keyed, EventKind.FORWARDED, "holder=" + holder);
+      AttemptResult result = parts.forwarder().forward(request, member.get());
+      if (result instanceof AttemptResult.Answered answered) {
+        return answered.reply();
+      }
+      if (!(result instanceof AttemptResult.NotSent)) {
+        return Reply.own(TIMEOUT, Outcome.UNKNOWN, "no answer from the key's holder", 0);
+      }
+    }
+    return fromRecords(keyed, holder, claim);
+  }
+
+  private Reply fromRecords(Keyed keyed, String holder, Optional<ClaimResult> claim) {
+    try {
+      OutcomeRecords.Lookup lookup = parts.records().lookup(holder, keyed.key());
+      if (lookup.finished().isPresent()) {
+        return fromRecord(keyed, lookup.finished().get(), lookup.complete(), claim);
+      }
+      return lookup.complete()
+          ? neverRun(keyed, claim)
+          : Reply.own(
+              UNAVAILABLE, Outcome.UNKNOWN, "the key's holder is gone", RETRY_AFTER_SECONDS);
+    } catch (PlatformException e) {
+      return Reply.own(
+          UNAVAILABLE, Outcome.UNKNOWN, "the key's records cannot be read", RETRY_AFTER_SECONDS);
+    }
+  }
+
+  private Reply fromRecord(
+      Keyed keyed, OutcomeLedger.Finished finished, boolean complete, Optional<ClaimResult> claim) {
+    if (!finished.fingerprint().equals(keyed.fingerprint())) {
+      return mismatch();
+    }
+    if (finished.outcome() instanceof KeyOutcome.NotExecuted) {
+      // Without the mark of an orderly stop the holder may have run it after this record.
+      return complete
+          ? neverRun(keyed, claim)
+          : Reply.own(
+              UNAVAILABLE, Outcome.UNKNOWN, "the key's holder is gone", RETRY_AFTER_SECONDS);
+    }
+    return replay(finished.outcome());
+  }
+
+  /**
+   * The holder stopped in order without executing the key. A claimed key passes to this incarnation
+   * by replacing the very row that was read; an issued key stays unusable, since two survivors
+   * could otherwise both run it.
+   */
+  private Reply neverRun(Keyed keyed, Optional<ClaimResult> claim) {
+    if (claim.isEmpty()) {
+      return Reply.own(CONFLICT, Outcome.NOT_EXECUTED, "use a new key: its instance is gone", 0);
+    }
+    OutcomeLedger.Admission admission =
+        parts.ledger().begin(keyed.key(), keyed.fingerprint(), keyed.policy().retentionSeconds());
+    return admission instanceof OutcomeLedger.Admission.Execute
+        ? claimAndRun(keyed, claim.get().row())
+        : Reply.own(UNAVAILABLE, Outcome.UNKNOWN, "the key is in use", RETRY_AFTER_SECONDS);
+  }
+
+  /** The answer for a key whose outcome is known. */
+  static Reply replay(KeyOutcome outcome) {
+    return switch (outcome) {
+      case KeyOutcome.Executed executed ->
+          executed
+              .answer()
+              .map(OnceGate::restored)
+              .orElseGet(
+                  () ->
+                      Reply.own(CONFLICT, Outcome.EXECUTED, "the answer was too large to keep", 0));
+      case KeyOutcome.NotExecuted none ->
+          Reply.own(UNAVAILABLE, Outcome.NOT_EXECUTED, "not executed", RETRY_AFTER_SECONDS);
+      case KeyOutcome.Unknown unknown ->
+          Reply.own(CONFLICT, Outcome.UNKNOWN, "sent once, and no whole answer came", 0);
+      case KeyOutcome.Running running ->
+          Reply.own(CONFLICT, Outcome.UNKNOWN, "at work", RETRY_AFTER_SECONDS);
+    };
+  }
+
+  private static Reply restored(StoredAnswer answer) {
+    List<Field> fields = new ArrayList<>();
+    answer.fields().forEach((name, value) -> fields.add(new Field(name, value)));
+    fields.add(new Field("Idempotency-Replayed", "true"));
+    return new Reply(
+        answer.status(), fields, new Reply.Body.Whole(answer.body()), Outcome.EXECUTED);
+  }
+
+  private static Reply mismatch() {
+    return Reply.own(
+        UNPROCESSABLE, Outcome.NOT_EXECUTED, "the key was used for another request", 0);
+  }
+
+  private KeyOutcome await(CompletableFuture<KeyOutcome> run, Deadline deadline) {
+    try {
+      long left = Math.max(0, deadline.remaining(clocks.nanos()));
+      return run.get(left, TimeUnit.NANOSECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      return new KeyOutcome.Running();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return new KeyOutcome.Running();
+    }
+  }
+
+  private String self() {
+    return parts.membership().self().incarnation();
+  }
+
+  private void event(Keyed keyed, EventKind kind, String detail) {
+    timeline.record(
+        kind, keyed.request().id(), keyed.request().service().service().name(), "", detail);
+  }
+
+  private static String fingerprint(InboundRequest request) {
+    Hasher hasher = Hashing.sha256().newHasher();
+    hasher.putString(request.method() + ' ' + request.target() + '\n', StandardCharsets.UTF_8);
+    if (request.body() instanceof InboundRequest.Body.Whole whole) {
+      hasher.putBytes(whole.content());
+    }
+    return hasher.hash().toString().substring(0, 32);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Outcome.java
@@ -0,0 +1,25 @@
+package org.magnoliaswitch.core.request;
+
+/** What became of a request, as its caller is told. */
+public enum Outcome {
+  /** A backend server executed it and this is its whole answer. */
+  EXECUTED("executed"),
+  /** No backend server executed it, and none will under this key unless it is sent again. */
+  NOT_EXECUTED("not-executed"),
+  /** It may or may not have been executed. */
+  UNKNOWN("unknown");
+
+  /** Response header that carries the outcome. */
+  public static final String HEADER = "Request-Outcome";
+
+  private final String text;
+
+  Outcome(String text) {
+    this.text = text;
+  }
+
+  /** The header value. */
+  public String text() {
+    return text;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
@@ -0,0 +1,68 @@
+package org.magnoliaswitch.core.request;
+
+import java.util.concurrent.ThreadLocalRandom;
+import org.magnoliaswitch.core.process.ControlPlane;
+import org.magnoliaswitch.core.process.ControlState;
+import org.magnoliaswitch.core.process.EventKind;
+import org.magnoliaswitch.core.process.Timeline;
+
+/** Serves callers' requests: the whole path of a request behind the listener. */
+public final class RequestService {
+  private final OnceGate gate;
+  private final Dispatcher dispatcher;
+  private final OnceGate.Parts parts;
+  private final HolderForwarder forwarder;
+  private final Timeline timeline;
+
+  public RequestService(ControlPlane control, String dataCentre, boolean callersBalancerResends) {
+    ControlState state = control.state();
+    this.timeline = state.timeline();
+    AttemptRunner runner =
+        new AttemptRunner(control.clocks(), timeline, state.leaving(), control.gossip()::pushNews);
+    this.dispatcher =
+        new Dispatcher(
+            control.clocks(),
+            timeline,
+            state.leaving(),
+            runner,
+            dataCentre,
+            ThreadLocalRandom::current);
+    this.forwarder = new HolderForwarder(control.clocks());
+    this.parts =
+        new OnceGate.Parts(
+            control.issuer(),
+            control.ledger(),
+            control.claims(),
+            control.records(),
+            state.membership(),
+            forwarder);
+    this.gate =
+        new OnceGate(
+            parts, dispatcher::dispatch, callersBalancerResends, control.clocks(), timeline);
+  }
+
+  /** Serves one request. */
+  public Reply serve(InboundRequest request) {
+    String service = request.service().service().name();
+    timeline.record(
+        EventKind.REQUEST_RECEIVED, request.id(), service, "", "kind=" + request.kind().name());
+    Reply reply = request.idempotent() ? dispatcher.dispatch(request) : gate.serve(request);
+    timeline.record(
+        EventKind.REQUEST_ENDED,
+        request.id(),
+        service,
+        "",
+        "status=" + reply.status() + " outcome=" + reply.outcome().text());
+    return reply;
+  }
+
+  /** Looks up what became of keys. */
+  public OutcomeQuery outcomes() {
+    return new OutcomeQuery(parts);
+  }
+
+  /** Way to other instances. */
+  public HolderForwarder forwarder() {
+    return forwarder;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/request/ServerChooser.java
@@ -0,0 +1,150 @@
+package org.magnoliaswitch.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.magnoliaswitch.core.process.ServerHandle;
+import org.magnoliaswitch.core.process.ServerLoad;
+import org.magnoliaswitch.core.version.RoutingPolicy;
+
+/**
+ * Chooses a backend server among eligible ones; a decision without side effects but for the turn.
+ *
+ * <p>The product's policy compares a few random servers, which keeps instances with the same stale
+ * news from sending to the same one (Mitzenmacher, "How useful is old information?", 2000). Each is
+ * scored by the latency to expect: its usual latency, times the waves of requests ahead. The number
+ * ahead is the last report, faded by age towards what the sampled servers have on average, plus
+ * what this instance sent since (after Wydrowski et al., "Load is not what you should balance",
+ * 2024).
+ */
+public final class ServerChooser {
+  /** Latency assumed while a server has no samples. */
+  private static final double UNKNOWN_LATENCY_MILLIS = 1.0;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** Weight of requests that still find a free slot; orders servers that are all idle enough. */
+  private static final double FREE_SLOT_WEIGHT = 0.25;
+
+  /** A server new to this instance takes load gradually over this time. */
+  private static final long RAMP_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private static final double RAMP_PENALTY = 3.0;
+  private static final double MIN_SUCCESS = 0.05;
+
+  private ServerChooser() {}
+
+  /**
+   * Chooses one of the eligible servers.
+   *
+   * @param eligible servers that may get new work
+   * @param localDataCentre data centre of this instance
+   * @param turn counter of the round-robin policy
+   * @return nothing when none is eligible
+   */
+  public static Optional<ServerHandle> choose(
+      RoutingPolicy policy,
+      List<ServerHandle> eligible,
+      String localDataCentre,
+      AtomicInteger turn,
+      long nowNanos,
+      RandomGenerator random) {
+    if (eligible.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        switch (policy) {
+          case RoutingPolicy.RoundRobin roundRobin ->
+              eligible.get(Math.floorMod(turn.getAndIncrement(), eligible.size()));
+          case RoutingPolicy.LeastRequests leastRequests -> leastOfTwo(eligible, random);
+          case RoutingPolicy.FreshLoad fresh ->
+              lowestScore(
+                  fresh, sample(eligible, fresh.candidates(), random), localDataCentre, nowNanos);
+        });
+  }
+
+  private static ServerHandle leastOfTwo(List<ServerHandle> eligible, RandomGenerator random) {
+    ServerHandle first = eligible.get(random.nextInt(eligible.size()));
+    ServerHandle second = eligible.get(random.nextInt(eligible.size()));
+    return first.load().inFlight() <= second.load().inFlight() ? first : second;
+  }
+
+  private static List<ServerHandle> sample(
+      List<ServerHandle> eligible, int size, RandomGenerator random) {
+    if (eligible.size() <= size) {
+      return eligible;
+    }
+    List<ServerHandle> pool = new ArrayList<>(eligible);
+    for (int i = 0; i < size; i++) {
+      int j = i + random.nextInt(pool.size() - i);
+      ServerHandle picked = pool.get(j);
+      pool.set(j, pool.get(i));
+      pool.set(i, picked);
+    }
+    return pool.subList(0, size);
+  }
+
+  private static ServerHandle lowestScore(
+      RoutingPolicy.FreshLoad policy, List<ServerHandle> sampled, String local, long nowNanos) {
+    double meanRequests = 0;
+    double meanLatency = 0;
+    int known = 0;
+    for (ServerHandle handle : sampled) {
+      meanRequests += handle.load().lastReport().report().requests();
+      if (handle.load().averages().samples() > 0) {
+        meanLatency += handle.load().averages().latencyMillis();
+        known++;
+      }
+    }
+    meanRequests /= sampled.size();
+    meanLatency = known == 0 ? UNKNOWN_LATENCY_MILLIS : meanLatency / known;
+    ServerHandle best = sampled.getFirst();
+    double bestScore = Double.MAX_VALUE;
+    for (ServerHandle handle : sampled) {
+      double score = score(policy, handle, local, meanRequests, meanLatency, nowNanos);
+      if (score < bestScore) {
+        bestScore = score;
+        best = handle;
+      }
+    }
+    return best;
+  }
+
+  private static double score(
+      RoutingPolicy.FreshLoad policy,
+      ServerHandle handle,
+      String local,
+      double meanRequests,
+      double meanLatency,
+      long nowNanos) {
+    ServerLoad load = handle.load();
+    ServerLoad.Averages averages = load.averages();
+    double requests = expectedRequests(policy, load, meanRequests, nowNanos);
+    double slots = handle.server().slots();
+    double waves =
+        Math.max(0, (requests + 1 - slots) / slots) + FREE_SLOT_WEIGHT * requests / slots;
+    double latency = averages.samples() == 0 ? meanLatency : averages.latencyMillis();
+    double success = Math.max(MIN_SUCCESS, 1 - averages.failureShare());
+    double remote = handle.server().dataCentre().equals(local) ? 0 : policy.remotePenaltyMillis();
+    return (latency * (1 + waves) / success + remote) * ramp(load, nowNanos);
+  }
+
+  /** Requests a server is expected to hold now. */
+  static double expectedRequests(
+      RoutingPolicy.FreshLoad policy, ServerLoad load, double meanRequests, long nowNanos) {
+    ServerLoad.TimedReport last = load.lastReport();
+    double ageMillis = (nowNanos - last.atNanos()) / NANOS_PER_MILLI;
+    double fade = Math.pow(0.5, ageMillis / policy.reportHalfLifeMillis());
+    double reported = meanRequests + (last.report().requests() - meanRequests) * fade;
+    int ownSince = load.inFlight() - last.ownInFlight();
+    return Math.max(load.inFlight(), reported + ownSince);
+  }
+
+  private static double ramp(ServerLoad load, long nowNanos) {
+    double age = (double) (nowNanos - load.createdNanos()) / RAMP_NANOS;
+    return age >= 1 ? 1 : 1 + RAMP_PENALTY * (1 - age);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/version/InvalidDeclarationException.java
@@ -0,0 +1,18 @@
+package org.magnoliaswitch.core.version;
+
+import java.util.List;
+
+/** Thrown when declarations or settings cannot be accepted; holds every problem found. */
+public final class InvalidDeclarationException extends Exception {
+  private final List<Problem> problems;
+
+  public InvalidDeclarationException(List<Problem> problems) {
+    super(problems.stream().map(Problem::toString).reduce((a, b) -> a + "\n" + b).orElse(""));
+    this.problems = List.copyOf(problems);
+  }
+
+  /** Every problem found, in the order of the files. */
+  public List<Problem> problems() {
+    return problems;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/version/SnapshotParser.java
@@ -0,0 +1,103 @@
+package org.magnoliaswitch.core.version;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Turns the parts of a version into a checked {@link Snapshot}. */
+public final class SnapshotParser {
+  private static final String PROFILES = "profiles/";
+  private static final String SERVICES = "services/";
+
+  private SnapshotParser() {}
+
+  /**
+   * Parses and checks all parts.
+   *
+   * @param parts path of each declaration to its bytes
+   * @throws InvalidDeclarationException with every problem found
+   */
+  public static Snapshot parse(long version, String digest, Map<String, byte[]> parts)
+      throws InvalidDeclarationException {
+    List<Problem> problems = new ArrayList<>();
+    Map<String, Profile> profiles = new LinkedHashMap<>();
+    Map<String, Service> services = new LinkedHashMap<>();
+    for (Map.Entry<String, byte[]> part : new TreeMap<>(parts).entrySet()) {
+      String path = part.getKey();
+      if (path.startsWith(PROFILES)) {
+        read(path, part.getValue(), Profile.class, problems)
+            .ifPresent(profile -> addProfile(path, profile, profiles, problems));
+      } else if (path.startsWith(SERVICES)) {
+        read(path, part.getValue(), Service.class, problems)
+            .ifPresent(service -> addService(path, service, services, problems));
+      } else {
+        problems.add(new Problem(path, "this file", "profiles/*.json or services/*.json"));
+      }
+    }
+    problems.addAll(SnapshotChecks.across(profiles, services));
+    if (!problems.isEmpty()) {
+      throw new InvalidDeclarationException(problems);
+    }
+    return new Snapshot(version, digest, profiles, services);
+  }
+
+  /** Reads one strict JSON document; a fault is noted with its JSON path. */
+  public static <T> Optional<T> read(
+      String file, byte[] content, Class<T> type, List<Problem> problems) {
+    try {
+      return Optional.of(Json.MAPPER.readValue(content, type));
+    } catch (UnrecognizedPropertyException e) {
+      problems.add(
+          new Problem(
+              file + ": " + path(e),
+              "property \"" + e.getPropertyName() + '"',
+              "known are " + e.getKnownPropertyIds()));
+    } catch (JsonMappingException e) {
+      problems.add(new Problem(file + ": " + path(e), "the value", e.getOriginalMessage()));
+    } catch (JsonProcessingException e) {
+      problems.add(
+          new Problem(
+              file + ": line " + (e.getLocation() == null ? 0 : e.getLocation().getLineNr()),
+              "the text",
+              "valid JSON: " + e.getOriginalMessage()));
+    } catch (IOException e) {
+      problems.add(new Problem(file, "the file", "readable content: " + e.getMessage()));
+    }
+    return Optional.empty();
+  }
+
+  private static void addProfile(
+      String path, Profile profile, Map<String, Profile> profiles, List<Problem> problems) {
+    problems.addAll(SnapshotChecks.profile(path, profile));
+    if (profiles.put(profile.name(), profile) != null) {
+      problems.add(new Problem(path + ": name", profile.name(), "a name used once"));
+    }
+  }
+
+  private static void addService(
+      String path, Service service, Map<String, Service> services, List<Problem> problems) {
+    problems.addAll(SnapshotChecks.service(path, service));
+    if (services.put(service.name(), service) != null) {
+      problems.add(new Problem(path + ": name", service.name(), "a name used once"));
+    }
+  }
+
+  private static String path(JsonMappingException e) {
+    StringBuilder path = new StringBuilder();
+    for (JsonMappingException.Reference step : e.getPath()) {
+      if (step.getFieldName() == null) {
+        path.append('[').append(step.getIndex()).append(']');
+      } else {
+        path.append(path.isEmpty() ? "" : ".").append(step.getFieldName());
+      }
+    }
+    return path.isEmpty() ? "(root)" : path.toString();
+  }
+}
