The whole path, thin: entry, operator tools, stand-ins, load tool and demo

Cause: nothing could serve a request yet. Change: magnolia-entry (callers, operators, peers), magnoliactl, magnolia-timeline, magnolia-standin, magnolia-load and bin/demo.

--- /dev/null
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadGenerator.java
@@ -0,0 +1,189 @@
+package org.magnoliaswitch.bench;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.magnoliaswitch.core.clock.Clocks;
+
+/**
+ * Open-loop load: requests start at their intended times whatever became of earlier ones, and their
+ * latency counts from there, so that a slow system cannot hide its delay by slowing the load.
+ */
+final class LoadGenerator {
+  private static final double NANOS = 1e9;
+  private static final long PROGRESS_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final int MAX_SPARE_KEYS = 2_000;
+  private static final long BACKOFF_MILLIS = 20;
+
+  private final Scenario scenario;
+  private final List<CallerSession> sessions;
+  private final Clocks clocks;
+  private final Recorder recorder = new Recorder();
+  private final ConcurrentLinkedQueue<String> spareKeys = new ConcurrentLinkedQueue<>();
+  private final String run;
+  private final boolean resend;
+  private final Phaser running = new Phaser(1);
+
+  LoadGenerator(
+      Scenario scenario, List<CallerSession> sessions, Clocks clocks, String run, boolean resend) {
+    this.scenario = scenario;
+    this.sessions = sessions;
+    this.clocks = clocks;
+    this.run = run;
+    this.resend = resend;
+  }
+
+  Recorder recorder() {
+    return recorder;
+  }
+
+  /** Runs all phases and waits for the last answer; returns the length in seconds. */
+  double run() {
+    SplittableRandom random = new SplittableRandom(scenario.seed());
+    long start = clocks.nanos();
+    long progress = start + PROGRESS_NANOS;
+    double offset = 0;
+    long number = 0;
+    for (Scenario.Phase phase : scenario.phases()) {
+      double at = 0;
+      while (true) {
+        double rate = phase.fromRate() + (phase.toRate() - phase.fromRate()) * at / phase.seconds();
+        at += -Math.log(1 - random.nextDouble()) / Math.max(0.001, rate);
+        if (at >= phase.seconds()) {
+          break;
+        }
+        long intended = start + (long) ((offset + at) * NANOS);
+        waitUntil(intended);
+        begin(pick(random), number++, intended, (int) (offset + at), random.nextLong());
+        progress = progress(progress, number);
+      }
+      offset += phase.seconds();
+      waitUntil(start + (long) (offset * NANOS));
+    }
+    running.arriveAndAwaitAdvance();
+    return offset;
+  }
+
+  private void waitUntil(long nanos) {
+    for (long left = nanos - clocks.nanos(); left > 0; left = nanos - clocks.nanos()) {
+      LockSupport.parkNanos(left);
+    }
+  }
+
+  private long progress(long due, long number) {
+    if (clocks.nanos() < due) {
+      return due;
+    }
+    System.err.printf(
+        "progress: begun=%d answered=%d not_executed=%d unknown=%d no_answer=%d%n",
+        number,
+        recorder.count(Verdict.EXECUTED),
+        recorder.count(Verdict.NOT_EXECUTED),
+        recorder.count(Verdict.UNKNOWN),
+        recorder.count(Verdict.NO_ANSWER));
+    return due + PROGRESS_NANOS;
+  }
+
+  private Scenario.LoadKind pick(SplittableRandom random) {
+    double total = scenario.kinds().stream().mapToDouble(Scenario.LoadKind::share).sum();
+    double draw = random.nextDouble() * total;
+    for (Scenario.LoadKind kind : scenario.kinds()) {
+      draw -= kind.share();
+      if (draw < 0) {
+        return kind;
+      }
+    }
+    return scenario.kinds().getLast();
+  }
+
+  private void begin(Scenario.LoadKind kind, long number, long intended, int second, long choice) {
+    recorder.offered(kind, second);
+    running.register();
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                String operation = run + '-' + number;
+                Verdict verdict = tryAll(kind, operation, intended, choice);
+                recorder.ended(kind, second, operation, verdict, clocks.nanos() - intended);
+              } finally {
+                running.arriveAndDeregister();
+              }
+            });
+  }
+
+  /** What a careful caller does: the same key until the answer is final or the time is up. */
+  private Verdict tryAll(Scenario.LoadKind kind, String operation, long intended, long choice) {
+    long deadline = intended + TimeUnit.MILLISECONDS.toNanos(kind.deadlineMillis());
+    Optional<String> key = key(kind, operation, choice);
+    Verdict last = Verdict.NO_ANSWER;
+    boolean mayHaveRun = false;
+    for (int attempt = 1; attempt <= kind.tries(); attempt++) {
+      CallerSession session = session(choice + attempt - 1);
+      recorder.tried();
+      CallerSession.Try result = session.send(kind, operation, key, attempt, deadline);
+      result.nextKey().ifPresent(this::keepKey);
+      last = result.verdict();
+      if (last == Verdict.EXECUTED || last == Verdict.WRONG) {
+        return last;
+      }
+      mayHaveRun |= last == Verdict.NO_ANSWER || last == Verdict.UNKNOWN;
+      if (kind.keys() == Scenario.Keys.ISSUED
+          && result.status() == 409
+          && last == Verdict.NOT_EXECUTED) {
+        // The key's instance is gone without having run it: a new key is safe.
+        key = key(kind, operation, choice + attempt);
+        mayHaveRun = false;
+      }
+      long pause = TimeUnit.MILLISECONDS.toNanos(BACKOFF_MILLIS << Math.min(4, attempt));
+      if (attempt == kind.tries() || clocks.nanos() + pause >= deadline) {
+        break;
+      }
+      LockSupport.parkNanos(pause);
+    }
+    // A later "not executed" is about the key, so it settles earlier doubts.
+    return last == Verdict.NOT_EXECUTED && mayHaveRun && key.isEmpty() ? Verdict.UNKNOWN : last;
+  }
+
+  private Optional<String> key(Scenario.LoadKind kind, String operation, long choice) {
+    return switch (kind.keys()) {
+      case NONE -> Optional.empty();
+      case OWN -> Optional.of("own-" + operation);
+      case ISSUED -> issued(choice);
+    };
+  }
+
+  private Optional<String> issued(long choice) {
+    String spare = spareKeys.poll();
+    if (spare != null) {
+      return Optional.of(spare);
+    }
+    for (int i = 0; i < 3; i++) {
+      Optional<String> key = session(choice + i).issueKey();
+      if (key.isPresent()) {
+        return key;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void keepKey(String key) {
+    if (!resend && spareKeys.size() < MAX_SPARE_KEYS) {
+      spareKeys.add(key);
+    }
+  }
+
+  private CallerSession session(long choice) {
+    return sessions.get((int) Math.floorMod(choice, (long) sessions.size()));
+  }
+
+  /** A run id that no other run has. */
+  static String runId() {
+    return Long.toString(ThreadLocalRandom.current().nextLong(1L << 40), 36);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadMain.java
@@ -0,0 +1,162 @@
+package org.magnoliaswitch.bench;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.process.Version;
+import org.magnoliaswitch.core.version.Json;
+import org.magnoliaswitch.core.version.Problem;
+import org.magnoliaswitch.core.version.SnapshotParser;
+
+/** Command line of {@code magnolia-load}. */
+public final class LoadMain {
+  private static final int FAILED = 1;
+  private static final int USAGE = 2;
+
+  private final OptionParser parser = new OptionParser();
+  private final OptionSpec<String> scenario =
+      parser.accepts("scenario", "JSON file with phases and kinds").withRequiredArg();
+  private final OptionSpec<String> entries =
+      parser.accepts("entries", "host:port of the instances, by comma").withRequiredArg();
+  private final OptionSpec<Double> rate =
+      parser
+          .accepts("scale-rate", "factor on all rates")
+          .withRequiredArg()
+          .ofType(Double.class)
+          .defaultsTo(1.0);
+  private final OptionSpec<Double> time =
+      parser
+          .accepts("scale-time", "factor on the lengths of all phases")
+          .withRequiredArg()
+          .ofType(Double.class)
+          .defaultsTo(1.0);
+  private final OptionSpec<String> truth =
+      parser
+          .accepts("standin-control", "compare with what these stand-ins executed")
+          .withRequiredArg();
+  private final OptionSpec<String> out =
+      parser.accepts("out", "write the result as JSON").withRequiredArg();
+  private final OptionSpec<String> plot =
+      parser.accepts("plot", "draw the run as PNG").withRequiredArg();
+  private final OptionSpec<Void> strict =
+      parser.accepts("strict", "exit with 1 unless every request was answered whole");
+  private final OptionSpec<Void> freshKeys =
+      parser.accepts(
+          "fresh-keys",
+          "ask for an issued key each time instead of using those that rode on answers");
+  private final OptionSpec<Void> help = parser.accepts("help", "print this text").forHelp();
+  private final OptionSpec<Void> version = parser.accepts("version", "print the version").forHelp();
+
+  private LoadMain() {}
+
+  /** Generates load; exits with 0, 1 for failures or 2 for unusable arguments. */
+  public static void main(String[] arguments) throws IOException {
+    System.exit(new LoadMain().run(arguments));
+  }
+
+  private int run(String[] arguments) throws IOException {
+    try {
+      OptionSet options = parser.parse(arguments);
+      if (options.has(help)) {
+        System.out.println("magnolia-load: open-loop load with checks of every answer\n");
+        parser.printHelpOn(System.out);
+        return 0;
+      }
+      if (options.has(version)) {
+        System.out.println("magnolia-load " + Version.TEXT);
+        return 0;
+      }
+      if (!options.has(scenario) || !options.has(entries)) {
+        return fail(USAGE, "--scenario and --entries are needed; see --help");
+      }
+      return load(options);
+    } catch (OptionException e) {
+      return fail(USAGE, e.getMessage() + "; see --help");
+    } catch (IOException e) {
+      return fail(FAILED, e.toString());
+    }
+  }
+
+  private int load(OptionSet options) throws IOException {
+    List<Problem> problems = new ArrayList<>();
+    Path file = Path.of(options.valueOf(scenario));
+    var read =
+        SnapshotParser.read(file.toString(), Files.readAllBytes(file), Scenario.class, problems);
+    if (read.isEmpty()) {
+      return fail(USAGE, problems.getFirst().toString());
+    }
+    Scenario scaled = read.get().scaled(options.valueOf(rate), options.valueOf(time));
+    Clocks clocks = Clocks.system();
+    List<CallerSession> sessions =
+        Arrays.stream(options.valueOf(entries).split(",", -1))
+            .map(entry -> new CallerSession(entry, clocks))
+            .toList();
+    LoadGenerator generator =
+        new LoadGenerator(scaled, sessions, clocks, LoadGenerator.runId(), options.has(freshKeys));
+    double length = generator.run();
+    LoadResult.Truth compared =
+        options.has(truth)
+            ? TruthCheck.check(generator.recorder(), URI.create(options.valueOf(truth)))
+            : LoadResult.Truth.NONE;
+    LoadResult result = generator.recorder().result(scaled, length, compared);
+    report(result, options);
+    boolean whole = result.answered() == result.offered() && result.wrong() == 0;
+    return options.has(strict) && !whole ? FAILED : 0;
+  }
+
+  private void report(LoadResult result, OptionSet options) throws IOException {
+    System.out.printf(
+        "offered=%d answered=%d late=%d not_executed=%d unknown=%d wrong=%d no_answer=%d tries=%d%n",
+        result.offered(),
+        result.answered(),
+        result.late(),
+        result.notExecuted(),
+        result.unknown(),
+        result.wrong(),
+        result.noAnswer(),
+        result.tries());
+    System.out.printf(
+        "goodput=%.1f/s weighted=%.4f p50=%.2fms p90=%.2fms p99=%.2fms p99.9=%.2fms max=%.2fms%n",
+        result.goodput(),
+        result.weighted(),
+        result.p50Millis(),
+        result.p90Millis(),
+        result.p99Millis(),
+        result.p999Millis(),
+        result.maxMillis());
+    System.out.printf(
+        "executed_twice=%d told_not_executed_but_ran=%d told_executed_but_not=%d%n",
+        result.truth().executedTwice(),
+        result.truth().toldNotExecutedButRan(),
+        result.truth().toldExecutedButNot());
+    result
+        .byKind()
+        .forEach(
+            (name, kind) ->
+                System.out.printf(
+                    "  %-16s offered=%d in_time=%d p99=%.2fms%n",
+                    name, kind.offered(), kind.inTime(), kind.p99Millis()));
+    if (options.has(out)) {
+      Files.write(
+          Path.of(options.valueOf(out)),
+          Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsBytes(result));
+    }
+    if (options.has(plot)) {
+      LoadPlot.write(result, Path.of(options.valueOf(plot)));
+    }
+  }
+
+  private static int fail(int code, String message) {
+    System.err.println("magnolia-load: " + message);
+    return code;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadPlot.java
@@ -0,0 +1,36 @@
+package org.magnoliaswitch.bench;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+
+/** Draws a run: offered and answered in time per second, and the 99th percentile. */
+final class LoadPlot {
+  private static final int WIDTH = 900;
+  private static final int HEIGHT = 500;
+
+  private LoadPlot() {}
+
+  static void write(LoadResult result, Path file) throws IOException {
+    XYChart chart =
+        new XYChartBuilder()
+            .width(WIDTH)
+            .height(HEIGHT)
+            .title("load by second of intended start")
+            .xAxisTitle("s")
+            .yAxisTitle("requests/s, ms")
+            .build();
+    List<LoadResult.Second> series = result.series();
+    List<Integer> x = series.stream().map(LoadResult.Second::second).toList();
+    if (!x.isEmpty()) {
+      chart.addSeries("offered", x, series.stream().map(LoadResult.Second::offered).toList());
+      chart.addSeries(
+          "answered in time", x, series.stream().map(LoadResult.Second::inTime).toList());
+      chart.addSeries("p99 ms", x, series.stream().map(LoadResult.Second::p99Millis).toList());
+    }
+    BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+}
--- a/bin/java-home.sh
+++ b/bin/java-home.sh
@@ -1,5 +1,5 @@
 # Sets JAVA_HOME to a JDK of 21 or later: the one set already, or the newest installed one.
-release_of() { sed -n 's/^JAVA_VERSION="\([0-9]*\).*/\1/p' "$1/release" 2>/dev/null; }
+release_of() { sed -n 's/^JAVA_VERSION="\([0-9]*\).*/\1/p' "$1/release" 2>/dev/null || true; }
 if [ -z "${JAVA_HOME:-}" ] || [ "$(release_of "$JAVA_HOME" || echo 0)" -lt 21 ] 2>/dev/null; then
   best=0
   for candidate in /usr/lib/jvm/*; do
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/operator/package-info.java
@@ -0,0 +1,5 @@
+/** What operators' tools and instances say to each other. */
+@NullMarked
+package org.magnoliaswitch.core.operator;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/magnoliaswitch/core/platform/HttpPlatform.java
+++ b/core/src/main/java/org/magnoliaswitch/core/platform/HttpPlatform.java
@@ -90,13 +90,13 @@
 
   @Override
   public Optional<byte[]> get(String name) throws PlatformException {
-    Response response = call(new HttpGet(base.resolve("/objects/" + encode(name))));
+    Response response = call(new HttpGet(base.resolve("/objects?name=" + encode(name))));
     return response.status() == NOT_FOUND ? Optional.empty() : Optional.of(expectOk(response));
   }
 
   @Override
   public void put(String name, byte[] content) throws PlatformException {
-    HttpPut request = new HttpPut(base.resolve("/objects/" + encode(name)));
+    HttpPut request = new HttpPut(base.resolve("/objects?name=" + encode(name)));
     request.setEntity(new ByteArrayEntity(content, ContentType.APPLICATION_OCTET_STREAM));
     expectOk(call(request));
   }
--- /dev/null
+++ b/entry/src/main/java/org/magnoliaswitch/entry/KeyEndpoints.java
@@ -0,0 +1,116 @@
+package org.magnoliaswitch.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Fields;
+import org.magnoliaswitch.core.process.ControlPlane;
+import org.magnoliaswitch.core.process.ServiceState;
+import org.magnoliaswitch.core.request.AttemptResult;
+import org.magnoliaswitch.core.request.Deadline;
+import org.magnoliaswitch.core.request.Field;
+import org.magnoliaswitch.core.request.HolderForwarder;
+import org.magnoliaswitch.core.request.InboundRequest;
+import org.magnoliaswitch.core.request.Outcome;
+import org.magnoliaswitch.core.request.OutcomeQuery;
+import org.magnoliaswitch.core.request.Reply;
+import org.magnoliaswitch.core.request.RequestService;
+
+/** The system's own paths for callers: readiness, issued keys and outcomes of keys. */
+final class KeyEndpoints {
+  static final String PREFIX = "/.well-known/magnoliaswitch/";
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+  private static final int MAX_KEYS = 100;
+  private static final long QUERY_MILLIS = 1_000;
+
+  private final ControlPlane control;
+  private final RequestService requests;
+  private final BooleanSupplier ready;
+
+  KeyEndpoints(ControlPlane control, RequestService requests, BooleanSupplier ready) {
+    this.control = control;
+    this.requests = requests;
+    this.ready = ready;
+  }
+
+  Reply serve(Request request, String path) {
+    return switch (path.substring(PREFIX.length())) {
+      case "ready" ->
+          ready.getAsBoolean()
+              ? text(OK, "ready\n")
+              : Reply.own(UNAVAILABLE, Outcome.NOT_EXECUTED, "not ready", 1);
+      case "keys" -> issue(request);
+      case "outcomes" -> outcome(request);
+      default -> Reply.own(NOT_FOUND, Outcome.NOT_EXECUTED, "no such path", 0);
+    };
+  }
+
+  private Reply issue(Request request) {
+    int count = Math.clamp(number(parameter(request, "count").orElse("1")), 1, MAX_KEYS);
+    StringBuilder keys = new StringBuilder();
+    for (int i = 0; i < count; i++) {
+      keys.append(control.issuer().issue()).append('\n');
+    }
+    return text(OK, keys.toString());
+  }
+
+  private Reply outcome(Request request) {
+    Optional<String> service = parameter(request, "service");
+    Optional<String> key = parameter(request, "key");
+    if (service.isEmpty() || key.isEmpty()) {
+      return Reply.own(NOT_FOUND, Outcome.UNKNOWN, "name service and key", 0);
+    }
+    boolean passedOn = request.getHeaders().contains(HolderForwarder.HOP_HEADER);
+    OutcomeQuery.Answer answer = requests.outcomes().ask(service.get(), key.get(), passedOn);
+    return switch (answer) {
+      case OutcomeQuery.Answer.Told told -> told.reply();
+      case OutcomeQuery.Answer.Ask ask -> askHolder(request, service.get(), ask);
+    };
+  }
+
+  private Reply askHolder(Request request, String service, OutcomeQuery.Answer.Ask ask) {
+    ServiceState state = control.registry().state().services().get(service);
+    if (state == null) {
+      return Reply.own(NOT_FOUND, Outcome.UNKNOWN, "no such service", 0);
+    }
+    long now = control.clocks().nanos();
+    InboundRequest query =
+        new InboundRequest(
+            "outcome",
+            "GET",
+            request.getHttpURI().getPathQuery(),
+            List.of(),
+            new InboundRequest.Body.Whole(new byte[0]),
+            state,
+            state.profile().kinds().getFirst(),
+            Deadline.after(now, QUERY_MILLIS),
+            new InboundRequest.Attempt(1, false, ""),
+            Optional.empty());
+    AttemptResult result = requests.forwarder().forward(query, ask.holder());
+    return result instanceof AttemptResult.Answered answered
+        ? answered.reply()
+        : Reply.own(UNAVAILABLE, Outcome.UNKNOWN, "the key's holder does not answer", 1);
+  }
+
+  private static Optional<String> parameter(Request request, String name) {
+    Fields fields = Request.extractQueryParameters(request);
+    return Optional.ofNullable(fields.getValue(name));
+  }
+
+  private static int number(String text) {
+    return text.matches("[0-9]{1,6}") ? Integer.parseInt(text) : 1;
+  }
+
+  private static Reply text(int status, String body) {
+    return new Reply(
+        status,
+        List.of(new Field("Content-Type", "text/plain"), new Field("Cache-Control", "no-store")),
+        new Reply.Body.Whole(body.getBytes(StandardCharsets.UTF_8)),
+        Outcome.EXECUTED);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/magnoliaswitch/entry/OperatorResource.java
@@ -0,0 +1,91 @@
+package org.magnoliaswitch.entry;
+
+import com.google.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.util.List;
+import org.magnoliaswitch.core.operator.InstanceStatus;
+import org.magnoliaswitch.core.process.ControlPlane;
+import org.magnoliaswitch.core.process.EventKind;
+import org.magnoliaswitch.core.process.TimelineEvent;
+import org.magnoliaswitch.core.version.Snapshot;
+
+/** Operators' view of one instance: health, readiness, metrics, status and time line. */
+@Path("/")
+@Produces(MediaType.APPLICATION_JSON)
+public final class OperatorResource {
+  private final ControlPlane control;
+  private final EntryMetrics metrics;
+
+  @Inject
+  OperatorResource(ControlPlane control, EntryMetrics metrics) {
+    this.control = control;
+    this.metrics = metrics;
+  }
+
+  /** The process runs. */
+  @GET
+  @Path("health")
+  @Produces(MediaType.TEXT_PLAIN)
+  public String health() {
+    return "ok\n";
+  }
+
+  /** The instance may get requests; otherwise the reason why not. */
+  @GET
+  @Path("ready")
+  @Produces(MediaType.TEXT_PLAIN)
+  public Response ready() {
+    if (control.ready()) {
+      return Response.ok("ready\n").build();
+    }
+    String reason =
+        control.state().membership().leaving()
+            ? "stopping"
+            : "no configuration version: neither the store nor a peer gave one";
+    return Response.status(Response.Status.SERVICE_UNAVAILABLE).entity(reason + '\n').build();
+  }
+
+  /** Metrics in Prometheus' text format. */
+  @GET
+  @Path("metrics")
+  @Produces(MediaType.TEXT_PLAIN)
+  public String metrics() {
+    return metrics.scrape();
+  }
+
+  /** Status of this instance and the peers it knows. */
+  @GET
+  @Path("status")
+  public InstanceStatus status() {
+    Snapshot snapshot = control.state().version().get();
+    return new InstanceStatus(
+        control.state().membership().self(),
+        snapshot.version(),
+        snapshot.digest(),
+        control.state().membership().livePeers());
+  }
+
+  /** The recent events. */
+  @GET
+  @Path("timeline")
+  public List<TimelineEvent> timeline() {
+    return control.state().timeline().events();
+  }
+
+  /** Takes a server out at once, here and at all peers, also while the store is out. */
+  @POST
+  @Path("servers/{id}/leaving")
+  public Response leaving(@PathParam("id") String id) {
+    if (control.state().leaving().noticed(id)) {
+      control.state().timeline().record(EventKind.SERVER_LEAVING, "", "", id, "sign=operator");
+      control.gossip().pushNews();
+    }
+    return Response.noContent().build();
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/magnoliaswitch/operator/ServerEdit.java
@@ -0,0 +1,107 @@
+package org.magnoliaswitch.operator;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.magnoliaswitch.core.version.BackendServer;
+import org.magnoliaswitch.core.version.Json;
+import org.magnoliaswitch.core.version.ServerState;
+import org.magnoliaswitch.core.version.Service;
+
+/** A change of one backend server in the declarations. */
+sealed interface ServerEdit {
+  int FAILED = 1;
+
+  /** Stops new work to a server. */
+  record Drain(String server, boolean confirmed) implements ServerEdit {}
+
+  /** Puts a draining server back to work. */
+  record Activate(String server) implements ServerEdit {}
+
+  /** Removes a server. */
+  record Retire(String server, boolean confirmed) implements ServerEdit {}
+
+  /** Adds a server to a service. */
+  record Add(String service, BackendServer server) implements ServerEdit {}
+
+  /** Changes the declarations. */
+  default void apply(Map<String, String> parts) throws OperatorException {
+    boolean found = false;
+    for (Map.Entry<String, String> part : parts.entrySet()) {
+      if (part.getKey().startsWith("services/")) {
+        Service before = read(part);
+        List<BackendServer> servers = edited(before);
+        if (!servers.equals(before.servers())) {
+          guard(before, servers);
+          part.setValue(write(before.withServers(servers)));
+          found = true;
+        }
+      }
+    }
+    if (!found) {
+      throw new OperatorException(FAILED, "nothing to change: no such server, or it is so already");
+    }
+  }
+
+  private List<BackendServer> edited(Service service) {
+    List<BackendServer> servers = new ArrayList<>();
+    for (BackendServer server : service.servers()) {
+      switch (this) {
+        case Drain drain when server.id().equals(drain.server()) ->
+            servers.add(server.withState(ServerState.DRAINING));
+        case Activate activate when server.id().equals(activate.server()) ->
+            servers.add(server.withState(ServerState.ACTIVE));
+        case Retire retire when server.id().equals(retire.server()) -> {
+          // Left out.
+        }
+        default -> servers.add(server);
+      }
+    }
+    if (this instanceof Add add && add.service().equals(service.name())) {
+      servers.add(add.server());
+    }
+    return servers;
+  }
+
+  private void guard(Service before, List<BackendServer> after) throws OperatorException {
+    long active = after.stream().filter(s -> s.state() == ServerState.ACTIVE).count();
+    double gone = 1 - (double) active / Math.max(1, before.servers().size());
+    if (!confirmed() && gone > before.maxDrainShare()) {
+      throw new OperatorException(
+          FAILED,
+          "this leaves "
+              + active
+              + " of "
+              + before.servers().size()
+              + " servers of "
+              + before.name()
+              + " at work, fewer than maxDrainShare allows; repeat with --yes if it is meant");
+    }
+  }
+
+  private boolean confirmed() {
+    return switch (this) {
+      case Drain drain -> drain.confirmed();
+      case Retire retire -> retire.confirmed();
+      case Activate activate -> true;
+      case Add add -> true;
+    };
+  }
+
+  private static Service read(Map.Entry<String, String> part) throws OperatorException {
+    try {
+      return Json.MAPPER.readValue(part.getValue(), Service.class);
+    } catch (IOException e) {
+      throw new OperatorException(FAILED, "unreadable " + part.getKey() + ": " + e.getMessage());
+    }
+  }
+
+  private static String write(Service service) {
+    try {
+      return Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(service) + '\n';
+    } catch (IOException e) {
+      throw new IllegalStateException("a service is always writable as JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/magnoliaswitch/operator/package-info.java
@@ -0,0 +1,5 @@
+/** Operators' programs: {@code magnoliactl} and {@code magnolia-timeline}. */
+@NullMarked
+package org.magnoliaswitch.operator;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/magnoliaswitch/standins/Backends.java
@@ -0,0 +1,210 @@
+package org.magnoliaswitch.standins;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.version.BackendServer;
+import org.magnoliaswitch.core.version.Json;
+
+/** Many backend stand-ins in one process, each on its own port, and a port that steers them. */
+public final class Backends implements AutoCloseable {
+  private static final int ACCEPT_QUEUE = 1_024;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+
+  /** Statistics for the experiments. */
+  record Statistics(
+      long executions, long doubled, double busySeconds, List<BackendStandin.Counts> servers) {}
+
+  private final Server server;
+  private final Clocks clocks;
+  private final Executions executions = new Executions();
+  private final Map<String, BackendStandin> standins = new LinkedHashMap<>();
+  private final Map<String, ServerConnector> connectors = new TreeMap<>();
+
+  public Backends(Clocks clocks) {
+    this.clocks = clocks;
+    QueuedThreadPool threads = new QueuedThreadPool(64, 8);
+    threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+    this.server = new Server(threads);
+    server.setHandler(new ByPort());
+  }
+
+  /** Adds a backend server; call it before {@link #start}. */
+  public void add(BackendServer declared, BackendBehaviour behaviour) {
+    BackendStandin standin = new BackendStandin(declared.id(), behaviour, executions, clocks);
+    standins.put(declared.id(), standin);
+    connectors.put(declared.id(), listen(declared.id(), declared.host(), declared.port()));
+  }
+
+  /** Adds the port that steers the stand-ins. */
+  public void control(String host, int port) {
+    connectors.put("", listen("", host, port));
+  }
+
+  /** Starts to listen. */
+  public void start() throws Exception {
+    server.start();
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+
+  private ServerConnector listen(String name, String host, int port) {
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(http));
+    connector.setName(name);
+    connector.setHost(host);
+    connector.setPort(port);
+    connector.setAcceptQueueSize(ACCEPT_QUEUE);
+    connector.setIdleTimeout(60_000);
+    server.addConnector(connector);
+    return connector;
+  }
+
+  /** Sends each request to the stand-in of the port it came in by. */
+  private final class ByPort extends Handler.Abstract {
+    private ByPort() {
+      super(InvocationType.BLOCKING);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      String name = request.getConnectionMetaData().getConnector().getName();
+      BackendStandin standin = standins.get(name);
+      if (standin != null) {
+        return standin.handle(request, response, callback);
+      }
+      steer(request, response, callback);
+      return true;
+    }
+  }
+
+  private void steer(Request request, Response response, Callback callback) throws Exception {
+    String path = Request.getPathInContext(request);
+    switch (path) {
+      case "/ready" -> reply(response, callback, OK, "ready\n");
+      case "/statistics" -> reply(response, callback, OK, json(statistics()));
+      case "/executions" -> reply(response, callback, OK, executionLines());
+      case "/probes" -> reply(response, callback, OK, json(probes()));
+      case "/last-work" -> reply(response, callback, OK, json(lastWork()));
+      case "/clear" -> {
+        executions.clear();
+        standins.values().forEach(s -> s.probeMillis().clear());
+        reply(response, callback, OK, "cleared\n");
+      }
+      case "/faults" -> {
+        String body = Content.Source.asString(request, StandardCharsets.UTF_8);
+        reply(
+            response,
+            callback,
+            OK,
+            setFaults(Request.extractQueryParameters(request).getValue("server"), body));
+      }
+      default -> reply(response, callback, NOT_FOUND, "no such path\n");
+    }
+  }
+
+  /** Changes the named fields of the faults of one server, of several by comma, or of all. */
+  private String setFaults(String names, String body) throws Exception {
+    Collection<BackendStandin> chosen = new ArrayList<>();
+    if (names == null || names.equals("all")) {
+      chosen = standins.values();
+    } else {
+      for (String name : names.split(",", -1)) {
+        BackendStandin standin = standins.get(name);
+        if (standin == null) {
+          return "no server " + name + "\n";
+        }
+        chosen.add(standin);
+      }
+    }
+    for (BackendStandin standin : chosen) {
+      var merged =
+          (com.fasterxml.jackson.databind.node.ObjectNode)
+              Json.MAPPER.valueToTree(standin.faults());
+      merged.setAll((com.fasterxml.jackson.databind.node.ObjectNode) Json.MAPPER.readTree(body));
+      ServerFaults next = Json.MAPPER.treeToValue(merged, ServerFaults.class);
+      listen(standin, next);
+      standin.faults(next);
+    }
+    return "set " + chosen.size() + "\n";
+  }
+
+  private void listen(BackendStandin standin, ServerFaults next) throws Exception {
+    ServerConnector connector = connectors.get(standin.id());
+    if (connector == null || next.stopped() == standin.faults().stopped()) {
+      return;
+    }
+    if (next.stopped()) {
+      connector.stop();
+    } else {
+      connector.start();
+    }
+  }
+
+  private Statistics statistics() {
+    long doubled =
+        executions.byOperation().values().stream().filter(count -> count.get() > 1).count();
+    double busy = standins.values().stream().mapToDouble(BackendStandin::busySeconds).sum();
+    return new Statistics(
+        executions.total(),
+        doubled,
+        busy,
+        standins.values().stream().map(BackendStandin::counts).toList());
+  }
+
+  private String executionLines() {
+    StringBuilder lines = new StringBuilder();
+    executions
+        .byOperation()
+        .forEach(
+            (operation, count) -> lines.append(operation).append(' ').append(count).append('\n'));
+    return lines.toString();
+  }
+
+  private Map<String, List<Long>> probes() {
+    Map<String, List<Long>> all = new TreeMap<>();
+    standins.forEach((id, standin) -> all.put(id, List.copyOf(standin.probeMillis())));
+    return all;
+  }
+
+  private Map<String, Long> lastWork() {
+    Map<String, Long> all = new TreeMap<>();
+    standins.forEach((id, standin) -> all.put(id, standin.lastWorkMillis()));
+    return all;
+  }
+
+  private static String json(Object value) throws JsonProcessingException {
+    return Json.MAPPER.writeValueAsString(value) + '\n';
+  }
+
+  static void reply(Response response, Callback callback, int status, String text)
+      throws IOException {
+    response.setStatus(status);
+    response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/magnoliaswitch/standins/PlatformStandin.java
@@ -0,0 +1,249 @@
+package org.magnoliaswitch.standins;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.platform.ConditionalWrite;
+import org.magnoliaswitch.core.platform.InstanceList;
+import org.magnoliaswitch.core.platform.TransactionResult;
+import org.magnoliaswitch.core.version.Json;
+
+/** The platform's table, object store and instance list over HTTP, with faults. */
+public final class PlatformStandin extends Handler.Abstract implements AutoCloseable {
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int FAILED = 503;
+  private static final int MAX_OBJECT = 64 * 1024 * 1024;
+  private static final String OBJECTS = "/objects";
+
+  /** Counts for the experiments. */
+  record Counts(long transactions, long rowWrites, long objectWrites, long reads) {}
+
+  private record ListedSince(List<InstanceList.Listed> list, long sinceMillis) {}
+
+  private final Server server;
+  private final ServerConnector connector;
+  private final Clocks clocks;
+  private final StandinTable table;
+  private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+  private final ConcurrentLinkedDeque<ListedSince> lists = new ConcurrentLinkedDeque<>();
+  private final AtomicLong transactions = new AtomicLong();
+  private final AtomicLong rowWrites = new AtomicLong();
+  private final AtomicLong objectWrites = new AtomicLong();
+  private final AtomicLong reads = new AtomicLong();
+  private final SplittableRandom random = new SplittableRandom(7);
+  private volatile PlatformFaults faults = PlatformFaults.NONE;
+
+  public PlatformStandin(String host, int port, Clocks clocks) {
+    super(InvocationType.BLOCKING);
+    this.clocks = clocks;
+    this.table = new StandinTable(clocks);
+    lists.add(new ListedSince(List.of(), 0));
+    QueuedThreadPool threads = new QueuedThreadPool(32, 4);
+    threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+    this.server = new Server(threads);
+    this.connector = new ServerConnector(server, 1, 1);
+    connector.setHost(host);
+    connector.setPort(port);
+    server.addConnector(connector);
+    server.setHandler(this);
+  }
+
+  /** Starts to listen. */
+  public void listen() throws Exception {
+    server.start();
+  }
+
+  /** The port listened on. */
+  public int port() {
+    return connector.getLocalPort();
+  }
+
+  /** Sets what is wrong. */
+  public void faults(PlatformFaults next) {
+    faults = next;
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) throws Exception {
+    String path = Request.getPathInContext(request);
+    if (path.startsWith("/standin/")) {
+      steer(request, response, callback, path);
+      return true;
+    }
+    PlatformFaults now = faults;
+    if (now.slowMillis() > 0) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(now.slowMillis()));
+    }
+    if (now.down()) {
+      Backends.reply(response, callback, FAILED, "down\n");
+      return true;
+    }
+    serve(request, response, callback, path);
+    return true;
+  }
+
+  private void serve(Request request, Response response, Callback callback, String path)
+      throws Exception {
+    switch (path) {
+      case "/table/read" -> {
+        reads.incrementAndGet();
+        List<String> keys = Json.MAPPER.readValue(body(request), new TypeReference<>() {});
+        json(response, callback, OK, table.read(keys));
+      }
+      case "/table/scan" -> {
+        reads.incrementAndGet();
+        var query = Request.extractQueryParameters(request);
+        int limit = Integer.parseInt(query.getValue("limit"));
+        json(response, callback, OK, table.scan(query.getValue("prefix"), limit));
+      }
+      case "/table/transact" -> transact(request, response, callback);
+      case "/instances" -> {
+        reads.incrementAndGet();
+        json(response, callback, OK, shownList());
+      }
+      default -> objects(request, response, callback, path);
+    }
+  }
+
+  private void transact(Request request, Response response, Callback callback) throws Exception {
+    List<ConditionalWrite> writes = Json.MAPPER.readValue(body(request), new TypeReference<>() {});
+    PlatformFaults now = faults;
+    if (chance(now.lateShare())) {
+      Thread.ofVirtual()
+          .start(
+              () -> {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(now.lateMillis()));
+                apply(writes);
+              });
+      callback.failed(new IllegalStateException("the write lands late"));
+      return;
+    }
+    TransactionResult result = apply(writes);
+    if (chance(now.lostShare())) {
+      callback.failed(new IllegalStateException("the answer is lost"));
+      return;
+    }
+    switch (result) {
+      case TransactionResult.Committed committed ->
+          Backends.reply(response, callback, OK, "committed\n");
+      case TransactionResult.Conflict conflict ->
+          json(response, callback, CONFLICT, conflict.rows());
+      case TransactionResult.Unknown unknown ->
+          Backends.reply(response, callback, FAILED, unknown.reason());
+    }
+  }
+
+  private TransactionResult apply(List<ConditionalWrite> writes) {
+    transactions.incrementAndGet();
+    rowWrites.addAndGet(writes.size());
+    return table.transact(writes);
+  }
+
+  private void objects(Request request, Response response, Callback callback, String path)
+      throws Exception {
+    if (!path.equals(OBJECTS)) {
+      Backends.reply(response, callback, NOT_FOUND, "no such path\n");
+      return;
+    }
+    String name = Request.extractQueryParameters(request).getValue("name");
+    if (request.getMethod().equals("PUT")) {
+      objectWrites.incrementAndGet();
+      objects.put(name, body(request));
+      Backends.reply(response, callback, OK, "stored\n");
+      return;
+    }
+    reads.incrementAndGet();
+    byte[] content = objects.get(name);
+    if (content == null) {
+      Backends.reply(response, callback, NOT_FOUND, "no such object\n");
+    } else {
+      response.setStatus(OK);
+      response.write(true, ByteBuffer.wrap(content), callback);
+    }
+  }
+
+  private void steer(Request request, Response response, Callback callback, String path)
+      throws Exception {
+    switch (path) {
+      case "/standin/ready" -> Backends.reply(response, callback, OK, "ready\n");
+      case "/standin/counts" ->
+          json(
+              response,
+              callback,
+              OK,
+              new Counts(transactions.get(), rowWrites.get(), objectWrites.get(), reads.get()));
+      case "/standin/faults" -> {
+        var merged =
+            (com.fasterxml.jackson.databind.node.ObjectNode)
+                Json.MAPPER.valueToTree(PlatformFaults.NONE);
+        merged.setAll(
+            (com.fasterxml.jackson.databind.node.ObjectNode) Json.MAPPER.readTree(body(request)));
+        faults = Json.MAPPER.treeToValue(merged, PlatformFaults.class);
+        Backends.reply(response, callback, OK, "set\n");
+      }
+      case "/standin/instances" -> {
+        List<InstanceList.Listed> list =
+            Json.MAPPER.readValue(body(request), new TypeReference<>() {});
+        lists.addLast(new ListedSince(list, clocks.millis()));
+        Backends.reply(response, callback, OK, "set\n");
+      }
+      default -> Backends.reply(response, callback, NOT_FOUND, "no such path\n");
+    }
+  }
+
+  private List<InstanceList.Listed> shownList() {
+    long shown = clocks.millis() - faults.listLagMillis();
+    List<InstanceList.Listed> latest = List.of();
+    for (ListedSince list : lists) {
+      if (list.sinceMillis() <= shown) {
+        latest = list.list();
+      }
+    }
+    return latest;
+  }
+
+  private boolean chance(double share) {
+    synchronized (random) {
+      return share > 0 && random.nextDouble() < share;
+    }
+  }
+
+  private static byte[] body(Request request) throws Exception {
+    ByteBuffer buffer = Content.Source.asByteBuffer(request);
+    byte[] bytes = new byte[Math.min(MAX_OBJECT, buffer.remaining())];
+    buffer.get(bytes);
+    return bytes;
+  }
+
+  private static void json(Response response, Callback callback, int status, Object value)
+      throws Exception {
+    response.setStatus(status);
+    byte[] bytes = Json.MAPPER.writeValueAsString(value).getBytes(StandardCharsets.UTF_8);
+    response.write(true, ByteBuffer.wrap(bytes), callback);
+  }
+}
