Stopping entries issue no keys; the load tool follows the balancer's health check

Change: no key from a stopping entry, health checks in the load tool, exit code 0 of an orderly stop. Also the frame of the experiments with overhead and routing.

--- a/bench/src/main/java/org/magnoliaswitch/bench/CallerSession.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/CallerSession.java
@@ -38,6 +38,7 @@
     static final Try FAILED = new Try(Verdict.NO_ANSWER, 0, 0, Optional.empty(), "");
   }
 
+  private volatile boolean healthy = true;
   private final ConnectionPool pool;
   private final String host;
   private final Clocks clocks;
@@ -141,10 +142,23 @@
         header(response, "Server-Id").orElse(""));
   }
 
+  /** Whether the balancer in front would send requests here. */
+  boolean healthy() {
+    return healthy;
+  }
+
+  /** The health check of the balancer in front. */
+  void checkHealth() {
+    healthy = fetch("/.well-known/magnoliaswitch/ready").isPresent();
+  }
+
   /** Asks the instance for a key. */
   Optional<String> issueKey() {
-    BasicClassicHttpRequest request =
-        new BasicClassicHttpRequest("GET", "/.well-known/magnoliaswitch/keys");
+    return fetch("/.well-known/magnoliaswitch/keys");
+  }
+
+  private Optional<String> fetch(String path) {
+    BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
     request.setHeader("Host", host);
     try {
       BackendConnection connection = pool.take(KEEP_ALIVE_NANOS, CONNECT_MILLIS);
--- a/bench/src/main/java/org/magnoliaswitch/bench/LoadGenerator.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadGenerator.java
@@ -17,7 +17,8 @@
 final class LoadGenerator {
   private static final double NANOS = 1e9;
   private static final long PROGRESS_NANOS = TimeUnit.SECONDS.toNanos(5);
-  private static final int MAX_SPARE_KEYS = 2_000;
+  private static final long HEALTH_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final int MAX_SPARE_KEYS = 200;
   private static final long BACKOFF_MILLIS = 20;
 
   private final Scenario scenario;
@@ -42,6 +43,20 @@
     return recorder;
   }
 
+  /** The balancer in front: checks every instance again and again until the run ends. */
+  void startBalancer() {
+    for (CallerSession session : sessions) {
+      Thread.ofVirtual()
+          .start(
+              () -> {
+                while (!running.isTerminated()) {
+                  session.checkHealth();
+                  LockSupport.parkNanos(HEALTH_NANOS);
+                }
+              });
+    }
+  }
+
   /** Runs all phases and waits for the last answer; returns the length in seconds. */
   double run() {
     SplittableRandom random = new SplittableRandom(scenario.seed());
@@ -59,13 +74,19 @@
         }
         long intended = start + (long) ((offset + at) * NANOS);
         waitUntil(intended);
-        begin(pick(random), number++, intended, (int) (offset + at), random.nextLong());
+        begin(
+            pick(random),
+            number++,
+            intended,
+            (int) ((offset + at) / Recorder.SLICE_SECONDS),
+            random.nextLong());
         progress = progress(progress, number);
       }
       offset += phase.seconds();
       waitUntil(start + (long) (offset * NANOS));
     }
     running.arriveAndAwaitAdvance();
+    running.forceTermination();
     return offset;
   }
 
@@ -101,8 +122,8 @@
     return scenario.kinds().getLast();
   }
 
-  private void begin(Scenario.LoadKind kind, long number, long intended, int second, long choice) {
-    recorder.offered(kind, second);
+  private void begin(Scenario.LoadKind kind, long number, long intended, int slice, long choice) {
+    recorder.offered(kind, slice);
     running.register();
     Thread.ofVirtual()
         .start(
@@ -110,7 +131,7 @@
               try {
                 String operation = run + '-' + number;
                 Verdict verdict = tryAll(kind, operation, intended, choice);
-                recorder.ended(kind, second, operation, verdict, clocks.nanos() - intended);
+                recorder.ended(kind, slice, operation, verdict, clocks.nanos() - intended);
               } finally {
                 running.arriveAndDeregister();
               }
@@ -137,6 +158,7 @@
           && result.status() == 409
           && last == Verdict.NOT_EXECUTED) {
         // The key's instance is gone without having run it: a new key is safe.
+        spareKeys.clear();
         key = key(kind, operation, choice + attempt);
         mayHaveRun = false;
       }
@@ -179,7 +201,14 @@
   }
 
   private CallerSession session(long choice) {
-    return sessions.get((int) Math.floorMod(choice, (long) sessions.size()));
+    int first = (int) Math.floorMod(choice, (long) sessions.size());
+    for (int i = 0; i < sessions.size(); i++) {
+      CallerSession candidate = sessions.get((first + i) % sessions.size());
+      if (candidate.healthy()) {
+        return candidate;
+      }
+    }
+    return sessions.get(first);
   }
 
   /** A run id that no other run has. */
--- a/bench/src/main/java/org/magnoliaswitch/bench/LoadMain.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadMain.java
@@ -47,6 +47,8 @@
       parser.accepts("out", "write the result as JSON").withRequiredArg();
   private final OptionSpec<String> plot =
       parser.accepts("plot", "draw the run as PNG").withRequiredArg();
+  private final OptionSpec<Void> direct =
+      parser.accepts("direct", "the addresses are backend servers: no health checks");
   private final OptionSpec<Void> strict =
       parser.accepts("strict", "exit with 1 unless every request was answered whole");
   private final OptionSpec<Void> freshKeys =
@@ -102,6 +104,9 @@
             .toList();
     LoadGenerator generator =
         new LoadGenerator(scaled, sessions, clocks, LoadGenerator.runId(), options.has(freshKeys));
+    if (!options.has(direct)) {
+      generator.startBalancer();
+    }
     double length = generator.run();
     LoadResult.Truth compared =
         options.has(truth)
--- a/bench/src/main/java/org/magnoliaswitch/bench/LoadPlot.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadPlot.java
@@ -19,17 +19,17 @@
         new XYChartBuilder()
             .width(WIDTH)
             .height(HEIGHT)
-            .title("load by second of intended start")
+            .title("load by intended start")
             .xAxisTitle("s")
-            .yAxisTitle("requests/s, ms")
+            .yAxisTitle("requests per slice, ms")
             .build();
-    List<LoadResult.Second> series = result.series();
-    List<Integer> x = series.stream().map(LoadResult.Second::second).toList();
+    List<LoadResult.Slice> series = result.series();
+    List<Double> x = series.stream().map(LoadResult.Slice::atSeconds).toList();
     if (!x.isEmpty()) {
-      chart.addSeries("offered", x, series.stream().map(LoadResult.Second::offered).toList());
+      chart.addSeries("offered", x, series.stream().map(LoadResult.Slice::offered).toList());
       chart.addSeries(
-          "answered in time", x, series.stream().map(LoadResult.Second::inTime).toList());
-      chart.addSeries("p99 ms", x, series.stream().map(LoadResult.Second::p99Millis).toList());
+          "answered in time", x, series.stream().map(LoadResult.Slice::inTime).toList());
+      chart.addSeries("p99 ms", x, series.stream().map(LoadResult.Slice::p99Millis).toList());
     }
     BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
   }
--- a/bench/src/main/java/org/magnoliaswitch/bench/LoadResult.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/LoadResult.java
@@ -23,7 +23,7 @@
  * @param p999Millis 99.9th percentile
  * @param maxMillis longest
  * @param byKind counts by kind
- * @param series counts by second
+ * @param series counts by slice of time
  * @param truth comparison with what the stand-ins executed
  */
 public record LoadResult(
@@ -44,7 +44,7 @@
     double p999Millis,
     double maxMillis,
     Map<String, KindResult> byKind,
-    List<Second> series,
+    List<Slice> series,
     Truth truth) {
   /**
    * Counts of one kind.
@@ -56,14 +56,14 @@
   public record KindResult(long offered, long inTime, double p99Millis) {}
 
   /**
-   * Counts of one second.
+   * Counts of one slice of time.
    *
-   * @param second since the start, by intended start of the requests
+   * @param atSeconds its start, by intended start of the requests
    * @param offered requests begun
    * @param inTime whole own answers in time
    * @param p99Millis 99th percentile of their latency
    */
-  public record Second(int second, long offered, long inTime, double p99Millis) {}
+  public record Slice(double atSeconds, long offered, long inTime, double p99Millis) {}
 
   /**
    * What callers were told against what ran.
--- a/bench/src/main/java/org/magnoliaswitch/bench/Recorder.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/Recorder.java
@@ -15,6 +15,10 @@
 final class Recorder {
   private static final long MAX_MICROS = TimeUnit.MINUTES.toMicros(5);
   private static final int DIGITS = 3;
+
+  /** Length of the slices of time of the report. */
+  static final double SLICE_SECONDS = 0.2;
+
   private static final double MICROS_PER_MILLI = 1_000.0;
 
   private static final class Bucket {
@@ -26,14 +30,14 @@
   private final Histogram latency = new ConcurrentHistogram(MAX_MICROS, DIGITS);
   private final Map<Verdict, LongAdder> verdicts = new ConcurrentHashMap<>();
   private final Map<String, Bucket> kinds = new ConcurrentHashMap<>();
-  private final Map<Integer, Bucket> seconds = new ConcurrentSkipListMap<>();
+  private final Map<Integer, Bucket> slices = new ConcurrentSkipListMap<>();
   private final Map<String, Verdict> byOperation = new ConcurrentHashMap<>();
   private final LongAdder late = new LongAdder();
   private final LongAdder tries = new LongAdder();
 
-  void offered(Scenario.LoadKind kind, int second) {
+  void offered(Scenario.LoadKind kind, int slice) {
     kind(kind).offered.increment();
-    second(second).offered.increment();
+    slice(slice).offered.increment();
   }
 
   void tried() {
@@ -41,7 +45,7 @@
   }
 
   void ended(
-      Scenario.LoadKind kind, int second, String operation, Verdict verdict, long latencyNanos) {
+      Scenario.LoadKind kind, int slice, String operation, Verdict verdict, long latencyNanos) {
     verdicts.computeIfAbsent(verdict, v -> new LongAdder()).increment();
     if (kind.keys() != Scenario.Keys.NONE) {
       byOperation.put(operation, verdict);
@@ -55,7 +59,7 @@
       late.increment();
       return;
     }
-    for (Bucket bucket : List.of(kind(kind), second(second))) {
+    for (Bucket bucket : List.of(kind(kind), slice(slice))) {
       bucket.inTime.increment();
       bucket.latency.recordValue(micros);
     }
@@ -78,11 +82,12 @@
         (name, b) ->
             byKind.put(
                 name, new LoadResult.KindResult(b.offered.sum(), b.inTime.sum(), millis(b, 99))));
-    List<LoadResult.Second> series = new ArrayList<>();
-    seconds.forEach(
-        (second, b) ->
+    List<LoadResult.Slice> series = new ArrayList<>();
+    slices.forEach(
+        (slice, b) ->
             series.add(
-                new LoadResult.Second(second, b.offered.sum(), b.inTime.sum(), millis(b, 99))));
+                new LoadResult.Slice(
+                    slice * SLICE_SECONDS, b.offered.sum(), b.inTime.sum(), millis(b, 99))));
     return new LoadResult(
         length,
         offered,
@@ -128,7 +133,7 @@
     return kinds.computeIfAbsent(kind.name(), k -> new Bucket());
   }
 
-  private Bucket second(int second) {
-    return seconds.computeIfAbsent(second, s -> new Bucket());
+  private Bucket slice(int slice) {
+    return slices.computeIfAbsent(slice, s -> new Bucket());
   }
 }
--- /dev/null
+++ b/bench/src/main/java/org/magnoliaswitch/bench/report/ReportMain.java
@@ -0,0 +1,54 @@
+package org.magnoliaswitch.bench.report;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** Command line of {@code magnolia-report}: evaluates an experiment's output directory. */
+public final class ReportMain {
+  private static final int FAILED = 1;
+  private static final int USAGE = 2;
+
+  private ReportMain() {}
+
+  /** Prints a report; exits with 0, 1 for failures or 2 for unusable arguments. */
+  public static void main(String[] arguments) {
+    OptionParser parser = new OptionParser();
+    OptionSpec<String> directory =
+        parser.accepts("dir", "output directory of the experiment").withRequiredArg();
+    OptionSpec<Void> help = parser.accepts("help", "print this text").forHelp();
+    try {
+      OptionSet options = parser.parse(arguments);
+      List<String> words = options.nonOptionArguments().stream().map(String::valueOf).toList();
+      if (options.has(help)) {
+        System.out.println("magnolia-report EXPERIMENT --dir DIR\n");
+        parser.printHelpOn(System.out);
+      } else if (words.size() != 1 || !options.has(directory)) {
+        fail(USAGE, "an experiment and --dir are needed; see --help");
+      } else {
+        report(words.getFirst(), new RunDirectory(Path.of(options.valueOf(directory))));
+      }
+    } catch (OptionException e) {
+      fail(USAGE, e.getMessage() + "; see --help");
+    } catch (IOException e) {
+      fail(FAILED, e.toString());
+    }
+  }
+
+  private static void report(String experiment, RunDirectory directory) throws IOException {
+    switch (experiment) {
+      case "overhead" -> OverheadReport.run(directory);
+      case "routing" -> RoutingReport.run(directory);
+      default -> fail(USAGE, "no report for " + experiment);
+    }
+  }
+
+  private static void fail(int code, String message) {
+    System.err.println("magnolia-report: " + message);
+    System.exit(code);
+  }
+}
--- a/entry/src/main/java/org/magnoliaswitch/entry/CallerHandler.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/CallerHandler.java
@@ -122,7 +122,8 @@
   private Reply served(InboundRequest inbound) {
     Reply reply = requests.serve(inbound);
     Reply named = reply.with(new Field("X-Request-Id", inbound.id()));
-    return inbound.idempotent()
+    // A stopping instance issues no keys: they would outlive the only one that may execute them.
+    return inbound.idempotent() || !ready
         ? named
         : named.with(new Field(ISSUED_KEY, control.issuer().issue()));
   }
--- a/entry/src/main/java/org/magnoliaswitch/entry/EntryApplication.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/EntryApplication.java
@@ -48,6 +48,7 @@
     environment.jersey().register(injector.getInstance(BearerFilter.class));
     environment.jersey().register(injector.getInstance(OperatorResource.class));
     environment.jersey().register(injector.getInstance(ConfigurationResource.class));
+    environment.healthChecks().register("configuration", new ReadyCheck(control));
     control.start();
     callers.start();
     GracefulStop stop = new GracefulStop(settings, control, callers);
--- a/entry/src/main/java/org/magnoliaswitch/entry/GracefulStop.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/GracefulStop.java
@@ -15,6 +15,9 @@
 final class GracefulStop {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final int STOPPED = 0;
+  private static final int LIMIT_REACHED = 1;
+
   private final EntrySettings settings;
   private final ControlPlane control;
   private final CallerListener callers;
@@ -34,6 +37,8 @@
     control.recordLast();
     control.close();
     logger.atInfo().log("event=stopped finished=%s", finished);
+    // The Java machine would end with the signal's code; an orderly stop is told by 0.
+    Runtime.getRuntime().halt(finished ? STOPPED : LIMIT_REACHED);
   }
 
   /** The only thing to wait for is the balancer, which tells nobody that it has noticed. */
--- a/entry/src/main/java/org/magnoliaswitch/entry/KeyEndpoints.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/KeyEndpoints.java
@@ -51,6 +51,9 @@
   }
 
   private Reply issue(Request request) {
+    if (!ready.getAsBoolean()) {
+      return Reply.own(UNAVAILABLE, Outcome.NOT_EXECUTED, "not ready", 1);
+    }
     int count = Math.clamp(number(parameter(request, "count").orElse("1")), 1, MAX_KEYS);
     StringBuilder keys = new StringBuilder();
     for (int i = 0; i < count; i++) {
--- /dev/null
+++ b/entry/src/main/java/org/magnoliaswitch/entry/ReadyCheck.java
@@ -0,0 +1,18 @@
+package org.magnoliaswitch.entry;
+
+import com.codahale.metrics.health.HealthCheck;
+import org.magnoliaswitch.core.process.ControlPlane;
+
+/** Health of the process as the framework's own pages show it. */
+final class ReadyCheck extends HealthCheck {
+  private final ControlPlane control;
+
+  ReadyCheck(ControlPlane control) {
+    this.control = control;
+  }
+
+  @Override
+  protected Result check() {
+    return control.ready() ? Result.healthy() : Result.unhealthy("no configuration, or stopping");
+  }
+}
--- a/standins/src/main/java/org/magnoliaswitch/standins/BackendStandin.java
+++ b/standins/src/main/java/org/magnoliaswitch/standins/BackendStandin.java
@@ -48,6 +48,7 @@
   private final LongAdder shed = new LongAdder();
   private final LongAdder expired = new LongAdder();
   private final LongAdder cut = new LongAdder();
+  private final LongAdder probeNanos = new LongAdder();
   private final LongAdder busyNanos = new LongAdder();
   private final AtomicLong lastWorkMillis = new AtomicLong();
   private final ConcurrentLinkedQueue<Long> probeMillis = new ConcurrentLinkedQueue<>();
@@ -90,6 +91,10 @@
     return lastWorkMillis.get();
   }
 
+  double probeSeconds() {
+    return probeNanos.sum() / 1e9;
+  }
+
   double busySeconds() {
     return busyNanos.sum() / 1e9;
   }
@@ -109,7 +114,9 @@
     }
     if (Request.getPathInContext(request).equals("/load")) {
       probeMillis.add(clocks.millis());
+      long began = clocks.nanos();
       answer(response, callback, OK, new byte[0]);
+      probeNanos.add(clocks.nanos() - began);
       return true;
     }
     lastWorkMillis.set(clocks.millis());
--- a/standins/src/main/java/org/magnoliaswitch/standins/Backends.java
+++ b/standins/src/main/java/org/magnoliaswitch/standins/Backends.java
@@ -33,7 +33,11 @@
 
   /** Statistics for the experiments. */
   record Statistics(
-      long executions, long doubled, double busySeconds, List<BackendStandin.Counts> servers) {}
+      long executions,
+      long doubled,
+      double busySeconds,
+      double probeSeconds,
+      List<BackendStandin.Counts> servers) {}
 
   private final Server server;
   private final Clocks clocks;
@@ -174,6 +178,7 @@
         executions.total(),
         doubled,
         busy,
+        standins.values().stream().mapToDouble(BackendStandin::probeSeconds).sum(),
         standins.values().stream().map(BackendStandin::counts).toList());
   }
 
