--- a/bench/src/main/java/org/magnoliaswitch/bench/report/ReportMain.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/report/ReportMain.java
@@ -15,7 +15,7 @@
 
   private ReportMain() {}
 
-  /** Prints a report; exits with 0, 1 for failures or 2 for unusable arguments. */
+  /** Prints a report; exits with 0, 1 when a check failed or 2 for unusable arguments. */
   public static void main(String[] arguments) {
     OptionParser parser = new OptionParser();
     OptionSpec<String> directory =
@@ -29,8 +29,8 @@
         parser.printHelpOn(System.out);
       } else if (words.size() != 1 || !options.has(directory)) {
         fail(USAGE, "an experiment and --dir are needed; see --help");
-      } else {
-        report(words.getFirst(), new RunDirectory(Path.of(options.valueOf(directory))));
+      } else if (!report(words.getFirst(), new RunDirectory(Path.of(options.valueOf(directory))))) {
+        System.exit(FAILED);
       }
     } catch (OptionException e) {
       fail(USAGE, e.getMessage() + "; see --help");
@@ -39,12 +39,29 @@
     }
   }
 
-  private static void report(String experiment, RunDirectory directory) throws IOException {
+  /** Prints one report; false when a check of it failed. */
+  private static boolean report(String experiment, RunDirectory directory) throws IOException {
     switch (experiment) {
       case "overhead" -> OverheadReport.run(directory);
       case "routing" -> RoutingReport.run(directory);
+      case "measuring" -> {
+        return MeasuringReport.run(directory);
+      }
+      case "overload" -> OverloadReport.run(directory);
+      case "faults" -> FaultsReport.run(directory);
+      case "once" -> {
+        return OnceReport.run(directory);
+      }
+      case "config" -> {
+        return ConfigReport.run(directory);
+      }
+      case "drain" -> {
+        return DrainReport.run(directory);
+      }
+      case "extract" -> DeclarationExtract.run(directory);
       default -> fail(USAGE, "no report for " + experiment);
     }
+    return true;
   }
 
   private static void fail(int code, String message) {
--- a/core/src/main/java/org/magnoliaswitch/core/process/ClaimService.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ClaimService.java
@@ -26,7 +26,7 @@
  * <p>Which instance does the claiming is a matter of cost only: the row decides. Instances with
  * different views pick different ones, and one that does not answer is passed by.
  */
-public final class ClaimService {
+public final class ClaimService implements KeyClaims {
   /** Instances that claim for all; each bounds its transactions by the claim window. */
   private static final int CLAIMING_INSTANCES = 3;
 
@@ -50,7 +50,7 @@
     this.timer = timer;
   }
 
-  /** Claims a key; waits for the result at most until the time is up. */
+  @Override
   public ClaimResult claim(Claim claim, int windowMillis, long waitNanos) {
     int waitMillis = (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(waitNanos));
     Member via = claimingInstance(claim.key());
@@ -63,7 +63,7 @@
     return await(add(claim, windowMillis), waitMillis / 2);
   }
 
-  /** The incarnation that holds a key by its claim row, if the table says. */
+  @Override
   public Optional<String> holder(String key) {
     return batcher.holder(key);
   }
--- a/core/src/main/java/org/magnoliaswitch/core/process/OutcomeLedger.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/OutcomeLedger.java
@@ -58,6 +58,9 @@
   /** Finished keys kept for the next outcome record; more are dropped while the store is out. */
   private static final int MAX_UNRECORDED = 200_000;
 
+  /** Lower than any attempt: whoever joined a withdrawn run asks anew. */
+  private static final int NO_ATTEMPT = -1;
+
   private final Clocks clocks;
   private final Map<String, Entry> entries = new ConcurrentHashMap<>();
   private final ConcurrentLinkedQueue<Finished> unrecorded = new ConcurrentLinkedQueue<>();
@@ -68,8 +71,12 @@
     this.clocks = clocks;
   }
 
-  /** Asks what to do with a request under a key. */
-  public Admission begin(String key, String fingerprint, long retentionSeconds) {
+  /**
+   * Asks what to do with a request under a key.
+   *
+   * @param attempt number of the attempt; after a refusal only a later one may run
+   */
+  public Admission begin(String key, String fingerprint, long retentionSeconds, int attempt) {
     long expires = clocks.nanos() + TimeUnit.SECONDS.toNanos(retentionSeconds);
     Entry fresh = new Entry(fingerprint, expires);
     Entry entry = entries.putIfAbsent(key, fresh);
@@ -84,7 +91,7 @@
       return new Admission.Join(run);
     }
     KeyOutcome outcome = run.join();
-    if (!(outcome instanceof KeyOutcome.NotExecuted)) {
+    if (!(outcome instanceof KeyOutcome.NotExecuted refused && refused.permits(attempt))) {
       return new Admission.Known(outcome);
     }
     CompletableFuture<KeyOutcome> next = new CompletableFuture<>();
@@ -111,7 +118,7 @@
   public void withdraw(String key) {
     Entry entry = entries.remove(key);
     if (entry != null) {
-      entry.run.get().complete(new KeyOutcome.NotExecuted());
+      entry.run.get().complete(new KeyOutcome.NotExecuted(NO_ATTEMPT));
     }
   }
 
--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -58,7 +58,7 @@
       long window = windowNanos(budget, instances);
       for (ServerHandle handle : service.servers()) {
         long now = clocks.nanos();
-        if (wanted(handle, now) && handle.load().claimProbe(now, window)) {
+        if (wanted(handle, now, window) && handle.load().claimProbe(now, window)) {
           Thread.ofVirtual().name("probe").start(() -> probe(service, handle));
         }
       }
@@ -77,9 +77,9 @@
   }
 
   /** A server that is full gets no probe: it would take capacity from callers. */
-  private static boolean wanted(ServerHandle handle, long now) {
+  private static boolean wanted(ServerHandle handle, long now, long window) {
     ServerLoad load = handle.load();
-    boolean quiet = now - load.lastHeardNanos() > QUIET_NANOS;
+    boolean quiet = now - load.lastHeardNanos() > Math.min(QUIET_NANOS, window);
     LoadReport last = load.lastReport().report();
     boolean full = load.inFlight() > 0 && last.requests() >= last.slots();
     return handle.server().state() == ServerState.ACTIVE && quiet && !full;
--- a/core/src/main/java/org/magnoliaswitch/core/process/ServerShare.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ServerShare.java
@@ -43,7 +43,7 @@
   /** Most connections this instance opens to a server of its share. */
   public static int connections(BackendServer server, int total, int share, int instances) {
     double users = REPLACEMENT_FACTOR * instances * share / Math.max(1, total);
-    return Math.max(2, (int) (server.connections() / Math.max(1, users)));
+    return Math.max(1, (int) (server.connections() / Math.max(1, users)));
   }
 
   private static int size(List<BackendServer> servers, int instances) {
--- a/core/src/main/java/org/magnoliaswitch/core/request/HolderForwarder.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/HolderForwarder.java
@@ -12,7 +12,7 @@
 import org.magnoliaswitch.core.peer.Member;
 
 /** Passes a request on to the instance whose incarnation holds its key. */
-public final class HolderForwarder {
+public final class HolderForwarder implements KeyHolders {
   /** Marks a request that was passed on once already, so that it is not passed on again. */
   public static final String HOP_HEADER = "Key-Holder-Hop";
 
@@ -27,7 +27,7 @@
     this.clocks = clocks;
   }
 
-  /** Sends the request to the holder and takes its whole answer. */
+  @Override
   public AttemptResult forward(InboundRequest request, Member holder) {
     ConnectionPool pool =
         pools.computeIfAbsent(
--- a/core/src/main/java/org/magnoliaswitch/core/request/OnceGate.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/OnceGate.java
@@ -8,18 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.peer.Claim;
 import org.magnoliaswitch.core.peer.ClaimResult;
 import org.magnoliaswitch.core.peer.Member;
 import org.magnoliaswitch.core.platform.PlatformException;
-import org.magnoliaswitch.core.process.ClaimService;
 import org.magnoliaswitch.core.process.EventKind;
+import org.magnoliaswitch.core.process.KeyClaims;
 import org.magnoliaswitch.core.process.KeyIssuer;
 import org.magnoliaswitch.core.process.KeyOutcome;
 import org.magnoliaswitch.core.process.Membership;
@@ -55,15 +51,17 @@
    * @param claims claims of callers' own keys
    * @param records outcomes of incarnations that are gone
    * @param membership instances known
-   * @param forwarder way to other instances
+   * @param holders way to other instances
+   * @param waiting waits for a request under the same key
    */
   public record Parts(
       KeyIssuer issuer,
       OutcomeLedger ledger,
-      ClaimService claims,
+      KeyClaims claims,
       OutcomeRecords records,
       Membership membership,
-      HolderForwarder forwarder) {}
+      KeyHolders holders,
+      RunWait waiting) {}
 
   private final Parts parts;
   private final Function<InboundRequest, Reply> execute;
@@ -122,7 +120,13 @@
   private Reply local(Keyed keyed, boolean needsClaim) {
     for (int joins = 0; joins < MAX_JOINS; joins++) {
       OutcomeLedger.Admission admission =
-          parts.ledger().begin(keyed.key(), keyed.fingerprint(), keyed.policy().retentionSeconds());
+          parts
+              .ledger()
+              .begin(
+                  keyed.key(),
+                  keyed.fingerprint(),
+                  keyed.policy().retentionSeconds(),
+                  order(keyed.request()));
       switch (admission) {
         case OutcomeLedger.Admission.Execute execution -> {
           return needsClaim ? claimAndRun(keyed, 0) : run(keyed);
@@ -134,7 +138,7 @@
           return mismatch();
         }
         case OutcomeLedger.Admission.Join join -> {
-          KeyOutcome outcome = await(join.result(), keyed.request().deadline());
+          KeyOutcome outcome = parts.waiting().await(join.result(), keyed.request().deadline());
           if (!(outcome instanceof KeyOutcome.NotExecuted)) {
             return replay(outcome);
           }
@@ -166,7 +170,7 @@
             : mismatch();
       }
       case UNAVAILABLE -> {
-        parts.ledger().finish(keyed.key(), new KeyOutcome.NotExecuted());
+        parts.ledger().finish(keyed.key(), notExecuted(request));
         yield unavailable(request);
       }
     };
@@ -187,21 +191,31 @@
     KeyOutcome outcome = new KeyOutcome.Unknown();
     try {
       Reply reply = execute.apply(keyed.request());
-      outcome = outcomeOf(reply);
+      outcome = outcomeOf(keyed.request(), reply);
       return reply;
     } finally {
       parts.ledger().finish(keyed.key(), outcome);
     }
   }
 
-  private static KeyOutcome outcomeOf(Reply reply) {
+  private static KeyOutcome outcomeOf(InboundRequest request, Reply reply) {
     return switch (reply.outcome()) {
       case EXECUTED -> new KeyOutcome.Executed(stored(reply));
-      case NOT_EXECUTED -> new KeyOutcome.NotExecuted();
+      case NOT_EXECUTED -> notExecuted(request);
       case UNKNOWN -> new KeyOutcome.Unknown();
     };
   }
 
+  /** A sender that does not count its attempts is taken to know of earlier refusals. */
+  private static int order(InboundRequest request) {
+    return request.attempt().declared() ? request.attempt().number() : Integer.MAX_VALUE;
+  }
+
+  private static KeyOutcome notExecuted(InboundRequest request) {
+    return new KeyOutcome.NotExecuted(
+        request.attempt().declared() ? request.attempt().number() : 0);
+  }
+
   private static Optional<StoredAnswer> stored(Reply reply) {
     byte[] body = reply.whole();
     if (body == null) {
@@ -221,7 +235,7 @@
     Optional<Member> member = parts.membership().live(holder);
     if (member.isPresent() && !passedOn) {
       event(keyed, EventKind.FORWARDED, "holder=" + holder);
-      AttemptResult result = parts.forwarder().forward(request, member.get());
+      AttemptResult result = parts.holders().forward(request, member.get());
       if (result instanceof AttemptResult.Answered answered) {
         return answered.reply();
       }
@@ -253,7 +267,10 @@
     if (!finished.fingerprint().equals(keyed.fingerprint())) {
       return mismatch();
     }
-    if (finished.outcome() instanceof KeyOutcome.NotExecuted) {
+    if (finished.outcome() instanceof KeyOutcome.NotExecuted refused) {
+      if (claim.isPresent() && order(keyed.request()) <= refused.attempt()) {
+        return replay(refused);
+      }
       // Without the mark of an orderly stop the holder may have run it after this record.
       return complete
           ? neverRun(keyed, claim)
@@ -273,7 +290,13 @@
       return Reply.own(CONFLICT, Outcome.NOT_EXECUTED, "use a new key: its instance is gone", 0);
     }
     OutcomeLedger.Admission admission =
-        parts.ledger().begin(keyed.key(), keyed.fingerprint(), keyed.policy().retentionSeconds());
+        parts
+            .ledger()
+            .begin(
+                keyed.key(),
+                keyed.fingerprint(),
+                keyed.policy().retentionSeconds(),
+                order(keyed.request()));
     return admission instanceof OutcomeLedger.Admission.Execute
         ? claimAndRun(keyed, claim.get().row())
         : Reply.own(UNAVAILABLE, Outcome.UNKNOWN, "the key is in use", RETRY_AFTER_SECONDS);
@@ -311,18 +334,6 @@
         UNPROCESSABLE, Outcome.NOT_EXECUTED, "the key was used for another request", 0);
   }
 
-  private KeyOutcome await(CompletableFuture<KeyOutcome> run, Deadline deadline) {
-    try {
-      long left = Math.max(0, deadline.remaining(clocks.nanos()));
-      return run.get(left, TimeUnit.NANOSECONDS);
-    } catch (ExecutionException | TimeoutException e) {
-      return new KeyOutcome.Running();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return new KeyOutcome.Running();
-    }
-  }
-
   private String self() {
     return parts.membership().self().incarnation();
   }
--- a/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
@@ -35,7 +35,8 @@
             control.claims(),
             control.records(),
             state.membership(),
-            forwarder);
+            forwarder,
+            RunWait.blocking(control.clocks()));
     this.gate =
         new OnceGate(
             parts, dispatcher::dispatch, callersBalancerResends, control.clocks(), timeline);
--- a/core/src/main/java/org/magnoliaswitch/core/request/ServerChooser.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/ServerChooser.java
@@ -35,6 +35,9 @@
   private static final double RAMP_PENALTY = 3.0;
   private static final double MIN_SUCCESS = 0.05;
 
+  /** Below this all reports are too old to say anything. */
+  private static final double MIN_WEIGHT = 1e-6;
+
   private ServerChooser() {}
 
   /**
@@ -90,16 +93,19 @@
   private static ServerHandle lowestScore(
       RoutingPolicy.FreshLoad policy, List<ServerHandle> sampled, String local, long nowNanos) {
     double meanRequests = 0;
+    double weights = 0;
     double meanLatency = 0;
     int known = 0;
     for (ServerHandle handle : sampled) {
-      meanRequests += handle.load().lastReport().report().requests();
+      double weight = fade(policy, handle.load(), nowNanos);
+      meanRequests += weight * handle.load().lastReport().report().requests();
+      weights += weight;
       if (handle.load().averages().samples() > 0) {
         meanLatency += handle.load().averages().latencyMillis();
         known++;
       }
     }
-    meanRequests /= sampled.size();
+    meanRequests = weights < MIN_WEIGHT ? 0 : meanRequests / weights;
     meanLatency = known == 0 ? UNKNOWN_LATENCY_MILLIS : meanLatency / known;
     ServerHandle best = sampled.getFirst();
     double bestScore = Double.MAX_VALUE;
@@ -136,13 +142,18 @@
   static double expectedRequests(
       RoutingPolicy.FreshLoad policy, ServerLoad load, double meanRequests, long nowNanos) {
     ServerLoad.TimedReport last = load.lastReport();
-    double ageMillis = (nowNanos - last.atNanos()) / NANOS_PER_MILLI;
-    double fade = Math.pow(0.5, ageMillis / policy.reportHalfLifeMillis());
+    double fade = fade(policy, load, nowNanos);
     double reported = meanRequests + (last.report().requests() - meanRequests) * fade;
     int ownSince = load.inFlight() - last.ownInFlight();
     return Math.max(load.inFlight(), reported + ownSince);
   }
 
+  /** Weight of a server's last report by its age, 0 to 1. */
+  private static double fade(RoutingPolicy.FreshLoad policy, ServerLoad load, long nowNanos) {
+    double ageMillis = (nowNanos - load.lastReport().atNanos()) / NANOS_PER_MILLI;
+    return Math.pow(0.5, ageMillis / policy.reportHalfLifeMillis());
+  }
+
   private static double ramp(ServerLoad load, long nowNanos) {
     double age = (double) (nowNanos - load.createdNanos()) / RAMP_NANOS;
     return age >= 1 ? 1 : 1 + RAMP_PENALTY * (1 - age);
--- a/core/src/main/java/org/magnoliaswitch/core/version/SnapshotParser.java
+++ b/core/src/main/java/org/magnoliaswitch/core/version/SnapshotParser.java
@@ -1,7 +1,9 @@
 package org.magnoliaswitch.core.version;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,6 +17,8 @@
 public final class SnapshotParser {
   private static final String PROFILES = "profiles/";
   private static final String SERVICES = "services/";
+  private static final ObjectMapper LENIENT =
+      Json.MAPPER.copy().disable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
 
   private SnapshotParser() {}
 
@@ -52,6 +56,7 @@
   public static <T> Optional<T> read(
       String file, byte[] content, Class<T> type, List<Problem> problems) {
     try {
+      refuseUnknown(content, type);
       return Optional.of(Json.MAPPER.readValue(content, type));
     } catch (UnrecognizedPropertyException e) {
       problems.add(
@@ -73,6 +78,18 @@
     return Optional.empty();
   }
 
+  /** A mistyped name is reported as such, and not as the missing property it was meant to be. */
+  private static void refuseUnknown(byte[] content, Class<?> type) throws IOException {
+    try {
+      Object unused = LENIENT.readValue(content, type);
+    } catch (UnrecognizedPropertyException e) {
+      throw e;
+    } catch (JsonMappingException e) {
+      // Everything else is reported by the strict reading that follows.
+      return;
+    }
+  }
+
   private static void addProfile(
       String path, Profile profile, Map<String, Profile> profiles, List<Problem> problems) {
     problems.addAll(SnapshotChecks.profile(path, profile));
--- /dev/null
+++ b/core/src/test/java/org/magnoliaswitch/core/process/ConfigurationStoreTest.java
@@ -0,0 +1,119 @@
+package org.magnoliaswitch.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.magnoliaswitch.core.process.ConfigurationStore.Acceptance;
+import org.magnoliaswitch.core.testing.Declarations;
+import org.magnoliaswitch.core.testing.FakePlatform;
+import org.magnoliaswitch.core.testing.FakePlatform.Fault;
+import org.magnoliaswitch.core.version.Digest;
+import org.magnoliaswitch.core.version.Manifest;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Acceptance of versions by the platform's table. */
+public final class ConfigurationStoreTest {
+  private FakePlatform platform = new FakePlatform();
+  private ConfigurationStore store = new ConfigurationStore(platform, platform);
+
+  @BeforeMethod
+  public void fresh() {
+    platform = new FakePlatform();
+    store = new ConfigurationStore(platform, platform);
+  }
+
+  @DataProvider
+  public static Object[][] faults() {
+    return new Object[][] {
+      {Fault.NONE, "accepted"},
+      {Fault.ANSWER_LOST, "accepted"},
+      {Fault.DROPPED, "undecided"},
+      {Fault.LANDS_LATE, "undecided"},
+    };
+  }
+
+  @Test(dataProvider = "faults")
+  public void tellsWhatItKnows(Fault fault, String expected) {
+    platform.next(fault);
+    assertEquals(name(accept(1, "change")), expected);
+  }
+
+  /**
+   * The operator is told "undecided", the write lands late, and the operator repeats the command
+   * with the same change id. Without the change row this would be refused as raced by itself.
+   */
+  @Test
+  public void repeatingAChangeThatLandedLateIsHarmless() {
+    platform.next(Fault.LANDS_LATE);
+    accept(1, "change");
+    platform.landLateWrites();
+    assertEquals(accept(1, "change"), new Acceptance.Accepted(head(1, "change"), true));
+  }
+
+  @Test
+  public void aWriteThatLandsLateCannotDisplaceAnotherChange() throws Exception {
+    platform.next(Fault.LANDS_LATE);
+    accept(1, "slow");
+    accept(1, "quick");
+    platform.landLateWrites();
+    assertEquals(store.head(), head(1, "quick"));
+  }
+
+  @Test
+  public void theSecondOfTwoRacingOperatorsIsRefused() {
+    accept(1, "first");
+    assertEquals(accept(1, "second"), new Acceptance.Raced(head(1, "first")));
+  }
+
+  /**
+   * Operators race and repeat undecided changes while transactions fail in every way. A change told
+   * as accepted has exactly one version, and no two changes share one.
+   */
+  @Test
+  public void acceptsEachChangeOnceUnderRandomFaults() throws Exception {
+    for (int seed = 0; seed < 300; seed++) {
+      fresh();
+      SplittableRandom random = new SplittableRandom(seed);
+      Map<String, Long> told = new HashMap<>();
+      for (int step = 0; step < 60; step++) {
+        platform.nextRandom(random);
+        String change = "c" + random.nextInt(12);
+        long base = random.nextInt(3) == 0 ? random.nextInt(6) : store.head().version();
+        if (accept(base + 1, change) instanceof Acceptance.Accepted accepted) {
+          Long before = told.put(change, accepted.head().version());
+          assertTrue(before == null || before == accepted.head().version(), "seed " + seed);
+        }
+        if (random.nextInt(4) == 0) {
+          platform.landLateWrites();
+        }
+      }
+      assertEquals(told.values().stream().distinct().count(), told.size(), "seed " + seed);
+    }
+  }
+
+  private Acceptance accept(long version, String change) {
+    Manifest manifest = new Manifest(version, change, "a", "", new TreeMap<>());
+    byte[] content = Declarations.json(manifest);
+    return store.accept(manifest, Digest.of(content), Map.of(Digest.of(content), content));
+  }
+
+  private static ConfigurationStore.Head head(long version, String change) {
+    return new ConfigurationStore.Head(
+        version,
+        Digest.of(Declarations.json(new Manifest(version, change, "a", "", new TreeMap<>()))));
+  }
+
+  private static String name(Acceptance acceptance) {
+    return switch (acceptance) {
+      case Acceptance.Accepted accepted -> "accepted";
+      case Acceptance.Raced raced -> "raced";
+      case Acceptance.Undecided undecided -> "undecided";
+    };
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/magnoliaswitch/core/process/ProberTest.java
@@ -0,0 +1,60 @@
+package org.magnoliaswitch.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.magnoliaswitch.core.testing.Declarations;
+import org.magnoliaswitch.core.testing.ManualClock;
+import org.magnoliaswitch.core.version.MeasuringBudget;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The bound on probes over all instances. */
+public final class ProberTest {
+  @DataProvider
+  public static Object[][] instances() {
+    return new Object[][] {
+      {18, 18}, {36, 18}, {36, 1}, {40, 40},
+    };
+  }
+
+  /**
+   * Instances know only as many of the others as the second number says, since the list is frozen
+   * or out, and each asks for a probe at every chance. The budget must hold in every window all the
+   * same, which it does as the declared bound on instances alone sets the pace.
+   */
+  @Test(dataProvider = "instances")
+  public void staysWithinBudgetWhateverInstancesKnow(int alive, int known) {
+    MeasuringBudget budget = new MeasuringBudget(5, 40);
+    ManualClock time = new ManualClock();
+    List<ServerLoad> loads = new ArrayList<>();
+    for (int i = 0; i < alive; i++) {
+      loads.add(new ServerLoad(Declarations.server("s", 1), time.read()));
+    }
+    SplittableRandom random = new SplittableRandom(4);
+    List<Long> probes = new ArrayList<>();
+    for (int step = 0; step < 4_000; step++) {
+      time.advance(Duration.ofMillis(random.nextInt(20)));
+      ServerLoad load = loads.get(random.nextInt(alive));
+      if (load.claimProbe(time.read(), Prober.windowNanos(budget, known))) {
+        probes.add(time.read());
+      }
+    }
+    long window = Duration.ofMillis(budget.windowMillis()).toNanos();
+    double allowed = budget.probesPerSecond() * budget.windowMillis() / 1_000.0;
+    for (long start : probes) {
+      long inside = probes.stream().filter(p -> p >= start && p < start + window).count();
+      assertTrue(inside <= allowed, inside + " probes, allowed " + allowed);
+    }
+  }
+
+  @Test
+  public void moreInstancesThanDeclaredSlowEachOneDown() {
+    MeasuringBudget budget = new MeasuringBudget(5, 40);
+    assertEquals(Prober.windowNanos(budget, 80), 2 * Prober.windowNanos(budget, 40));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/FakePlatform.java
@@ -0,0 +1,130 @@
+package org.magnoliaswitch.core.testing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.magnoliaswitch.core.platform.ConditionalWrite;
+import org.magnoliaswitch.core.platform.ObjectStore;
+import org.magnoliaswitch.core.platform.PlatformException;
+import org.magnoliaswitch.core.platform.PlatformTable;
+import org.magnoliaswitch.core.platform.Row;
+import org.magnoliaswitch.core.platform.TransactionResult;
+
+/** Table and object store in memory, with the faults that a test asks for next. */
+public final class FakePlatform implements PlatformTable, ObjectStore {
+  /** What happens to the next transaction. */
+  public enum Fault {
+    NONE,
+    /** Nothing takes effect and no answer comes. */
+    DROPPED,
+    /** It takes effect and no answer comes. */
+    ANSWER_LOST,
+    /** No answer comes; it takes effect when {@link #landLateWrites} is called. */
+    LANDS_LATE
+  }
+
+  private static final List<Fault> FAULTS = List.of(Fault.values());
+
+  private final TreeMap<String, Row> rows = new TreeMap<>();
+  private final Map<String, byte[]> objects = new HashMap<>();
+  private final Deque<Fault> faults = new ArrayDeque<>();
+  private final List<List<ConditionalWrite>> late = new ArrayList<>();
+  private boolean down;
+  private int transactions;
+
+  /** Queues faults for the next transactions. */
+  public synchronized void next(Fault... queued) {
+    faults.addAll(List.of(queued));
+  }
+
+  /** Queues a random fault for the next transaction. */
+  public synchronized void nextRandom(SplittableRandom random) {
+    faults.add(FAULTS.get(random.nextInt(FAULTS.size())));
+  }
+
+  /** Takes everything down or up. */
+  public synchronized void down(boolean state) {
+    down = state;
+  }
+
+  /** Lets writes that were under way take effect. */
+  public synchronized void landLateWrites() {
+    late.forEach(this::apply);
+    late.clear();
+  }
+
+  /** Transactions that took effect or conflicted. */
+  public synchronized int transactions() {
+    return transactions;
+  }
+
+  @Override
+  public synchronized List<Row> read(List<String> keys) throws PlatformException {
+    up();
+    return keys.stream().map(this::row).toList();
+  }
+
+  @Override
+  public synchronized List<Row> scan(String prefix, int limit) throws PlatformException {
+    up();
+    return rows.subMap(prefix, true, prefix + "\uffff", true).descendingMap().values().stream()
+        .limit(limit)
+        .toList();
+  }
+
+  @Override
+  public synchronized TransactionResult transact(List<ConditionalWrite> writes) {
+    Fault fault = faults.isEmpty() ? Fault.NONE : faults.poll();
+    if (down || fault == Fault.DROPPED) {
+      return new TransactionResult.Unknown("down");
+    }
+    if (fault == Fault.LANDS_LATE) {
+      late.add(writes);
+      return new TransactionResult.Unknown("late");
+    }
+    TransactionResult result = apply(writes);
+    return fault == Fault.ANSWER_LOST ? new TransactionResult.Unknown("lost") : result;
+  }
+
+  @Override
+  public synchronized Optional<byte[]> get(String name) throws PlatformException {
+    up();
+    return Optional.ofNullable(objects.get(name));
+  }
+
+  @Override
+  public synchronized void put(String name, byte[] content) throws PlatformException {
+    up();
+    objects.put(name, content);
+  }
+
+  private TransactionResult apply(List<ConditionalWrite> writes) {
+    transactions++;
+    List<Row> conflicts =
+        writes.stream()
+            .filter(write -> row(write.key()).version() != write.expectedVersion())
+            .map(write -> row(write.key()))
+            .toList();
+    if (!conflicts.isEmpty()) {
+      return new TransactionResult.Conflict(conflicts);
+    }
+    writes.forEach(w -> rows.put(w.key(), new Row(w.key(), w.expectedVersion() + 1, w.value())));
+    return new TransactionResult.Committed();
+  }
+
+  private Row row(String key) {
+    return rows.getOrDefault(key, new Row(key, 0, ""));
+  }
+
+  private void up() throws PlatformException {
+    if (down) {
+      throw new PlatformException("down");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/ManualClock.java
@@ -0,0 +1,35 @@
+package org.magnoliaswitch.core.testing;
+
+import com.google.common.base.Ticker;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.atomic.AtomicLong;
+import org.magnoliaswitch.core.clock.Clocks;
+
+/** Clocks that stand still until a test advances them. */
+public final class ManualClock extends Ticker implements InstantSource {
+  private static final long START_MILLIS = 1_800_000_000_000L;
+
+  private final AtomicLong nanos = new AtomicLong(1_000_000_000L);
+
+  @Override
+  public long read() {
+    return nanos.get();
+  }
+
+  @Override
+  public Instant instant() {
+    return Instant.ofEpochMilli(START_MILLIS + nanos.get() / 1_000_000L);
+  }
+
+  /** Lets time pass. */
+  public void advance(Duration time) {
+    nanos.addAndGet(time.toNanos());
+  }
+
+  /** Both clocks of a process. */
+  public Clocks clocks() {
+    return new Clocks(this, this);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/RawServer.java
@@ -0,0 +1,122 @@
+package org.magnoliaswitch.core.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
+
+/** A server that answers each request with the bytes a test gives, whatever they are. */
+public final class RawServer implements AutoCloseable {
+  /** What to do with one request. */
+  public sealed interface Answer {
+    /** Sends bytes and keeps the connection. */
+    record Send(String bytes) implements Answer {}
+
+    /** Sends bytes and closes. */
+    record SendAndClose(String bytes) implements Answer {}
+
+    /** Never answers. */
+    record Silence() implements Answer {}
+  }
+
+  private final ServerSocket listener;
+  private final IntFunction<Answer> answers;
+  private final AtomicInteger requests = new AtomicInteger();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
+  /** Starts on a free port; the function gets the number of the request, from 0. */
+  public RawServer(IntFunction<Answer> answers) throws IOException {
+    this.answers = answers;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  /** The port listened on. */
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Requests received whole. */
+  public int requests() {
+    return requests.get();
+  }
+
+  /** Connections accepted. */
+  public int connections() {
+    return connections.get();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        connections.incrementAndGet();
+        open.add(socket);
+        Thread.ofVirtual().start(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = socket.getInputStream();
+      while (readRequest(in)) {
+        Answer answer = answers.apply(requests.getAndIncrement());
+        switch (answer) {
+          case Answer.Send send -> write(socket, send.bytes());
+          case Answer.SendAndClose send -> {
+            write(socket, send.bytes());
+            return;
+          }
+          case Answer.Silence silence -> {
+            int unused = in.read();
+            return;
+          }
+        }
+      }
+    } catch (IOException e) {
+      // The client went away, as some tests mean it to.
+      return;
+    }
+  }
+
+  private static void write(Socket socket, String bytes) throws IOException {
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  /** Reads a head and the body its Content-Length announces. */
+  private static boolean readRequest(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return false;
+      }
+      head.append((char) next);
+    }
+    int at = head.toString().toLowerCase(java.util.Locale.ROOT).indexOf("content-length:");
+    if (at >= 0) {
+      String value = head.substring(at + 15, head.indexOf("\r\n", at)).strip();
+      byte[] unused = in.readNBytes(Integer.parseInt(value));
+    }
+    return true;
+  }
+}
--- a/entry/src/main/java/org/magnoliaswitch/entry/CallerHandler.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/CallerHandler.java
@@ -43,6 +43,7 @@
   /** A key that the caller may use for its next request. */
   private static final String ISSUED_KEY = "Issued-Idempotency-Key";
 
+  private final boolean balancerResends;
   private final ControlPlane control;
   private final RequestService requests;
   private final RequestReader reader;
@@ -55,6 +56,7 @@
   CallerHandler(EntrySettings settings, ControlPlane control, RequestService requests) {
     super(InvocationType.BLOCKING);
     this.control = control;
+    this.balancerResends = settings.callersBalancerResends();
     this.requests = requests;
     this.reader = new RequestReader(settings, control);
     this.keys = new KeyEndpoints(control, requests, this::ready);
@@ -91,7 +93,7 @@
     boolean crowded = inFlight.incrementAndGet() > MAX_IN_FLIGHT;
     long started = control.clocks().nanos();
     try {
-      Reply reply = crowded ? crowded() : serve(request);
+      Reply reply = crowded ? crowded(request) : serve(request);
       write(request, response, reply);
       count(reply, started);
       callback.succeeded();
@@ -130,8 +132,11 @@
     }
   }
 
-  private static Reply crowded() {
-    return Reply.own(UNAVAILABLE, Outcome.NOT_EXECUTED, "too many requests at once", 1);
+  /** Another copy of a keyed request may be at work elsewhere, when the balancer sends twice. */
+  private Reply crowded(Request request) {
+    boolean provable = !balancerResends || !request.getHeaders().contains("Idempotency-Key");
+    Outcome outcome = provable ? Outcome.NOT_EXECUTED : Outcome.UNKNOWN;
+    return Reply.own(UNAVAILABLE, outcome, "too many requests at once", 1);
   }
 
   private Reply served(InboundRequest inbound) {
--- /dev/null
+++ b/entry/src/test/java/org/magnoliaswitch/entry/EntrySettingsTest.java
@@ -0,0 +1,65 @@
+package org.magnoliaswitch.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.magnoliaswitch.core.version.InvalidDeclarationException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Settings as operators write them. */
+public final class EntrySettingsTest {
+  private static final String VALID =
+      """
+      {"instance": "entry-1", "dataCentre": "riga-1", "host": "127.0.0.1", "callerPort": 7100,
+       "operatorPort": 7101, "peerPort": 7102, "seeds": ["127.0.0.1:7105"],
+       "platform": "http://127.0.0.1:7700", "platformTimeoutMillis": 500, "tokenFile": "token",
+       "secretFile": "secret", "callersBalancerResends": true, "stopUnreadyMillis": 1000,
+       "stopLimitMillis": 5000, "tls": null}
+      """;
+
+  @Test
+  public void readsValidSettings() throws InvalidDeclarationException {
+    assertEquals(
+        EntrySettings.parse("entry.json", bytes(VALID)).seedAddresses().getFirst().port(), 7105);
+  }
+
+  @DataProvider
+  public static Object[][] faults() {
+    return new Object[][] {
+      {
+        "\"callerPort\": 7100",
+        "\"callerPort\": 70000",
+        "entry.json: callerPort: 70000.0",
+        "1.0 to 65535.0"
+      },
+      {"\"callerPort\": 7100", "\"callerPort\": \"x\"", "entry.json: callerPort", ""},
+      {"\"callerPort\": 7100", "\"callerPorts\": 7100", "callerPorts", "known are"},
+      {
+        "\"callerPort\": 7100", "\"callerPort\": 7101", "a port used twice", "three different ports"
+      },
+      {"\"host\": \"127.0.0.1\"", "\"host\": \"localhost\"", "host: \"localhost\"", "matches"},
+      {"127.0.0.1:7105", "nowhere", "seeds[0]: \"nowhere\"", "matches"},
+      {"\"stopLimitMillis\": 5000,", "", "stopLimitMillis", ""},
+      {"\"tls\": null}", "\"tls\": null", "valid JSON", ""},
+    };
+  }
+
+  @Test(dataProvider = "faults")
+  public void namesPathValueAndWhatIsAllowed(
+      String right, String wrong, String named, String allowed) {
+    assertTrue(VALID.contains(right), right);
+    InvalidDeclarationException refused =
+        expectThrows(
+            InvalidDeclarationException.class,
+            () -> EntrySettings.parse("entry.json", bytes(VALID.replace(right, wrong))));
+    String message = String.valueOf(refused.getMessage());
+    assertTrue(message.contains(named) && message.contains(allowed), message);
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
@@ -0,0 +1,209 @@
+package org.magnoliaswitch.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.operator.ChangeReply;
+import org.magnoliaswitch.core.operator.ChangeRequest;
+import org.magnoliaswitch.core.operator.ChangeService;
+import org.magnoliaswitch.core.peer.PeerSecret;
+import org.magnoliaswitch.core.platform.HttpPlatform;
+import org.magnoliaswitch.core.process.ControlPlane;
+import org.magnoliaswitch.core.process.GossipSettings;
+import org.magnoliaswitch.core.process.InstanceIdentity;
+import org.magnoliaswitch.core.process.Platform;
+import org.magnoliaswitch.core.request.RequestService;
+import org.magnoliaswitch.core.version.BackendServer;
+import org.magnoliaswitch.core.version.Json;
+import org.magnoliaswitch.core.version.ServerState;
+import org.magnoliaswitch.core.version.Service;
+import org.magnoliaswitch.standins.BackendBehaviour;
+import org.magnoliaswitch.standins.Backends;
+import org.magnoliaswitch.standins.PlatformFaults;
+import org.magnoliaswitch.standins.PlatformStandin;
+
+/** An entry with its listener for callers, in front of stand-ins, all in this process. */
+final class RunningEntry implements AutoCloseable {
+  private static final int SERVERS = 3;
+
+  private final PlatformStandin platform;
+  private final Backends backends;
+  private final int controlPort;
+  private final ControlPlane control;
+  private final CallerListener callers;
+  private final int callerPort;
+
+  RunningEntry() throws Exception {
+    this.platform = new PlatformStandin("127.0.0.1", 0, Clocks.system());
+    platform.listen();
+    this.backends = new Backends(Clocks.system());
+    Service service = service();
+    service.servers().forEach(s -> backends.add(s, new BackendBehaviour(6, 20, 1, 0.1, 1)));
+    this.controlPort = freePort();
+    backends.control("127.0.0.1", controlPort);
+    backends.start();
+    this.callerPort = freePort();
+    EntrySettings settings = settings();
+    HttpPlatform http = new HttpPlatform(URI.create(settings.platform()), 500);
+    this.control =
+        new ControlPlane(
+            new ControlPlane.Setup(
+                new InstanceIdentity("entry-1", "dc-1", "127.0.0.1", callerPort, 1, freePort()),
+                List.of(),
+                GossipSettings.DEFAULT,
+                new PeerSecret("0123456789abcdef".getBytes(StandardCharsets.US_ASCII))),
+            new Platform(http, http, http),
+            Clocks.system(),
+            new SplittableRandom(1));
+    this.callers = new CallerListener(settings, control, new RequestService(control, "dc-1", true));
+    callers.start();
+    accept(service);
+  }
+
+  private void accept(Service service) throws IOException {
+    Map<String, String> parts = new TreeMap<>();
+    parts.put("services/booking.json", Json.MAPPER.writeValueAsString(service));
+    parts.put("profiles/bookings.json", profile());
+    ChangeReply reply =
+        new ChangeService(control).change(new ChangeRequest(0, "first", "test", "", parts));
+    if (reply.status() != ChangeReply.Status.ACCEPTED) {
+      throw new IllegalStateException(reply.toString());
+    }
+  }
+
+  /** Sends bytes as they are and reads the whole answer. */
+  String raw(String request) throws IOException {
+    return raw(request, false);
+  }
+
+  /** Sends bytes as they are, ends the sending side and reads the whole answer. */
+  String rawToTheEnd(String request) throws IOException {
+    return raw(request, true);
+  }
+
+  private String raw(String request, boolean end) throws IOException {
+    try (Socket socket = new Socket(java.net.InetAddress.getLoopbackAddress(), callerPort)) {
+      socket.setSoTimeout(10_000);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+      if (end) {
+        socket.shutdownOutput();
+      }
+      InputStream in = socket.getInputStream();
+      return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  /** Sends one request on a connection of its own. */
+  String send(String method, String path, String fields, String body) throws IOException {
+    return raw(
+        method
+            + ' '
+            + path
+            + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            + fields
+            + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
+            + "\r\n"
+            + body);
+  }
+
+  /** Sets faults of all backend servers. */
+  void faults(String json) throws IOException {
+    try (Socket socket = new Socket(java.net.InetAddress.getLoopbackAddress(), controlPort)) {
+      String request =
+          "POST /faults?server=all HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+              + json.length()
+              + "\r\n\r\n"
+              + json;
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      byte[] unused = socket.getInputStream().readAllBytes();
+    }
+  }
+
+  void platformFaults(PlatformFaults faults) {
+    platform.faults(faults);
+  }
+
+  CallerListener callers() {
+    return callers;
+  }
+
+  int callerPort() {
+    return callerPort;
+  }
+
+  @Override
+  public void close() throws Exception {
+    boolean unused = callers.stop(1_000);
+    control.close();
+    backends.close();
+    platform.close();
+  }
+
+  private EntrySettings settings() throws IOException {
+    Path file = Files.createTempFile("magnolia", ".txt");
+    Files.writeString(file, "0123456789abcdef\n");
+    file.toFile().deleteOnExit();
+    return new EntrySettings(
+        "entry-1",
+        "dc-1",
+        "127.0.0.1",
+        callerPort,
+        1,
+        2,
+        List.of(),
+        "http://127.0.0.1:" + platform.port(),
+        500,
+        file.toString(),
+        file.toString(),
+        true,
+        0,
+        1_000,
+        Optional.empty());
+  }
+
+  private static Service service() throws IOException {
+    List<BackendServer> servers = new java.util.ArrayList<>();
+    for (int i = 0; i < SERVERS; i++) {
+      servers.add(
+          new BackendServer("s" + i, "dc-1", "127.0.0.1", freePort(), 6, 250, ServerState.ACTIVE));
+    }
+    return new Service("booking", "/booking", "bookings", 0.5, servers);
+  }
+
+  private static String profile() {
+    return """
+        {"name": "bookings",
+         "routing": {"type": "fresh-load", "candidates": 5, "reportHalfLifeMillis": 60,
+                     "remotePenaltyMillis": 2},
+         "measuring": {"probesPerSecond": 5, "maxInstances": 40},
+         "admission": {"loadPerSlot": 1.5, "maxQueue": 100, "weighted": true},
+         "retry": {"budgetRatio": 0.1, "maxAttempts": 3, "hedging": false, "hedgeQuantile": 0.95},
+         "keys": {"required": true, "retentionSeconds": 900, "claimWindowMillis": 1,
+                  "protectionEnabled": true},
+         "refusalStatuses": [503],
+         "kinds": [
+           {"name": "book", "method": "POST", "pathPrefix": "/book", "execution": "AT_MOST_ONCE",
+            "harmWeight": 10, "deadlineMillis": 3000},
+           {"name": "read", "method": "GET", "pathPrefix": "/", "execution": "IDEMPOTENT",
+            "harmWeight": 1, "deadlineMillis": 3000}]}
+        """;
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+}
