--- a/core/src/main/java/org/magnoliaswitch/core/peer/LeavingMark.java
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/LeavingMark.java
@@ -3,10 +3,22 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 
 /**
- * News that a backend server leaves and must get no new work.
+ * News of whether a backend server leaves, by one kind of sign; the latest sign of a kind counts.
  *
  * @param server id of the server
- * @param atMillis when it was first noticed
+ * @param sign kind of sign
+ * @param atMillis when it was seen first-hand
+ * @param leaving whether the server leaves, by this sign
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record LeavingMark(String server, long atMillis) {}
+public record LeavingMark(String server, Sign sign, long atMillis, boolean leaving) {
+  /** Who said so; any one is enough to stop new work. */
+  public enum Sign {
+    /** The server's own report. */
+    REPORT,
+    /** The platform's list. */
+    LIST,
+    /** An operator, by word of mouth. */
+    OPERATOR
+  }
+}
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -10,9 +11,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.clock.HybridClock;
 import org.magnoliaswitch.core.peer.Address;
+import org.magnoliaswitch.core.peer.LeavingMark;
 import org.magnoliaswitch.core.peer.Member;
 import org.magnoliaswitch.core.peer.PeerClient;
 import org.magnoliaswitch.core.peer.PeerMessage;
@@ -179,11 +182,19 @@
   }
 
   private void takeList(List<InstanceList.Listed> listed) {
+    LeavingServers leaving = state.leaving();
+    Set<String> leavingNow =
+        listed.stream()
+            .filter(InstanceList.Listed::leaving)
+            .map(InstanceList.Listed::id)
+            .collect(Collectors.toSet());
     boolean news = false;
-    for (InstanceList.Listed machine : listed) {
-      if (machine.leaving() && state.leaving().noticed(machine.id())) {
-        state.timeline().record(EventKind.SERVER_LEAVING, "", "", machine.id(), "sign=list");
-        news = true;
+    for (String id : leavingNow) {
+      news |= tell(id, true, leaving.noticed(id, LeavingMark.Sign.LIST));
+    }
+    for (String id : leaving.leavingBy(LeavingMark.Sign.LIST)) {
+      if (!leavingNow.contains(id)) {
+        news |= tell(id, false, leaving.returned(id, LeavingMark.Sign.LIST));
       }
     }
     if (news) {
@@ -191,6 +202,15 @@
     }
   }
 
+  private boolean tell(String server, boolean leaves, boolean news) {
+    if (news) {
+      state
+          .timeline()
+          .record(EventKind.SERVER_LEAVING, "", "", server, "sign=list leaving=" + leaves);
+    }
+    return news;
+  }
+
   private void maintain() {
     state.membership().expire();
     ledger.expire();
--- a/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
@@ -145,7 +145,8 @@
     }
     for (LeavingMark mark : received.leaving()) {
       if (leaving.merge(mark)) {
-        timeline.record(EventKind.SERVER_LEAVING, "", "", mark.server(), "sign=peer");
+        timeline.record(
+            EventKind.SERVER_LEAVING, "", "", mark.server(), "sign=peer leaving=" + mark.leaving());
         news = true;
       }
     }
--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -11,6 +11,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.connection.BackendConnection;
+import org.magnoliaswitch.core.peer.LeavingMark;
 import org.magnoliaswitch.core.version.MeasuringBudget;
 import org.magnoliaswitch.core.version.ServerState;
 
@@ -124,9 +125,17 @@
 
   private void take(ServiceState service, ServerHandle handle, LoadReport told) {
     handle.load().reported(told, clocks.nanos());
-    if (told.draining() && leaving.noticed(handle.id())) {
+    boolean news =
+        told.draining()
+            ? leaving.noticed(handle.id(), LeavingMark.Sign.REPORT)
+            : leaving.returned(handle.id(), LeavingMark.Sign.REPORT);
+    if (news) {
       timeline.record(
-          EventKind.SERVER_LEAVING, "", service.service().name(), handle.id(), "sign=probe");
+          EventKind.SERVER_LEAVING,
+          "",
+          service.service().name(),
+          handle.id(),
+          "sign=probe leaving=" + told.draining());
       leavingNews.run();
     }
   }
--- a/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.peer.LeavingMark;
 import org.magnoliaswitch.core.process.EjectionPolicy;
 import org.magnoliaswitch.core.process.EventKind;
 import org.magnoliaswitch.core.process.LeavingServers;
@@ -153,9 +154,7 @@
           told -> {
             server.load().reported(told, clocks.nanos());
             request.service().admission().reported(told);
-            if (told.draining()) {
-              noteLeaving("report");
-            }
+            noteLeaving(told.draining());
           });
     }
 
@@ -213,9 +212,13 @@
               });
     }
 
-    private void noteLeaving(String sign) {
-      if (leaving.noticed(server.id())) {
-        event(EventKind.SERVER_LEAVING, "sign=" + sign);
+    private void noteLeaving(boolean draining) {
+      boolean news =
+          draining
+              ? leaving.noticed(server.id(), LeavingMark.Sign.REPORT)
+              : leaving.returned(server.id(), LeavingMark.Sign.REPORT);
+      if (news) {
+        event(EventKind.SERVER_LEAVING, "sign=report leaving=" + draining);
         leavingNews.run();
       }
     }
--- a/core/src/test/java/org/magnoliaswitch/core/peer/PeerProtocolTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/peer/PeerProtocolTest.java
@@ -43,7 +43,13 @@
     return new Object[][] {
       {
         new PeerMessage.Gossip(
-            new GossipDigest(5, 6, 7, "d", List.of(MEMBER), List.of(new LeavingMark("s", 8))))
+            new GossipDigest(
+                5,
+                6,
+                7,
+                "d",
+                List.of(MEMBER),
+                List.of(new LeavingMark("s", LeavingMark.Sign.LIST, 8, true))))
       },
       {new PeerMessage.FetchContent(List.of("a", "b"))},
       {new PeerMessage.ClaimKeys(List.of(new Claim("k", "i", "f", 0, 60)), 5, 100)},
--- a/core/src/test/java/org/magnoliaswitch/core/process/LeavingServersTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/process/LeavingServersTest.java
@@ -6,18 +6,26 @@
 
 import java.time.Duration;
 import org.magnoliaswitch.core.peer.LeavingMark;
+import org.magnoliaswitch.core.peer.LeavingMark.Sign;
 import org.magnoliaswitch.core.testing.ManualClock;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Signs that a backend server leaves. */
 public final class LeavingServersTest {
-  private final ManualClock time = new ManualClock();
-  private final LeavingServers leaving = new LeavingServers(time.clocks());
+  private ManualClock time = new ManualClock();
+  private LeavingServers leaving = new LeavingServers(time.clocks());
+
+  @BeforeMethod
+  public void fresh() {
+    time = new ManualClock();
+    leaving = new LeavingServers(time.clocks());
+  }
 
   @Test
   public void theFirstSignIsNews() {
-    assertTrue(leaving.noticed("a"));
-    assertFalse(leaving.noticed("a"));
+    assertTrue(leaving.noticed("a", Sign.REPORT));
+    assertFalse(leaving.noticed("a", Sign.REPORT));
   }
 
   /**
@@ -26,7 +34,7 @@
    */
   @Test
   public void peersCannotKeepAMarkAlive() {
-    LeavingMark mark = new LeavingMark("b", time.millis());
+    LeavingMark mark = new LeavingMark("b", Sign.REPORT, time.millis(), true);
     for (int i = 0; i < 40; i++) {
       leaving.merge(mark);
       time.advance(Duration.ofSeconds(1));
@@ -34,10 +42,38 @@
     assertFalse(leaving.leaving("b"));
   }
 
+  /**
+   * A server is replaced in a few seconds and comes back. Marks that only ran out kept five of
+   * eight servers without work in the drain experiment, and callers were refused.
+   */
+  @Test
+  public void aServerThatComesBackGetsWorkAgain() {
+    leaving.noticed("c", Sign.REPORT);
+    time.advance(Duration.ofSeconds(1));
+    assertTrue(leaving.returned("c", Sign.REPORT));
+    assertFalse(leaving.leaving("c"));
+  }
+
+  @Test
+  public void theServersOwnWordDoesNotUndoTheList() {
+    leaving.noticed("d", Sign.LIST);
+    time.advance(Duration.ofSeconds(1));
+    leaving.returned("d", Sign.REPORT);
+    assertTrue(leaving.leaving("d"));
+  }
+
+  /** Old news of a departure arrives after news of the return. */
+  @Test
+  public void laterNewsWinsWhateverTheOrder() {
+    leaving.merge(new LeavingMark("e", Sign.REPORT, time.millis() + 5, false));
+    leaving.merge(new LeavingMark("e", Sign.REPORT, time.millis(), true));
+    assertFalse(leaving.leaving("e"));
+  }
+
   @Test
   public void spreadsABoundedNumberOfMarks() {
     for (int i = 0; i < 100; i++) {
-      leaving.noticed("server-" + i);
+      leaving.noticed("server-" + i, Sign.LIST);
     }
     assertEquals(leaving.recent().size(), 12);
   }
