--- a/bench/once.sh
+++ b/bench/once.sh
@@ -16,7 +16,7 @@
   service "$run_dir/$protection/services/booking.json" booking /booking bookings 8 8200
 done
 secret_files
-export MAGNOLIA_PLATFORM_TIMEOUT=400
+export MAGNOLIA_PLATFORM_TIMEOUT=400 MAGNOLIA_BALANCER_RESENDS=false
 start_platform
 start_backends "$run_dir/true" --service-ms 10 --spread 0.5 --queue 100
 start_entries $entries
@@ -69,7 +69,7 @@
   touch "$run_dir/going"
   trouble &
   local troubling=$!
-  load_options="-Xmx3g" load "$1" "$(scenario "$2" 2)" "$(entry_list $entries)" --standin-control "$control" \
+  load_options="-Xmx3g" load "$1" "$(scenario "$2" 2)" "$(entry_list $entries)" --standin-control "$control" --fresh-keys \
     --plot "$out/$1.png"
   rm "$run_dir/going"
   wait $troubling
--- a/core/src/main/java/org/magnoliaswitch/core/peer/PeerClient.java
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/PeerClient.java
@@ -5,14 +5,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
  * Calls peers over kept connections; the number of kept ones is bounded, least recent out first.
  */
 public final class PeerClient implements AutoCloseable {
-  private static final int MAX_KEPT_PEERS = 24;
-  private static final int MAX_KEPT_PER_PEER = 4;
+  private static final int MAX_KEPT_PEERS = 8;
+  private static final int MAX_KEPT_PER_PEER = 2;
 
   private final PeerSecret secret;
   private final PeerTraffic traffic;
@@ -50,6 +51,13 @@
     }
   }
 
+  /** Peers to which a connection is kept. */
+  public List<Address> keptPeers() {
+    synchronized (kept) {
+      return List.copyOf(kept.keySet());
+    }
+  }
+
   @Override
   public void close() {
     synchronized (kept) {
--- a/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
@@ -31,6 +31,12 @@
   /** Share of meetings with a configured seed, so that separated groups find each other again. */
   private static final double SEED_SHARE = 0.05;
 
+  /**
+   * Share of meetings with a peer that a connection is kept to. Opening one costs more bytes than a
+   * meeting; the others bring in new peers, so that the kept ones change all the time.
+   */
+  private static final double KEPT_SHARE = 0.8;
+
   private static final int MAX_PUSHES_AT_ONCE = 16;
 
   private final GossipSettings settings;
@@ -188,19 +194,31 @@
 
   private List<Address> pick(int count) {
     List<Address> known = new ArrayList<>(membership.peerAddresses());
-    Address self = membership.self().peerAddress();
     List<Address> others = new ArrayList<>(seeds);
-    others.remove(self);
-    boolean meetSeed = known.isEmpty() || random.nextDouble() < SEED_SHARE;
-    List<Address> pool = meetSeed && !others.isEmpty() ? others : known;
+    others.remove(membership.self().peerAddress());
+    List<Address> kept = new ArrayList<>(client.keptPeers());
+    kept.retainAll(known);
     List<Address> picked = new ArrayList<>();
-    List<Address> rest = new ArrayList<>(pool);
-    while (picked.size() < count && !rest.isEmpty()) {
-      picked.add(rest.remove(random.nextInt(rest.size())));
+    for (int tries = 0; tries < 3 * count && picked.size() < count; tries++) {
+      List<Address> pool = pool(known, others, kept);
+      if (!pool.isEmpty()) {
+        Address next = pool.get(random.nextInt(pool.size()));
+        if (!picked.contains(next)) {
+          picked.add(next);
+        }
+      }
     }
     return picked;
   }
 
+  private List<Address> pool(List<Address> known, List<Address> others, List<Address> kept) {
+    double draw = random.nextDouble();
+    if (known.isEmpty() || (draw < SEED_SHARE && !others.isEmpty())) {
+      return others;
+    }
+    return draw < KEPT_SHARE && !kept.isEmpty() ? kept : known;
+  }
+
   /**
    * Milliseconds until this instance next reads the head row, so that all together stay in bounds.
    */
--- a/core/src/main/java/org/magnoliaswitch/core/request/Exchange.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Exchange.java
@@ -126,7 +126,7 @@
       throw new IOException("the answer has neither a length nor chunks");
     }
     InputStream content = new DeadlineStream(entity.getContent(), used);
-    byte[] start = content.readNBytes(MAX_WHOLE_BYTES);
+    byte[] start = readStart(content, entity.getContentLength());
     if (start.length < MAX_WHOLE_BYTES) {
       finish(response);
       return new Reply(response.getCode(), fields, new Reply.Body.Whole(start), Outcome.EXECUTED);
@@ -141,6 +141,20 @@
         Outcome.EXECUTED);
   }
 
+  /**
+   * Reading without a known length takes 16 KB of heap at a time, most of an exchange's garbage.
+   */
+  private static byte[] readStart(InputStream content, long length) throws IOException {
+    if (length < 0 || length >= MAX_WHOLE_BYTES) {
+      return content.readNBytes(MAX_WHOLE_BYTES);
+    }
+    byte[] whole = new byte[(int) length];
+    if (content.readNBytes(whole, 0, whole.length) < whole.length) {
+      throw new IOException("the answer was cut short");
+    }
+    return whole;
+  }
+
   /** Closes the connection under an exchange that is no longer wanted; safe from any thread. */
   public void cancel() {
     cancelled.set(true);
--- a/core/src/main/java/org/magnoliaswitch/core/request/OnceGate.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/OnceGate.java
@@ -183,8 +183,10 @@
    */
   private Reply unavailable(InboundRequest request) {
     boolean first = request.attempt().declared() && request.attempt().number() == 1;
-    Outcome outcome = first && !callersBalancerResends ? Outcome.NOT_EXECUTED : Outcome.UNKNOWN;
-    return Reply.own(UNAVAILABLE, outcome, "keys cannot be claimed now", RETRY_AFTER_SECONDS);
+    String reason = "keys cannot be claimed now";
+    return first && !callersBalancerResends
+        ? Reply.own(UNAVAILABLE, Outcome.NOT_EXECUTED, reason, RETRY_AFTER_SECONDS)
+        : Reply.copyNotExecuted(UNAVAILABLE, reason, RETRY_AFTER_SECONDS);
   }
 
   private Reply run(Keyed keyed) {
--- a/core/src/main/java/org/magnoliaswitch/core/request/Outcome.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Outcome.java
@@ -12,6 +12,12 @@
   /** Response header that carries the outcome. */
   public static final String HEADER = "Request-Outcome";
 
+  /**
+   * Response header that says {@code not-executed} when this copy of a request was not executed,
+   * although nobody can tell of earlier ones. A caller whose every copy was told so knows the rest.
+   */
+  public static final String COPY_HEADER = "Attempt-Outcome";
+
   private final String text;
 
   Outcome(String text) {
--- a/core/src/main/java/org/magnoliaswitch/core/request/Reply.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Reply.java
@@ -54,6 +54,15 @@
         status, fields, new Body.Whole(body.getBytes(StandardCharsets.UTF_8)), outcome);
   }
 
+  /**
+   * A reply to a copy of a request that was certainly not executed, while earlier copies under its
+   * key may have been.
+   */
+  public static Reply copyNotExecuted(int status, String reason, int retryAfterSeconds) {
+    return own(status, Outcome.UNKNOWN, reason, retryAfterSeconds)
+        .with(new Field(Outcome.COPY_HEADER, Outcome.NOT_EXECUTED.text()));
+  }
+
   /** The same reply with one more field. */
   public Reply with(Field field) {
     List<Field> more = new ArrayList<>(fields);
