Thin path on the platform: a lean front with Netty, and an adapter

Cause: today's entry needs 120 to 156 MB and 1.5 s of processor time to start; the platform's machines have 0.6 of a core and a restart is charged in full. Change: module front (event loop, routes, placement by expected loss with probes just before a request is placed) and module platform (settings, store, header names), deploy file and template.

--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerRequest.java
@@ -0,0 +1,16 @@
+package org.magnoliaswitch.front.connection;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+
+/**
+ * A request that was read whole.
+ *
+ * @param method HTTP method
+ * @param target request target as the caller wrote it
+ * @param headers all headers of the caller
+ * @param body whole body
+ * @param readNanos when its last byte was read
+ */
+public record CallerRequest(
+    HttpMethod method, String target, HttpHeaders headers, byte[] body, long readNanos) {}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -0,0 +1,129 @@
+package org.magnoliaswitch.front.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Ranks the backend servers that a request could go to; pure.
+ *
+ * <p>A server's cost is the share of the caller's worth that is expected to be lost there: by
+ * failure, by an answer after the objective, and by bytes between data centres. Load that shifts in
+ * milliseconds makes most reports stale, so a sample counts by its age and fades towards what is
+ * usual; the requests this instance sent since are added. A little noise keeps instances with the
+ * same news from choosing the same server.
+ */
+public final class Placement {
+  /** Neighbours change a server's speed several times a second: a sample says little after this. */
+  private static final double SAMPLE_FADE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Slowness assumed of a server not heard of lately: a quarter of them run four times slower. */
+  private static final double USUAL_SLOWNESS = 1.75;
+
+  /** Above this share of busy slots work slows down. */
+  private static final double KNEE = 0.8;
+
+  /** How much it slows down there. */
+  private static final double KNEE_FACTOR = 1.7;
+
+  private static final double COLD_FACTOR = 2.0;
+
+  /** Steepness of the chance to miss the objective around a predicted latency equal to it. */
+  private static final double LATE_STEEPNESS = 6.0;
+
+  /** What an answer after the objective loses; its rest is what late answers still earn. */
+  private static final double LATE_LOSS = 0.9;
+
+  /** Orders servers that would all be in time. */
+  private static final double LATENCY_LOSS = 0.1;
+
+  /** Cost of bytes between data centres, relative to the worth of a request. */
+  private static final double REMOTE_LOSS = 0.03;
+
+  /** Cost of opening a connection, relative to the worth of a request. */
+  private static final double CONNECT_LOSS = 0.02;
+
+  private static final double NOISE = 0.02;
+
+  /** A server whose slots and as many queue places are taken would reject or reset the request. */
+  private static final double FULL_LOSS = 0.8;
+
+  private static final double QUEUE_FACTOR = 2.0;
+
+  private Placement() {}
+
+  /**
+   * What a ranking depends on besides the servers.
+   *
+   * @param expectedNanos usual latency of such a request on an undisturbed server
+   * @param objectiveNanos latency up to which the answer has its full worth
+   * @param dataCentre where this instance runs
+   * @param nowNanos monotonic time
+   */
+  public record Context(
+      double expectedNanos, long objectiveNanos, String dataCentre, long nowNanos) {}
+
+  /** A server with the cost of sending a request there. */
+  public record Ranked(ServerState server, double cost) {}
+
+  /** The servers by rising cost. */
+  public static List<Ranked> rank(
+      List<ServerState> eligible, Context context, RandomGenerator random) {
+    List<Ranked> ranked = new ArrayList<>(eligible.size());
+    for (ServerState server : eligible) {
+      double cost = cost(server, context) + NOISE * random.nextDouble();
+      ranked.add(new Ranked(server, cost));
+    }
+    ranked.sort(Comparator.comparingDouble(Ranked::cost));
+    return ranked;
+  }
+
+  /** Share of the request's worth that is expected to be lost at a server. */
+  public static double cost(ServerState server, Context context) {
+    double latency = predictedNanos(server, context);
+    double ratio = latency / context.objectiveNanos();
+    double late = 1 / (1 + Math.exp(-LATE_STEEPNESS * (ratio - 1)));
+    double failure = server.failureShare(context.nowNanos());
+    double inTime = LATE_LOSS * late + LATENCY_LOSS * Math.min(2, ratio);
+    double remote = server.entry().dataCentre().equals(context.dataCentre()) ? 0 : REMOTE_LOSS;
+    double connect = server.idleConnections() > 0 ? 0 : CONNECT_LOSS;
+    return failure + (1 - failure) * inTime + fullness(server, context) + remote + connect;
+  }
+
+  /** Latency to expect at a server. */
+  public static double predictedNanos(ServerState server, Context context) {
+    double slowness = slowness(server, context.nowNanos());
+    double slots = server.sample().slots();
+    double held = held(server, context.nowNanos()) + 1;
+    double knee = held > KNEE * slots ? KNEE_FACTOR : 1;
+    double waves = Math.max(0, held - slots) / slots;
+    double cold = server.cold(context.nowNanos()) ? COLD_FACTOR : 1;
+    double own = server.latencyRatio(context.nowNanos());
+    return context.expectedNanos() * slowness * cold * own * (knee + waves);
+  }
+
+  /** Requests that a server is expected to hold. */
+  public static double held(ServerState server, long nowNanos) {
+    double reported = server.sample().held() * fade(server, nowNanos);
+    return Math.max(server.inFlight(), reported + server.ownSinceSample());
+  }
+
+  private static double fullness(ServerState server, Context context) {
+    double room = QUEUE_FACTOR * server.sample().slots();
+    return held(server, context.nowNanos()) >= room ? FULL_LOSS : 0;
+  }
+
+  private static double slowness(ServerState server, long nowNanos) {
+    if (!server.hasSample()) {
+      return USUAL_SLOWNESS;
+    }
+    double fade = fade(server, nowNanos);
+    return USUAL_SLOWNESS + (server.sample().slowness() - USUAL_SLOWNESS) * fade;
+  }
+
+  private static double fade(ServerState server, long nowNanos) {
+    return Math.exp(-server.sampleAgeNanos(nowNanos) / SAMPLE_FADE_NANOS);
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RateLimit.java
@@ -0,0 +1,39 @@
+package org.magnoliaswitch.front.load;
+
+import java.util.concurrent.TimeUnit;
+
+/** A token bucket; used by one thread only. */
+public final class RateLimit {
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  private final double burst;
+  private double tokens;
+  private long lastNanos;
+
+  /**
+   * Creates a full bucket.
+   *
+   * @param burst most tokens that are kept
+   */
+  public RateLimit(double burst, long nowNanos) {
+    this.burst = burst;
+    this.tokens = burst;
+    this.lastNanos = nowNanos;
+  }
+
+  /**
+   * Takes a token if there is one.
+   *
+   * @param perSecond tokens that come back each second
+   */
+  public boolean take(double perSecond, long nowNanos) {
+    double earned = perSecond * (nowNanos - lastNanos) / NANOS_PER_SECOND;
+    tokens = Math.min(burst, tokens + earned);
+    lastNanos = nowNanos;
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RepeatBudget.java
@@ -0,0 +1,79 @@
+package org.magnoliaswitch.front.load;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * This instance's share of a service's budget for further sends.
+ *
+ * <p>Over all instances together, sends beyond the first of each request must stay under a ratio of
+ * the requests plus a slack in any window. Each instance keeps to the ratio of its own requests in
+ * the last window and to an even share of the slack, so uneven traffic cannot break the sum.
+ */
+public final class RepeatBudget {
+  private static final int BUCKETS = 20;
+
+  private final Limits limits;
+  private final long bucketNanos;
+  private final int[] requests = new int[BUCKETS];
+  private final int[] repeats = new int[BUCKETS];
+  private long currentBucket = Long.MIN_VALUE;
+
+  /**
+   * The rule the sum over all instances must keep.
+   *
+   * @param ratio further sends per request
+   * @param slack further sends allowed besides, over all instances
+   * @param windowNanos the span over which both count
+   */
+  public record Limits(double ratio, double slack, long windowNanos) {
+    /** Own margin below the ratio: what is in flight while a window slides. */
+    private static final double SAFETY = 0.8;
+
+    /** In force when a deployment names none. */
+    public static final Limits DEFAULT = new Limits(0.1, 0, TimeUnit.SECONDS.toNanos(10));
+
+    double allowed(int requests, int instances) {
+      return SAFETY * (ratio * requests + slack / Math.max(1, instances));
+    }
+  }
+
+  public RepeatBudget(Limits limits) {
+    this.limits = limits;
+    this.bucketNanos = Math.max(1, limits.windowNanos() / (BUCKETS - 1));
+  }
+
+  /** Counts a request of a caller. */
+  public void request(long nowNanos) {
+    requests[roll(nowNanos)]++;
+  }
+
+  /** Takes one further send if the budget has room for it. */
+  public boolean spend(int instances, long nowNanos) {
+    int bucket = roll(nowNanos);
+    if (sum(repeats) + 1 > limits.allowed(sum(requests), instances)) {
+      return false;
+    }
+    repeats[bucket]++;
+    return true;
+  }
+
+  private int roll(long nowNanos) {
+    long bucket = Math.floorDiv(nowNanos, bucketNanos);
+    long passed = currentBucket == Long.MIN_VALUE ? BUCKETS : bucket - currentBucket;
+    for (long i = 0; i < Math.min(BUCKETS, passed); i++) {
+      int cleared = Math.floorMod(bucket - i, BUCKETS);
+      requests[cleared] = 0;
+      repeats[cleared] = 0;
+    }
+    currentBucket = bucket;
+    return Math.floorMod(bucket, BUCKETS);
+  }
+
+  private static int sum(int[] counts) {
+    int total = 0;
+    for (int count : counts) {
+      total += count;
+    }
+    return total;
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -0,0 +1,160 @@
+package org.magnoliaswitch.front.load;
+
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.version.ServerEntry;
+
+/**
+ * What this instance knows of one incarnation of a backend server; used by one thread only.
+ *
+ * <p>First-hand news (own requests in flight, own failures, own latencies) are exact; a load sample
+ * is stale as soon as it arrives and fades within a few hundred milliseconds.
+ */
+public final class ServerState {
+  /** A failure moves the failure share this far towards 1: two in a row make a server suspect. */
+  private static final double FAILURE_WEIGHT = 0.35;
+
+  /** A success moves it less, so a server that fails every other request stays suspect. */
+  private static final double SUCCESS_WEIGHT = 0.2;
+
+  /** After this time a failure counts half: long enough to pass by a flapping server's bad phase. */
+  private static final double FAILURE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** Weight of one latency in the server's speed. */
+  private static final double SPEED_WEIGHT = 0.25;
+
+  /** After this time without samples the server's speed counts half, so that it is tried again. */
+  private static final double SPEED_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  private static final double MAX_SPEED_RATIO = 20;
+  private static final double MIN_SPEED_RATIO = 0.3;
+
+  private ServerEntry entry;
+  private long coldUntilNanos;
+  private int inFlight;
+  private int idleConnections;
+  private LoadSample sample;
+  private long sampleNanos;
+  private int ownAtSample;
+  private boolean sampled;
+  private double failureShare;
+  private long failureNanos;
+  private double latencyRatio = 1;
+  private long latencyNanos;
+  private boolean replaced;
+
+  public ServerState(ServerEntry entry, long nowNanos) {
+    this.entry = entry;
+    this.sample = new LoadSample(0, 0, Math.max(1, entry.slots()), 1);
+    this.sampleNanos = nowNanos;
+    this.failureNanos = nowNanos;
+    this.latencyNanos = nowNanos;
+    this.coldUntilNanos = nowNanos + entry.warmupNanos();
+  }
+
+  /** Takes a newer discovery entry of the same incarnation. */
+  public void update(ServerEntry next, long nowNanos) {
+    this.entry = next;
+    this.coldUntilNanos = nowNanos + next.warmupNanos();
+  }
+
+  /** The latest discovery entry. */
+  public ServerEntry entry() {
+    return entry;
+  }
+
+  /** Notes that another incarnation answers at the address, so this one gets nothing more. */
+  public void markReplaced() {
+    replaced = true;
+  }
+
+  /** Whether new requests may go there. */
+  public boolean acceptsWork() {
+    return !replaced && !entry.draining();
+  }
+
+  /** Counts a request that is about to be sent. */
+  public void sent() {
+    inFlight++;
+  }
+
+  /** Counts the end of a request, however it ended. */
+  public void ended() {
+    inFlight--;
+  }
+
+  /** Takes a load sample that came with an answer. */
+  public void sampled(LoadSample next, int ownAmongHeld, long nowNanos) {
+    sample = next;
+    sampleNanos = nowNanos;
+    ownAtSample = ownAmongHeld;
+    sampled = true;
+  }
+
+  /** Notes a whole answer and how its latency compares with what was expected. */
+  public void succeeded(double ratioToExpected, long nowNanos) {
+    failureShare = failureShare(nowNanos) * (1 - SUCCESS_WEIGHT);
+    failureNanos = nowNanos;
+    double bounded = Math.clamp(ratioToExpected, MIN_SPEED_RATIO, MAX_SPEED_RATIO);
+    double before = latencyRatio(nowNanos);
+    latencyRatio = before + SPEED_WEIGHT * (bounded - before);
+    latencyNanos = nowNanos;
+  }
+
+  /** Notes a failure that says something about the server. */
+  public void failed(long nowNanos) {
+    double before = failureShare(nowNanos);
+    failureShare = before + FAILURE_WEIGHT * (1 - before);
+    failureNanos = nowNanos;
+  }
+
+  /** Sets how many kept connections to the server are idle. */
+  public void idleConnections(int count) {
+    idleConnections = count;
+  }
+
+  /** Kept connections to the server that are idle. */
+  public int idleConnections() {
+    return idleConnections;
+  }
+
+  /** Requests of this instance now at the server. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** The last load sample, or an idle one while there is none. */
+  public LoadSample sample() {
+    return sample;
+  }
+
+  /** Whether the server has ever told its load. */
+  public boolean hasSample() {
+    return sampled;
+  }
+
+  /** Age of the last load sample in nanoseconds. */
+  public long sampleAgeNanos(long nowNanos) {
+    return nowNanos - sampleNanos;
+  }
+
+  /** Requests of this instance that the server got since its last load sample, less those ended. */
+  public int ownSinceSample() {
+    return inFlight - ownAtSample;
+  }
+
+  /** Share of recent own requests that failed, 0 to 1, faded by age. */
+  public double failureShare(long nowNanos) {
+    return failureShare * Math.pow(0.5, (nowNanos - failureNanos) / FAILURE_HALF_LIFE_NANOS);
+  }
+
+  /** Own latencies relative to those expected of the service, faded by age towards 1. */
+  public double latencyRatio(long nowNanos) {
+    double fade = Math.pow(0.5, (nowNanos - latencyNanos) / SPEED_HALF_LIFE_NANOS);
+    return 1 + (latencyRatio - 1) * fade;
+  }
+
+  /** Whether the server is still slow after its start. */
+  public boolean cold(long nowNanos) {
+    return coldUntilNanos - nowNanos > 0;
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryKeeper.java
@@ -0,0 +1,69 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.magnoliaswitch.front.version.ServerList;
+
+/**
+ * Decides which backend servers exist from a series of reads, some of which fail.
+ *
+ * <p>While the store is away, entries of living servers lapse there, and right after its return a
+ * read lists few or none. Believing it would leave no server to send to, so entries that are
+ * missing then are kept until the living ones had time to come back; one still missing after that
+ * is gone. In ordinary times a missing entry is gone at once.
+ */
+public final class DiscoveryKeeper {
+  /** Entries of living servers are back within two seconds of the store's return. */
+  static final long COME_BACK_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
+
+  /** Reads further apart than this may hide an outage in which entries lapsed. */
+  static final long OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private Map<String, ServerEntry> known = Map.of();
+  private boolean read;
+  private boolean failing;
+  private long lastReadNanos;
+  private long keepUntilNanos;
+  private boolean keeping;
+
+  /** Notes that a read failed. */
+  public void failed() {
+    failing = true;
+  }
+
+  /** Takes what was read and returns what is to be believed. */
+  public ServerList read(ServerList list, long nowNanos) {
+    boolean outage = failing || nowNanos - lastReadNanos > OUTAGE_NANOS;
+    if (read && outage) {
+      keeping = true;
+      keepUntilNanos = nowNanos + COME_BACK_NANOS;
+    }
+    if (keeping && nowNanos - keepUntilNanos >= 0) {
+      keeping = false;
+    }
+    failing = false;
+    read = true;
+    lastReadNanos = nowNanos;
+    Map<String, ServerEntry> believed = new HashMap<>(list.servers());
+    if (keeping) {
+      known.forEach(
+          (id, entry) -> {
+            if (!entry.draining()) {
+              believed.putIfAbsent(id, entry);
+            }
+          });
+    }
+    known = Map.copyOf(believed);
+    return new ServerList(list.version(), believed);
+  }
+
+  /** Takes what a peer believes, which is as good as an own read. */
+  public void adopt(ServerList list, long nowNanos) {
+    known = list.servers();
+    read = true;
+    failing = false;
+    lastReadNanos = nowNanos;
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -0,0 +1,31 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.RouteTable;
+
+/**
+ * The parts of a process that every request needs.
+ *
+ * @param settings what this instance was told at its start
+ * @param loop the thread of all requests and their connections
+ * @param routes configuration in force, swapped as a whole
+ * @param servers backend servers
+ * @param routeState what outlives a configuration version
+ * @param instances how many instances serve, as far as known
+ */
+public record Environment(
+    FrontSettings settings,
+    HeaderNames names,
+    Clocks clocks,
+    Loop loop,
+    RandomGenerator random,
+    AtomicReference<RouteTable> routes,
+    ServerDirectory servers,
+    RouteState routeState,
+    AtomicInteger instances,
+    EventLog log) {}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -0,0 +1,76 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.magnoliaswitch.front.connection.CallerListener;
+import org.magnoliaswitch.front.connection.RequestHandler;
+import org.magnoliaswitch.front.loop.Loop;
+
+/** A running instance: callers' listener, readiness and the ordered stop. */
+public final class Front {
+  /** The balancer takes an instance out after two missed checks, a second apart. */
+  private static final long NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_200);
+
+  /** Left of the grace time when the process ends, whatever is still open. */
+  private static final long RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private static final long POLL_MILLIS = 50;
+  private static final long SWEEP_MILLIS = 500;
+
+  private final Environment environment;
+  private final Beliefs beliefs;
+  private final CallerListener callers;
+  private volatile boolean stopping;
+
+  public Front(
+      Environment environment, Beliefs beliefs, Function<Environment, RequestHandler> handlers) {
+    this.environment = environment;
+    this.beliefs = beliefs;
+    this.callers =
+        new CallerListener(
+            environment.loop(),
+            environment.clocks(),
+            handlers.apply(environment),
+            () -> environment.routes().get().limits());
+  }
+
+  /** Binds all addresses. */
+  public void start() {
+    Loop loop = environment.loop();
+    new StatusListener(loop, this::readiness).bind(environment.settings().readiness());
+    callers.bind(environment.settings().callers());
+    loop.everyMillis(SWEEP_MILLIS, environment.servers()::sweep);
+    environment.log().belief("start", "instance=%s", environment.settings().instance());
+  }
+
+  /**
+   * Stops in order and calls back when the process may end: not ready at once, served on until the
+   * balancer has noticed, then idle connections are closed and requests in flight finished.
+   */
+  public void stop(Runnable stopped) {
+    stopping = true;
+    environment.log().belief("stop", "instance=%s", environment.settings().instance());
+    Loop loop = environment.loop();
+    long grace = environment.settings().graceNanos() - RESERVE_NANOS;
+    long notice = Math.min(NOTICE_NANOS, grace / 2);
+    long deadline = environment.clocks().nanos() + grace;
+    loop.execute(callers::announceStop);
+    loop.after(notice, () -> drain(deadline, stopped));
+  }
+
+  private void drain(long deadline, Runnable stopped) {
+    callers.refuseNew();
+    boolean late = environment.clocks().nanos() - deadline >= 0;
+    if (callers.size() == 0 || late) {
+      environment.log().belief("stopped", "open=%d", callers.size());
+      stopped.run();
+    } else {
+      environment.loop().afterMillis(POLL_MILLIS, () -> drain(deadline, stopped));
+    }
+  }
+
+  private StatusListener.Status readiness() {
+    boolean ready = beliefs.complete() && !stopping;
+    return new StatusListener.Status(ready, ready ? "ready\n" : "not ready\n");
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
@@ -0,0 +1,35 @@
+package org.magnoliaswitch.front.process;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.magnoliaswitch.front.load.RepeatBudget;
+
+/**
+ * What one instance is told at its start.
+ *
+ * @param instance name of this instance
+ * @param dataCentre where it runs
+ * @param callers address for callers
+ * @param readiness address of the readiness check
+ * @param peers address on which other instances ask for news
+ * @param seeds addresses of instances that read discovery and configuration for the others
+ * @param metricsPort port of the metrics page, on the address of the readiness check
+ * @param graceNanos time between the signal to stop and the kill
+ * @param repeats budget of further sends over all instances
+ * @param probesPerServer health checks per second that one server may get from all instances
+ */
+public record FrontSettings(
+    String instance,
+    String dataCentre,
+    InetSocketAddress callers,
+    InetSocketAddress readiness,
+    InetSocketAddress peers,
+    List<InetSocketAddress> seeds,
+    int metricsPort,
+    long graceNanos,
+    RepeatBudget.Limits repeats,
+    double probesPerServer) {
+  public FrontSettings {
+    seeds = List.copyOf(seeds);
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/LatencyBaseline.java
@@ -0,0 +1,27 @@
+package org.magnoliaswitch.front.process;
+
+import org.magnoliaswitch.front.version.Route;
+
+/** Usual latency of a route's requests on an undisturbed server, learnt from own answers. */
+public final class LatencyBaseline {
+  /** Share of the objective assumed before anything is known. */
+  private static final double INITIAL_SHARE = 0.4;
+
+  private static final double WEIGHT = 0.05;
+
+  private double nanos;
+
+  LatencyBaseline(Route route) {
+    this.nanos = INITIAL_SHARE * route.objectiveNanos();
+  }
+
+  /** The latency to expect. */
+  public double nanos() {
+    return nanos;
+  }
+
+  /** Takes the latency of a whole answer, divided by the server's slowness at that moment. */
+  public void learn(double undisturbedNanos) {
+    nanos += WEIGHT * (Math.min(undisturbedNanos, 4 * nanos) - nanos);
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsSource.java
@@ -0,0 +1,42 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerList;
+
+/** Where configuration and discovery come from; callbacks run on the control event loop. */
+public interface NewsSource {
+  /**
+   * How a read ended.
+   *
+   * @param <T> what was read
+   */
+  sealed interface Read<T> {
+    /** A value as of one moment. */
+    record Known<T>(T value) implements Read<T> {}
+
+    /** The source answered and there is nothing new. */
+    record Unchanged<T>() implements Read<T> {}
+
+    /**
+     * No useful answer.
+     *
+     * @param reason one word for the log
+     */
+    record Failed<T>(String reason) implements Read<T> {}
+  }
+
+  /** Reads the newest configuration. */
+  void configuration(Consumer<Read<RouteTable>> listener);
+
+  /**
+   * Waits for a configuration newer than the one read last.
+   *
+   * <p>The answer {@link Read.Unchanged} after the longest wait is usual; {@link Read.Failed} also
+   * says that changes may have been missed.
+   */
+  void nextConfiguration(Consumer<Read<RouteTable>> listener);
+
+  /** Reads the backend servers. */
+  void servers(Consumer<Read<ServerList>> listener);
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
@@ -0,0 +1,42 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.magnoliaswitch.front.load.PartPicker;
+import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.version.Route;
+
+/** What outlives a configuration version for each route and service; used by one thread only. */
+public final class RouteState {
+  private final RandomGenerator random;
+  private final RepeatBudget.Limits repeatLimits;
+  private final Map<String, PartPicker> pickers = new HashMap<>();
+  private final Map<String, LatencyBaseline> baselines = new HashMap<>();
+  private final Map<String, RepeatBudget> budgets = new HashMap<>();
+
+  public RouteState(RandomGenerator random, RepeatBudget.Limits repeatLimits) {
+    this.random = random;
+    this.repeatLimits = repeatLimits;
+  }
+
+  /** The service that a route's next request goes to. */
+  public String pick(Route route) {
+    if (route.parts().size() == 1) {
+      return route.parts().getFirst().service();
+    }
+    return pickers
+        .computeIfAbsent(route.name(), name -> new PartPicker(random.nextDouble()))
+        .next(route.parts());
+  }
+
+  /** Usual latency of a route. */
+  public LatencyBaseline baseline(Route route) {
+    return baselines.computeIfAbsent(route.name(), name -> new LatencyBaseline(route));
+  }
+
+  /** Budget of further sends to a service. */
+  public RepeatBudget budget(String service) {
+    return budgets.computeIfAbsent(service, name -> new RepeatBudget(repeatLimits));
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -0,0 +1,106 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.connection.ServerConnector;
+import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.magnoliaswitch.front.version.ServerList;
+
+/** The backend servers of all services with their state and connections; used by one thread. */
+public final class ServerDirectory {
+  /** Idle connections are closed by this instance after this time at the latest. */
+  private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  private final ServerConnector connector;
+  private final Clocks clocks;
+  private final EventLog log;
+  private final Map<String, ServerPool> byId = new HashMap<>();
+  private final Map<String, List<ServerPool>> byService = new HashMap<>();
+  private ServerList current = ServerList.EMPTY;
+
+  public ServerDirectory(ServerConnector connector, Clocks clocks, EventLog log) {
+    this.connector = connector;
+    this.clocks = clocks;
+    this.log = log;
+  }
+
+  /** Whether a list has been received. */
+  public boolean known() {
+    return current.known();
+  }
+
+  /** Version of the list in force. */
+  public long version() {
+    return current.version();
+  }
+
+  /** The servers of a service, those that leave included. */
+  public List<ServerPool> of(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /** All servers. */
+  public Collection<ServerPool> all() {
+    return byId.values();
+  }
+
+  /** Puts a list in force; one that is not newer changes nothing. */
+  public void apply(ServerList next) {
+    if (next.version() <= current.version()) {
+      return;
+    }
+    current = next;
+    long now = clocks.nanos();
+    next.servers().values().forEach(entry -> learn(entry, now));
+    dropMissing();
+    byService.clear();
+    byId.values()
+        .forEach(
+            pool ->
+                byService
+                    .computeIfAbsent(pool.state().entry().service(), name -> new ArrayList<>())
+                    .add(pool));
+  }
+
+  /** Closes connections that the servers would soon close themselves. */
+  public void sweep() {
+    byId.values().forEach(pool -> pool.sweep(MAX_IDLE_NANOS));
+  }
+
+  private void learn(ServerEntry entry, long now) {
+    ServerPool known = byId.get(entry.id());
+    if (known == null) {
+      byId.put(entry.id(), new ServerPool(new ServerState(entry, now), connector, clocks));
+      log.belief("server_learnt", "server=%s service=%s", entry.id(), entry.service());
+      return;
+    }
+    if (entry.draining() && !known.state().entry().draining()) {
+      log.belief("server_draining", "server=%s service=%s", entry.id(), entry.service());
+    }
+    known.state().update(entry, now);
+    if (entry.draining()) {
+      known.retire();
+    }
+  }
+
+  private void dropMissing() {
+    Iterator<ServerPool> pools = byId.values().iterator();
+    while (pools.hasNext()) {
+      ServerPool pool = pools.next();
+      ServerEntry entry = pool.state().entry();
+      if (!current.servers().containsKey(entry.id())) {
+        pools.remove();
+        pool.retire();
+        log.belief("server_gone", "server=%s service=%s", entry.id(), entry.service());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -0,0 +1,208 @@
+package org.magnoliaswitch.front.request;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.connection.ServerConnection;
+import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.connection.ServerReply;
+import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.process.Environment;
+
+/** One send of a request to one backend server. */
+final class Attempt {
+  /** Idle time after which a connection carries no request that may run only once. */
+  private static final long MAX_IDLE_ONCE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** Idle time after which a connection carries no request at all, if its server names none. */
+  private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+  /** How long a server may still be at work on a request whose caller has its answer. */
+  private static final long LINGER_MILLIS = 1_500;
+
+  private final Exchange exchange;
+  private final Environment environment;
+  private final ServerPool pool;
+  private final CallerRequest request;
+  private final String requestId;
+  private @Nullable ServerConnection connection;
+  private long sentNanos;
+  private boolean ended;
+
+  Attempt(
+      Exchange exchange,
+      Environment environment,
+      ServerPool pool,
+      CallerRequest request,
+      String requestId) {
+    this.exchange = exchange;
+    this.environment = environment;
+    this.pool = pool;
+    this.request = request;
+    this.requestId = requestId;
+  }
+
+  String serverId() {
+    return pool.state().entry().id();
+  }
+
+  /** Whether the server may have received some of the request. */
+  boolean written() {
+    return connection != null;
+  }
+
+  void start(boolean idempotent) {
+    pool.state().sent();
+    Optional<ServerConnection> kept =
+        pool.takeIdle(idempotent ? MAX_IDLE_NANOS : MAX_IDLE_ONCE_NANOS);
+    if (kept.isPresent()) {
+      write(kept.get());
+    } else {
+      pool.connect(this::connected, this::connectFailed);
+    }
+  }
+
+  /** Ends the attempt and the server's work on it. */
+  void abandon() {
+    if (!ended) {
+      end();
+      if (connection != null) {
+        connection.abandon();
+      }
+    }
+  }
+
+  /** The caller has its final answer; what the server still does is of no use. */
+  void timedOut(boolean idempotent) {
+    if (ended || connection == null) {
+      abandon();
+      return;
+    }
+    pool.state().failed(environment.clocks().nanos());
+    if (idempotent) {
+      abandon();
+    } else {
+      environment.loop().afterMillis(LINGER_MILLIS, this::abandon);
+    }
+  }
+
+  private void connected(ServerConnection opened) {
+    if (ended || !exchange.waiting() || !pool.state().acceptsWork()) {
+      pool.giveBack(opened);
+      if (!ended) {
+        end();
+        exchange.unreachable(this, "too_late");
+      }
+      return;
+    }
+    write(opened);
+  }
+
+  private void connectFailed(Throwable cause) {
+    if (!ended) {
+      end();
+      pool.state().failed(environment.clocks().nanos());
+      exchange.unreachable(this, cause.getClass().getSimpleName());
+    }
+  }
+
+  private void write(ServerConnection target) {
+    long leftMillis = TimeUnit.NANOSECONDS.toMillis(exchange.leftNanos());
+    if (leftMillis <= 0) {
+      pool.giveBack(target);
+      end();
+      exchange.unreachable(this, "deadline");
+      return;
+    }
+    connection = target;
+    sentNanos = environment.clocks().nanos();
+    exchange.writing();
+    FullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.target(),
+            Unpooled.wrappedBuffer(request.body()));
+    message.headers().set(Headers.endToEnd(request.headers()));
+    message.headers().set(environment.names().deadlineMillis(), leftMillis);
+    message.headers().set(environment.names().expectedServer(), serverId());
+    boolean sized =
+        request.body().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    if (sized || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    environment
+        .log()
+        .routine(
+            "send",
+            "request=%s server=%s left_ms=%d held=%d slowness=%.2f sample_age_ms=%d",
+            requestId,
+            serverId(),
+            leftMillis,
+            pool.state().sample().held(),
+            pool.state().sample().slowness(),
+            TimeUnit.NANOSECONDS.toMillis(pool.state().sampleAgeNanos(sentNanos)));
+    Optional<String> echoed = Optional.of(requestId).filter(id -> !id.isEmpty());
+    target.send(message, echoed, this::replied);
+  }
+
+  private void replied(ServerReply reply) {
+    if (ended) {
+      return;
+    }
+    end();
+    switch (reply) {
+      case ServerReply.Whole whole -> whole(whole);
+      case ServerReply.Broken broken -> {
+        pool.state().failed(environment.clocks().nanos());
+        exchange.broken(this, broken.reason());
+      }
+    }
+  }
+
+  private void whole(ServerReply.Whole whole) {
+    learnLoad(whole);
+    int status = whole.status().code();
+    if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      pool.state().markReplaced();
+      environment.log().belief("server_replaced", "server=%s", serverId());
+      exchange.rejected(this, status);
+    } else if (whole.headers().contains(environment.names().notExecuted())) {
+      pool.state().failed(environment.clocks().nanos());
+      exchange.rejected(this, status);
+    } else {
+      judge(status);
+      exchange.answered(this, whole);
+    }
+  }
+
+  private void judge(int status) {
+    long now = environment.clocks().nanos();
+    if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+      pool.state().failed(now);
+      return;
+    }
+    exchange.learnLatency(now - sentNanos, pool.state());
+  }
+
+  private void learnLoad(ServerReply.Whole whole) {
+    String load = whole.headers().get(environment.names().load());
+    if (load != null) {
+      int own = pool.state().inFlight();
+      LoadSample.parse(load)
+          .ifPresent(sample -> pool.state().sampled(sample, own, environment.clocks().nanos()));
+    }
+  }
+
+  private void end() {
+    ended = true;
+    pool.state().ended();
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -0,0 +1,38 @@
+package org.magnoliaswitch.front.request;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.connection.RequestHandler;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.version.Route;
+
+/** Starts an {@link Exchange} for each request of a caller. */
+public final class FrontDispatcher implements RequestHandler {
+  private final Environment environment;
+  private final Probes probes;
+
+  public FrontDispatcher(Environment environment) {
+    this.environment = environment;
+    this.probes = new Probes(environment);
+  }
+
+  @Override
+  public boolean idempotent(CallerRequest request) {
+    return route(request).map(Route::idempotent).orElse(true);
+  }
+
+  @Override
+  public Call start(CallerRequest request, Consumer<CallerAnswer> answer) {
+    Exchange exchange = new Exchange(environment, probes, request, answer);
+    exchange.start(route(request));
+    return exchange;
+  }
+
+  private Optional<Route> route(CallerRequest request) {
+    String host = request.headers().get(HttpHeaderNames.HOST, "");
+    return environment.routes().get().find(host, request.target());
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -0,0 +1,168 @@
+package org.magnoliaswitch.front.request;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.buffer.Unpooled;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.connection.ServerConnection;
+import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.connection.ServerReply;
+import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.RateLimit;
+import org.magnoliaswitch.front.process.Environment;
+
+/**
+ * Asks candidates for their load just before a request is placed.
+ *
+ * <p>A neighbour makes a server several times slower for a few hundred milliseconds, so news from
+ * other answers are mostly too old. Asking also proves that the kept connection still works before
+ * a request that may run only once is written on it.
+ */
+final class Probes {
+  /** Answers later than this are not waited for; between data centres they take 3 ms. */
+  private static final long WAIT_MILLIS = 8;
+
+  /** A connection that has not answered a health check by then is taken for silent. */
+  private static final long SILENT_MILLIS = 300;
+
+  /** Kept connections younger than this may carry a health check. */
+  private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  private static final double BURST = 4;
+
+  /** Instances may be more than this one knows of. */
+  private static final double INSTANCE_MARGIN = 1.3;
+
+  private final Environment environment;
+  private final Map<String, RateLimit> limits = new HashMap<>();
+
+  Probes(Environment environment) {
+    this.environment = environment;
+  }
+
+  /** Asks each candidate with a kept connection; runs the action when it is time to choose. */
+  void ask(List<ServerPool> candidates, String healthPath, Runnable choose) {
+    Round round = new Round(choose);
+    for (ServerPool pool : candidates) {
+      if (allowed(pool)) {
+        pool.takeIdle(MAX_IDLE_NANOS).ifPresent(c -> round.ask(pool, c, healthPath));
+      }
+    }
+    round.begin();
+  }
+
+  private boolean allowed(ServerPool pool) {
+    long now = environment.clocks().nanos();
+    if (limits.size() > 4 * environment.servers().all().size() + 64) {
+      limits.clear();
+    }
+    double perSecond =
+        environment.settings().probesPerServer()
+            / (INSTANCE_MARGIN * Math.max(1, environment.instances().get()));
+    return limits
+        .computeIfAbsent(pool.state().entry().id(), id -> new RateLimit(BURST, now))
+        .take(perSecond, now);
+  }
+
+  /** One set of questions. */
+  private final class Round {
+    private final Runnable choose;
+    private int open;
+    private boolean chosen;
+
+    Round(Runnable choose) {
+      this.choose = choose;
+    }
+
+    void ask(ServerPool pool, ServerConnection connection, String healthPath) {
+      open++;
+      FullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.GET, healthPath, Unpooled.EMPTY_BUFFER);
+      request.headers().set(HttpHeaderNames.HOST, pool.state().entry().host());
+      request.headers().set(environment.names().expectedServer(), pool.state().entry().id());
+      Question question = new Question(this, pool, connection);
+      connection.send(request, Optional.empty(), question::ended);
+      environment.loop().afterMillis(SILENT_MILLIS, question::silent);
+    }
+
+    void begin() {
+      if (open == 0) {
+        decide();
+      } else {
+        environment.loop().afterMillis(WAIT_MILLIS, this::decide);
+      }
+    }
+
+    void answered() {
+      open--;
+      if (open == 0) {
+        // Deferred, so that the connections that answered are back in their pools.
+        environment.loop().execute(this::decide);
+      }
+    }
+
+    private void decide() {
+      if (!chosen) {
+        chosen = true;
+        choose.run();
+      }
+    }
+  }
+
+  /** One question to one server. */
+  private final class Question {
+    private final Round round;
+    private final ServerPool pool;
+    private final ServerConnection connection;
+    private boolean ended;
+
+    Question(Round round, ServerPool pool, ServerConnection connection) {
+      this.round = round;
+      this.pool = pool;
+      this.connection = connection;
+    }
+
+    void ended(ServerReply reply) {
+      ended = true;
+      if (reply instanceof ServerReply.Whole whole) {
+        learn(whole);
+      }
+      round.answered();
+    }
+
+    void silent() {
+      if (!ended) {
+        ended = true;
+        connection.abandon();
+        pool.state().failed(environment.clocks().nanos());
+        environment.log().trouble("probe_silent", "server=%s", pool.state().entry().id());
+        round.answered();
+      }
+    }
+
+    private void learn(ServerReply.Whole whole) {
+      String id = whole.headers().get(environment.names().serverId());
+      if (id != null && !id.equals(pool.state().entry().id())) {
+        pool.state().markReplaced();
+        environment
+            .log()
+            .belief("server_replaced", "server=%s found=%s", pool.state().entry().id(), id);
+        return;
+      }
+      String load = whole.headers().get(environment.names().load());
+      if (load != null) {
+        int own = pool.state().inFlight();
+        LoadSample.parse(load)
+            .ifPresent(sample -> pool.state().sampled(sample, own, environment.clocks().nanos()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/version/HeaderNames.java
@@ -0,0 +1,19 @@
+package org.magnoliaswitch.front.version;
+
+/**
+ * Names of the headers that a deployment uses between callers, this instance and backend servers.
+ *
+ * @param requestId id of one attempt of a caller; echoed in the answer
+ * @param deadlineMillis milliseconds that the sender still waits
+ * @param expectedServer id of the backend server incarnation a request is meant for
+ * @param notExecuted present on an answer when the server did not run the request
+ * @param load load report of a backend server
+ * @param serverId id of the incarnation that answers a health check
+ */
+public record HeaderNames(
+    String requestId,
+    String deadlineMillis,
+    String expectedServer,
+    String notExecuted,
+    String load,
+    String serverId) {}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Route.java
@@ -0,0 +1,34 @@
+package org.magnoliaswitch.front.version;
+
+import java.util.List;
+
+/**
+ * How requests for one host and path prefix are treated.
+ *
+ * @param name unique among the routes
+ * @param host value of the caller's Host header, in lower case and without a port
+ * @param prefix begins and ends with a slash
+ * @param idempotent whether a request may run more than once
+ * @param timeoutNanos longest time a caller waits for its final answer
+ * @param objectiveNanos latency up to which an answer has its full worth
+ * @param priority rank among routes; 0 is the most urgent
+ * @param maxServers most backend servers that one request is sent to
+ * @param parts services that share the route's traffic; never empty
+ */
+public record Route(
+    String name,
+    String host,
+    String prefix,
+    boolean idempotent,
+    long timeoutNanos,
+    long objectiveNanos,
+    int priority,
+    int maxServers,
+    List<WeightedService> parts) {
+  public Route {
+    parts = List.copyOf(parts);
+    if (parts.isEmpty()) {
+      throw new IllegalArgumentException("route " + name + " has no service");
+    }
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/version/package-info.java
@@ -0,0 +1,5 @@
+/** What lives as long as one configuration or discovery version: routes, services, limits, servers. */
+@NullMarked
+package org.magnoliaswitch.front.version;
+
+import org.jspecify.annotations.NullMarked;
