Instances tell each other the news; one reads the platform

Change: each instance reads only when what it knows is older than its patience, which grows with its place among the seeds; seeds tell all others at once and every 400 ms. No election, no lease. Ruled out: a lease in the store (calls, and a paused holder), a feed on the servers table (wakes at each heartbeat). Tests: who reads when, lapsed entries after an outage, news on the wire with damaged bytes.

--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -0,0 +1,69 @@
+package org.magnoliaswitch.front;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.connection.ServerConnector;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.process.Beliefs;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.process.EventLog;
+import org.magnoliaswitch.front.process.Front;
+import org.magnoliaswitch.front.process.FrontSettings;
+import org.magnoliaswitch.front.process.News;
+import org.magnoliaswitch.front.process.NewsSource;
+import org.magnoliaswitch.front.process.RouteState;
+import org.magnoliaswitch.front.process.ServerDirectory;
+import org.magnoliaswitch.front.request.FrontDispatcher;
+import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.RouteTable;
+
+/**
+ * Wires an instance that serves callers: one event loop for all requests, one for news.
+ *
+ * <p>Wired by hand: an injector costs a tenth of a second of processor time at each restart, which
+ * callers wait for.
+ */
+public final class FrontProcess {
+  /** Instances assumed until peers tell how many there are. */
+  private static final int ASSUMED_INSTANCES = 20;
+
+  private FrontProcess() {}
+
+  /**
+   * Starts an instance.
+   *
+   * @param source makes the source of configuration and discovery, given the loop of its callbacks
+   */
+  public static Front start(
+      FrontSettings settings, HeaderNames names, BiFunction<Loop, EventLog, NewsSource> source) {
+    Clocks clocks = Clocks.system();
+    EventLog log = new EventLog(clocks);
+    RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+    Loop requests = Loop.start();
+    Loop control = Loop.start();
+    ServerConnector connector = new ServerConnector(requests, clocks, names);
+    ServerDirectory servers = new ServerDirectory(connector, clocks, log);
+    AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
+    Environment environment =
+        new Environment(
+            settings,
+            names,
+            clocks,
+            requests,
+            random,
+            routes,
+            servers,
+            new RouteState(random, settings.repeats()),
+            new AtomicInteger(ASSUMED_INSTANCES),
+            log);
+    Beliefs beliefs = new Beliefs(routes, servers, requests, log);
+    News news = new News(environment, beliefs, control, source.apply(control, log));
+    news.start();
+    Front front = new Front(environment, beliefs, FrontDispatcher::new);
+    front.start();
+    return front;
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -64,14 +64,15 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(new Pipeline());
     ChannelFuture future = bootstrap.connect(address);
-    var unused = future.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            connected.accept(attach(future.channel(), owner));
-          } else {
-            failed.accept(done.cause());
-          }
-        });
+    var unused =
+        future.addListener(
+            done -> {
+              if (done.isSuccess()) {
+                connected.accept(attach(future.channel(), owner));
+              } else {
+                failed.accept(done.cause());
+              }
+            });
   }
 
   private ServerConnection attach(Channel channel, ServerConnection.Owner owner) {
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -16,7 +16,9 @@
   /** A success moves it less, so a server that fails every other request stays suspect. */
   private static final double SUCCESS_WEIGHT = 0.2;
 
-  /** After this time a failure counts half: long enough to pass by a flapping server's bad phase. */
+  /**
+   * After this time a failure counts half: long enough to pass by a flapping server's bad phase.
+   */
   private static final double FAILURE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
   /** Weight of one latency in the server's speed. */
--- a/front/src/main/java/org/magnoliaswitch/front/load/package-info.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/package-info.java
@@ -1,4 +1,6 @@
-/** Decisions under load, free of input and output: placement, refusal, budgets. Time is passed in. */
+/**
+ * Decisions under load, free of input and output: placement, refusal, budgets. Time is passed in.
+ */
 @NullMarked
 package org.magnoliaswitch.front.load;
 
--- a/front/src/main/java/org/magnoliaswitch/front/loop/Loop.java
+++ b/front/src/main/java/org/magnoliaswitch/front/loop/Loop.java
@@ -24,7 +24,8 @@
 
   /** Starts a loop with a thread of its own. */
   public static Loop start() {
-    return new Loop((EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next());
+    return new Loop(
+        (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next());
   }
 
   /** The event loop that channels register with. */
@@ -58,8 +59,7 @@
 
   /** Runs a task again and again. */
   public void everyMillis(long millis, Runnable task) {
-    var unused =
-        events.scheduleAtFixedRate(guarded(task), millis, millis, TimeUnit.MILLISECONDS);
+    var unused = events.scheduleAtFixedRate(guarded(task), millis, millis, TimeUnit.MILLISECONDS);
   }
 
   /** Ends the thread; for tests. */
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -0,0 +1,130 @@
+package org.magnoliaswitch.front.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.magnoliaswitch.front.loop.Channels;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerList;
+
+/**
+ * Tells other instances what this one knows: at once when it changes, and at short intervals so
+ * that they know how fresh it is. Runs on the control loop.
+ */
+public final class PeerHub {
+  /** Listeners that hear nothing for a few of these look elsewhere. */
+  private static final long HEARTBEAT_MILLIS = 400;
+
+  private static final int LENGTH_BYTES = 4;
+
+  /**
+   * What this instance knows now.
+   *
+   * @param ageMillis how long ago it was confirmed
+   * @param routes configuration in force
+   * @param servers servers in force
+   */
+  public record Knowledge(long ageMillis, RouteTable routes, ServerList servers) {}
+
+  private final Loop loop;
+  private final Supplier<Knowledge> knowledge;
+  private final Set<Listener> listeners = new HashSet<>();
+
+  public PeerHub(Loop loop, Supplier<Knowledge> knowledge) {
+    this.loop = loop;
+    this.knowledge = knowledge;
+  }
+
+  /** Binds the address that others listen at. */
+  public void bind(InetSocketAddress address) {
+    new ServerBootstrap()
+        .group(loop.events())
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new Pipeline())
+        .bind(address)
+        .syncUninterruptibly();
+    loop.everyMillis(HEARTBEAT_MILLIS, this::tellAll);
+  }
+
+  /** Instances that listen, and this one. */
+  public int instances() {
+    return listeners.size() + 1;
+  }
+
+  /** Tells everyone now. */
+  public void tellAll() {
+    Knowledge now = knowledge.get();
+    List.copyOf(listeners).forEach(listener -> listener.tell(now));
+  }
+
+  private final class Pipeline extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      channel.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new Listener(channel));
+    }
+  }
+
+  /** An instance that listens, and what it has been told. */
+  private final class Listener extends ChannelInboundHandlerAdapter {
+    private final Channel channel;
+    private ServerList toldServers = ServerList.EMPTY;
+    private long toldRoutes;
+
+    Listener(Channel channel) {
+      this.channel = channel;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+      listeners.add(this);
+      tell(knowledge.get());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      ReferenceCountUtil.release(message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      listeners.remove(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Channels.close(context);
+    }
+
+    void tell(Knowledge now) {
+      if (!channel.isWritable()) {
+        // It does not read: holding ever more news for it would fill the memory.
+        Channels.close(channel);
+        return;
+      }
+      boolean news = now.routes().version() > toldRoutes;
+      Optional<RouteTable> routes = news ? Optional.of(now.routes()) : Optional.empty();
+      ServerChanges changes = ServerChanges.between(toldServers, now.servers());
+      PeerNews message = new PeerNews(now.ageMillis(), instances(), routes, changes);
+      toldRoutes = Math.max(toldRoutes, now.routes().version());
+      toldServers = now.servers();
+      Channels.write(channel, Unpooled.wrappedBuffer(PeerNewsCodec.encode(message)));
+    }
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
@@ -0,0 +1,16 @@
+package org.magnoliaswitch.front.peer;
+
+import java.util.Optional;
+import org.magnoliaswitch.front.version.RouteTable;
+
+/**
+ * One message of an instance to those that listen to it.
+ *
+ * @param ageMillis how long ago the sender's knowledge was confirmed by the platform; grows when it
+ *     is passed on, so news that circle between instances never look fresh
+ * @param instances how many instances the sender knows of, itself included
+ * @param routes the sender's configuration, when it changed since its last message
+ * @param servers what changed in the sender's list since its last message
+ */
+public record PeerNews(
+    long ageMillis, int instances, Optional<RouteTable> routes, ServerChanges servers) {}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -0,0 +1,153 @@
+package org.magnoliaswitch.front.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.loop.Channels;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.version.ServerList;
+
+/**
+ * Listens to the news of one other instance, and connects again when they stop coming. Runs on the
+ * control loop.
+ */
+public final class PeerSubscription {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int LENGTH_BYTES = 4;
+  private static final int MAX_MESSAGE_BYTES = 4 << 20;
+  private static final int CONNECT_TIMEOUT_MILLIS = 500;
+  private static final long CHECK_MILLIS = 500;
+
+  /** A connection without news for this long is taken for silent: four heartbeats. */
+  private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+  /** Takes news in the form in which they can be believed. */
+  @FunctionalInterface
+  public interface Listener {
+    /**
+     * News of a peer.
+     *
+     * @param news the message
+     * @param servers the peer's whole list
+     */
+    void heard(PeerNews news, ServerList servers);
+  }
+
+  private final Loop loop;
+  private final Clocks clocks;
+  private final InetSocketAddress peer;
+  private final Listener listener;
+  private @Nullable Channel channel;
+  private ServerList servers = ServerList.EMPTY;
+  private boolean connecting;
+  private boolean hearing;
+  private long lastHeardNanos;
+
+  public PeerSubscription(Loop loop, Clocks clocks, InetSocketAddress peer, Listener listener) {
+    this.loop = loop;
+    this.clocks = clocks;
+    this.peer = peer;
+    this.listener = listener;
+  }
+
+  /** Begins to listen. */
+  public void start() {
+    loop.execute(this::check);
+    loop.everyMillis(CHECK_MILLIS, this::check);
+  }
+
+  private void check() {
+    boolean silent = clocks.nanos() - lastHeardNanos > SILENT_NANOS;
+    if (channel != null && (silent || !channel.isActive())) {
+      Channels.close(channel);
+      channel = null;
+      if (hearing) {
+        hearing = false;
+        logger.atInfo().log("event=peer_lost peer=%s silent=%s", peer, silent);
+      }
+    }
+    if (channel == null && !connecting) {
+      connect();
+    }
+  }
+
+  private void connect() {
+    connecting = true;
+    ChannelFuture future =
+        new Bootstrap()
+            .group(loop.events())
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(new Pipeline())
+            .connect(peer);
+    var unused =
+        future.addListener(
+            done -> {
+              connecting = false;
+              if (done.isSuccess()) {
+                channel = future.channel();
+                servers = ServerList.EMPTY;
+                lastHeardNanos = clocks.nanos();
+              }
+            });
+  }
+
+  private void heard(byte[] bytes) {
+    try {
+      PeerNews news = PeerNewsCodec.decode(bytes);
+      lastHeardNanos = clocks.nanos();
+      servers = news.servers().applyTo(servers);
+      if (!hearing) {
+        hearing = true;
+        logger.atInfo().log("event=peer_heard peer=%s age_ms=%d", peer, news.ageMillis());
+      }
+      listener.heard(news, servers);
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("event=peer_malformed peer=%s", peer);
+      if (channel != null) {
+        Channels.close(channel);
+      }
+    }
+  }
+
+  private final class Pipeline extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel opened) {
+      opened
+          .pipeline()
+          .addLast(
+              new LengthFieldBasedFrameDecoder(
+                  MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+      opened.pipeline().addLast(new Reader());
+    }
+  }
+
+  private final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
+      byte[] bytes = new byte[message.readableBytes()];
+      message.readBytes(bytes);
+      heard(bytes);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Channels.close(context);
+    }
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ServerChanges.java
@@ -0,0 +1,44 @@
+package org.magnoliaswitch.front.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.magnoliaswitch.front.version.ServerList;
+
+/**
+ * What changed between two lists of backend servers, small enough to send at once.
+ *
+ * @param version version of the later list
+ * @param changed entries that are new or differ
+ * @param removed ids that are no longer listed
+ */
+public record ServerChanges(long version, List<ServerEntry> changed, List<String> removed) {
+  public ServerChanges {
+    changed = List.copyOf(changed);
+    removed = List.copyOf(removed);
+  }
+
+  /** Compares two lists; how much of a warm-up is left does not count as a difference. */
+  public static ServerChanges between(ServerList before, ServerList after) {
+    List<ServerEntry> changed = new ArrayList<>();
+    for (ServerEntry entry : after.servers().values()) {
+      ServerEntry known = before.servers().get(entry.id());
+      if (known == null || !known.equivalent(entry)) {
+        changed.add(entry);
+      }
+    }
+    List<String> removed = new ArrayList<>(before.servers().keySet());
+    removed.removeAll(after.servers().keySet());
+    return new ServerChanges(after.version(), changed, removed);
+  }
+
+  /** The later list, given the earlier one. */
+  public ServerList applyTo(ServerList before) {
+    Map<String, ServerEntry> servers = new HashMap<>(before.servers());
+    changed.forEach(entry -> servers.put(entry.id(), entry));
+    removed.forEach(servers::remove);
+    return new ServerList(version, servers);
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/Beliefs.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Beliefs.java
@@ -19,10 +19,7 @@
   private final EventLog log;
 
   public Beliefs(
-      AtomicReference<RouteTable> routes,
-      ServerDirectory directory,
-      Loop loop,
-      EventLog log) {
+      AtomicReference<RouteTable> routes, ServerDirectory directory, Loop loop, EventLog log) {
     this.routes = routes;
     this.directory = directory;
     this.loop = loop;
--- a/front/src/main/java/org/magnoliaswitch/front/process/EventLog.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/EventLog.java
@@ -52,7 +52,11 @@
 
   @FormatMethod
   private synchronized void write(
-      RateLimit limit, double perSecond, String event, @FormatString String format, Object[] values) {
+      RateLimit limit,
+      double perSecond,
+      String event,
+      @FormatString String format,
+      Object[] values) {
     if (!limit.take(perSecond, clocks.nanos())) {
       dropped++;
       return;
--- a/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
@@ -13,6 +13,7 @@
  * @param readiness address of the readiness check
  * @param peers address on which other instances ask for news
  * @param seeds addresses of instances that read discovery and configuration for the others
+ * @param firstStart whether all instances start for the first time, together
  * @param metricsPort port of the metrics page, on the address of the readiness check
  * @param graceNanos time between the signal to stop and the kill
  * @param repeats budget of further sends over all instances
@@ -25,6 +26,7 @@
     InetSocketAddress readiness,
     InetSocketAddress peers,
     List<InetSocketAddress> seeds,
+    boolean firstStart,
     int metricsPort,
     long graceNanos,
     RepeatBudget.Limits repeats,
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -0,0 +1,83 @@
+package org.magnoliaswitch.front.process;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.peer.PeerHub;
+import org.magnoliaswitch.front.peer.PeerNews;
+import org.magnoliaswitch.front.peer.PeerSubscription;
+import org.magnoliaswitch.front.version.ServerList;
+
+/** Everything by which this instance learns and passes on configuration and discovery. */
+public final class News {
+  private final Environment environment;
+  private final Loop loop;
+  private final PeerHub hub;
+  private final NewsReader reader;
+  private final Map<InetSocketAddress, Integer> instancesByPeer = new HashMap<>();
+
+  public News(Environment environment, Beliefs beliefs, Loop control, NewsSource source) {
+    this.environment = environment;
+    this.loop = control;
+    FrontSettings settings = environment.settings();
+    ReadingPlan plan =
+        ReadingPlan.of(
+            settings.peers(),
+            settings.seeds(),
+            settings.firstStart(),
+            environment.random().nextInt(ReadingPlan.JITTER_SPAN_MILLIS));
+    this.reader =
+        new NewsReader(
+            source,
+            beliefs,
+            plan,
+            control,
+            environment.clocks(),
+            environment.random(),
+            environment.log(),
+            this::tell);
+    this.hub =
+        new PeerHub(
+            control,
+            () ->
+                new PeerHub.Knowledge(
+                    reader.ageMillis(), environment.routes().get(), beliefs.servers()));
+  }
+
+  /** Binds the peers' address, listens to the seeds and begins to read. */
+  public void start() {
+    FrontSettings settings = environment.settings();
+    hub.bind(settings.peers());
+    for (InetSocketAddress seed : settings.seeds()) {
+      if (!seed.equals(settings.peers())) {
+        new PeerSubscription(
+                loop, environment.clocks(), seed, (news, servers) -> heard(seed, news, servers))
+            .start();
+      }
+    }
+    reader.start();
+  }
+
+  private void heard(InetSocketAddress seed, PeerNews news, ServerList servers) {
+    instancesByPeer.put(seed, news.instances());
+    countInstances();
+    reader.heard(news, servers);
+  }
+
+  private void tell() {
+    countInstances();
+    hub.tellAll();
+  }
+
+  /** The largest count heard: each seed counts those that listen to it, and a new one few. */
+  private void countInstances() {
+    int most = hub.instances();
+    for (int count : instancesByPeer.values()) {
+      most = Math.max(most, count);
+    }
+    if (most > 1) {
+      environment.instances().set(most);
+    }
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -1,115 +1,171 @@
 package org.magnoliaswitch.front.process;
 
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.peer.PeerNews;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerList;
 
 /**
- * Reads configuration and discovery from the source; runs on the control event loop.
+ * Keeps what this instance believes fresh: from peers, and by reading the platform when the {@link
+ * ReadingPlan} says so. Runs on the control loop.
  *
- * <p>Configuration is awaited, with a plain read after each failure and now and then for safety: a
- * wait can go deaf. Discovery changes with every heartbeat, so it is read at intervals that leave
- * most of the time in which a leaving server must be noticed.
+ * <p>One instance waits for changes of the configuration; a wait can go deaf, so it is short, and
+ * while it fails the configuration is read like the servers.
  */
 public final class NewsReader {
-  private static final long SERVERS_EVERY_MILLIS = 700;
-  private static final long RETRY_MIN_MILLIS = 300;
-  private static final long RETRY_SPAN_MILLIS = 400;
+  private static final long RETRY_MIN_MILLIS = 250;
+  private static final long RETRY_SPAN_MILLIS = 300;
+
+  /** Smallest time between two looks at the plan. */
+  private static final long MIN_CHECK_MILLIS = 20;
 
   private final NewsSource source;
   private final Beliefs beliefs;
+  private final ReadingPlan plan;
   private final Loop loop;
   private final Clocks clocks;
   private final RandomGenerator random;
   private final EventLog log;
+  private final Runnable changed;
   private final DiscoveryKeeper keeper = new DiscoveryKeeper();
+  private final Freshness freshness = new Freshness();
+  private final long startedNanos;
+  private boolean waitHealthy;
   private boolean sourceLost;
 
+  /**
+   * Creates a reader.
+   *
+   * @param changed called when something newer than before is believed
+   */
   public NewsReader(
       NewsSource source,
       Beliefs beliefs,
+      ReadingPlan plan,
       Loop loop,
       Clocks clocks,
       RandomGenerator random,
-      EventLog log) {
+      EventLog log,
+      Runnable changed) {
     this.source = source;
     this.beliefs = beliefs;
+    this.plan = plan;
     this.loop = loop;
     this.clocks = clocks;
     this.random = random;
     this.log = log;
+    this.changed = changed;
+    this.startedNanos = clocks.nanos();
   }
 
   /** Begins to read. */
   public void start() {
-    loop.execute(this::readConfiguration);
-    loop.execute(this::readServers);
+    loop.execute(this::check);
   }
 
-  private void readConfiguration() {
-    source.configuration(this::configurationRead);
+  /** Age of what is believed. */
+  public long ageMillis() {
+    return freshness.ageMillis(clocks.nanos());
   }
 
-  private void awaitConfiguration() {
-    source.nextConfiguration(this::configurationRead);
+  /** Takes what a peer knows. */
+  public void heard(PeerNews news, ServerList servers) {
+    long now = clocks.nanos();
+    long before = beliefs.routesVersion();
+    news.routes().ifPresent(routes -> beliefs.offer(routes, "peer"));
+    if (servers.version() > beliefs.servers().version()) {
+      keeper.adopt(servers, now);
+      beliefs.offer(servers);
+    }
+    if (servers.known()) {
+      freshness.confirmed(now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis()));
+    }
+    if (beliefs.routesVersion() > before) {
+      changed.run();
+    }
   }
 
-  private void configurationRead(NewsSource.Read<RouteTable> read) {
-    switch (read) {
-      case NewsSource.Read.Known<RouteTable> known -> {
-        beliefs.offer(known.value(), "store");
-        awaitConfiguration();
-      }
-      case NewsSource.Read.Unchanged<RouteTable> unchanged -> awaitConfiguration();
-      case NewsSource.Read.Failed<RouteTable> failed -> {
-        lost("configuration", failed.reason());
-        later(this::readConfiguration, retryMillis());
-      }
+  private void check() {
+    long uptime = TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - startedNanos);
+    long wait = plan.untilRead(ageMillis(), uptime);
+    if (wait <= 0) {
+      read();
+    } else {
+      loop.afterMillis(Math.max(MIN_CHECK_MILLIS, wait), this::check);
     }
   }
 
-  private void readServers() {
-    source.servers(this::serversRead);
+  private void read() {
+    long asOf = clocks.nanos();
+    if (waitHealthy) {
+      source.servers(read -> serversRead(read, asOf));
+    } else {
+      source.configuration(read -> configurationRead(read, asOf));
+    }
   }
 
-  private void serversRead(NewsSource.Read<ServerList> read) {
-    switch (read) {
-      case NewsSource.Read.Known<ServerList> known -> {
-        regained();
-        beliefs.offer(keeper.read(known.value(), clocks.nanos()));
-        later(this::readServers, SERVERS_EVERY_MILLIS);
-      }
-      case NewsSource.Read.Unchanged<ServerList> unchanged ->
-          later(this::readServers, SERVERS_EVERY_MILLIS);
-      case NewsSource.Read.Failed<ServerList> failed -> {
-        keeper.failed();
-        lost("servers", failed.reason());
-        later(this::readServers, retryMillis());
-      }
+  private void configurationRead(NewsSource.Read<RouteTable> read, long asOf) {
+    if (read instanceof NewsSource.Read.Failed<RouteTable> failed) {
+      failed("configuration", failed.reason());
+      return;
     }
+    take(read);
+    if (plan.waitsForChanges()) {
+      waitHealthy = true;
+      source.nextConfiguration(this::changeCame);
+    }
+    source.servers(servers -> serversRead(servers, asOf));
   }
 
-  private void later(Runnable action, long millis) {
-    loop.afterMillis(millis, action);
+  private void changeCame(NewsSource.Read<RouteTable> read) {
+    if (read instanceof NewsSource.Read.Failed<RouteTable> failed) {
+      waitHealthy = false;
+      log.belief("wait_failed", "reason=%s", failed.reason());
+      return;
+    }
+    take(read);
+    source.nextConfiguration(this::changeCame);
   }
 
-  private long retryMillis() {
-    return RETRY_MIN_MILLIS + random.nextLong(RETRY_SPAN_MILLIS);
+  private void take(NewsSource.Read<RouteTable> read) {
+    if (read instanceof NewsSource.Read.Known<RouteTable> known) {
+      long before = beliefs.routesVersion();
+      beliefs.offer(known.value(), "store");
+      if (beliefs.routesVersion() > before) {
+        changed.run();
+      }
+    }
   }
 
-  private void lost(String what, String reason) {
-    if (!sourceLost) {
-      log.belief("source_lost", "reading=%s reason=%s", what, reason);
+  private void serversRead(NewsSource.Read<ServerList> read, long asOf) {
+    switch (read) {
+      case NewsSource.Read.Known<ServerList> known -> {
+        if (sourceLost) {
+          log.belief("source_regained", "routes=%d", beliefs.routesVersion());
+          sourceLost = false;
+        }
+        beliefs.offer(keeper.read(known.value(), clocks.nanos()));
+        freshness.confirmed(asOf);
+        changed.run();
+        check();
+      }
+      case NewsSource.Read.Unchanged<ServerList> unchanged -> {
+        freshness.confirmed(asOf);
+        check();
+      }
+      case NewsSource.Read.Failed<ServerList> failed -> failed("servers", failed.reason());
     }
-    sourceLost = true;
   }
 
-  private void regained() {
-    if (sourceLost) {
-      log.belief("source_regained", "routes=%d", beliefs.routesVersion());
+  private void failed(String what, String reason) {
+    keeper.failed();
+    if (!sourceLost) {
+      log.belief("source_lost", "reading=%s reason=%s age_ms=%d", what, reason, ageMillis());
     }
-    sourceLost = false;
+    sourceLost = true;
+    loop.afterMillis(RETRY_MIN_MILLIS + random.nextLong(RETRY_SPAN_MILLIS), this::check);
   }
 }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
@@ -0,0 +1,53 @@
+package org.magnoliaswitch.front.process;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * When this instance reads the platform itself; pure.
+ *
+ * <p>Every read is paid for, and instances tell each other what they read, so one reader is enough.
+ * Nobody is elected: each instance reads when what it knows has become older than its patience, and
+ * the patience grows with its place among the seeds. A dead, cut off or refused reader is replaced
+ * by the next that runs out of patience, and an instance that hears nobody reads for itself. All
+ * patiences stay well below the two seconds in which a leaving server must be noticed.
+ *
+ * @param rank place among the seeds; {@code Integer.MAX_VALUE} for other instances
+ * @param firstStart whether the whole system starts for the first time, all instances together
+ * @param jitterMillis this instance's part of the spread of those that are no seeds
+ */
+public record ReadingPlan(int rank, boolean firstStart, long jitterMillis) {
+  /** Spread over which instances that are no seeds lose patience. */
+  public static final int JITTER_SPAN_MILLIS = 300;
+
+  private static final long[] SEED_PATIENCE_MILLIS = {700, 1_000, 1_200};
+  private static final long OTHER_PATIENCE_MILLIS = 1_400;
+
+  /** The plan of an instance. */
+  public static ReadingPlan of(
+      InetSocketAddress self, List<InetSocketAddress> seeds, boolean firstStart, long jitter) {
+    int index = seeds.indexOf(self);
+    return new ReadingPlan(index < 0 ? Integer.MAX_VALUE : index, firstStart, jitter);
+  }
+
+  /** Whether this instance waits for changes of the configuration at the platform. */
+  public boolean waitsForChanges() {
+    return rank == 0;
+  }
+
+  /** Milliseconds until the next own read, given the age of what is known and of the process. */
+  public long untilRead(long ageMillis, long uptimeMillis) {
+    long patience = patienceMillis();
+    if (ageMillis <= uptimeMillis) {
+      return Math.max(0, patience - ageMillis);
+    }
+    // Nothing confirmed yet: after a restart callers wait, at the first start nobody does.
+    return firstStart && rank != 0 ? Math.max(0, patience - uptimeMillis) : 0;
+  }
+
+  private long patienceMillis() {
+    return rank < SEED_PATIENCE_MILLIS.length
+        ? SEED_PATIENCE_MILLIS[rank]
+        : OTHER_PATIENCE_MILLIS + jitterMillis;
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatusListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatusListener.java
@@ -86,9 +86,7 @@
               status.good() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
               Unpooled.wrappedBuffer(status.text().getBytes(StandardCharsets.UTF_8)));
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-      response
-          .headers()
-          .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+      response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
       HttpUtil.setKeepAlive(response, keepAlive);
       if (keepAlive) {
         Channels.write(context, response);
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -1,6 +1,5 @@
 package org.magnoliaswitch.front.request;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -28,8 +27,8 @@
  * One request of a caller, from its last byte to its final answer.
  *
  * <p>A request that may run only once is sent a second time only when the first server said that it
- * has not run it, or when nothing of it was written. After any other trouble its outcome is unknown,
- * and the answer says so: 502 or 504, never 503.
+ * has not run it, or when nothing of it was written. After any other trouble its outcome is
+ * unknown, and the answer says so: 502 or 504, never 503.
  */
 final class Exchange implements RequestHandler.Call {
   /** Candidates asked for their load: of three, one is undisturbed nearly always. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -1,11 +1,11 @@
 package org.magnoliaswitch.front.request;
 
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.buffer.Unpooled;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/front/src/main/java/org/magnoliaswitch/front/version/RouteTable.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/RouteTable.java
@@ -40,6 +40,11 @@
     return version;
   }
 
+  /** All routes. */
+  public List<Route> routes() {
+    return byHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /** Bounds on what callers may send. */
   public CallerLimits limits() {
     return limits;
--- a/front/src/main/java/org/magnoliaswitch/front/version/ServerEntry.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/ServerEntry.java
@@ -20,4 +20,16 @@
     String dataCentre,
     int slots,
     boolean draining,
-    long warmupNanos) {}
+    long warmupNanos) {
+  /** Whether both say the same but for how much of the warm-up is left. */
+  public boolean equivalent(ServerEntry other) {
+    return id.equals(other.id)
+        && service.equals(other.service)
+        && host.equals(other.host)
+        && port == other.port
+        && dataCentre.equals(other.dataCentre)
+        && slots == other.slots
+        && draining == other.draining
+        && (warmupNanos > 0) == (other.warmupNanos > 0);
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/version/package-info.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/package-info.java
@@ -1,4 +1,6 @@
-/** What lives as long as one configuration or discovery version: routes, services, limits, servers. */
+/**
+ * What lives as long as one configuration or discovery version: routes, services, limits, servers.
+ */
 @NullMarked
 package org.magnoliaswitch.front.version;
 
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
@@ -0,0 +1,140 @@
+package org.magnoliaswitch.front.load;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.magnoliaswitch.front.testing.Servers;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.testng.annotations.Test;
+
+/** Which server a request goes to. */
+public final class PlacementTest {
+  private static final long NOW = TimeUnit.SECONDS.toNanos(100);
+  private static final long EXPECTED = TimeUnit.MILLISECONDS.toNanos(120);
+  private static final long OBJECTIVE = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private final RandomGenerator random = new java.util.Random(7);
+
+  private String best(List<ServerState> servers, long now) {
+    Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, "here", now);
+    return Placement.rank(servers, context, random).getFirst().server().entry().id();
+  }
+
+  /** What load samples say of the moment. */
+  public static final class Samples {
+    private final PlacementTest outer = new PlacementTest();
+
+    @Test
+    public void aServerThatIsSlowAtTheMomentIsPassedBy() {
+      ServerState slow = Servers.told("slow", 0, 4, NOW);
+      ServerState busy = Servers.told("busy", 3, 1, NOW);
+      assertEquals(outer.best(List.of(slow, busy), NOW), "busy");
+    }
+
+    @Test
+    public void aServerAboveItsKneeIsPassedBy() {
+      ServerState full = Servers.told("full", 6, 1, NOW);
+      ServerState free = Servers.told("free", 3, 1, NOW);
+      assertEquals(outer.best(List.of(full, free), NOW), "free");
+    }
+
+    /**
+     * A sample of a slow moment is old news after a second: neighbours come and go within a few
+     * hundred milliseconds, and a server avoided for longer would be lost for nothing.
+     */
+    @Test
+    public void anOldSampleOfASlowMomentFades() {
+      ServerState once = Servers.told("once-slow", 0, 4, NOW);
+      long later = NOW + TimeUnit.SECONDS.toNanos(2);
+      Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, "here", later);
+      double usual = Placement.predictedNanos(Servers.told("x", 0, 1.75, later), context);
+      assertEquals(Placement.predictedNanos(once, context) / usual, 1.0, 0.05);
+    }
+  }
+
+  /** What this instance's own requests met. */
+  public static final class OwnRequests {
+    private final PlacementTest outer = new PlacementTest();
+
+    /**
+     * A server fails half its requests while its health check is good. Its answers come fast, so it
+     * looks idle; without the memory of failures it would draw ever more requests.
+     */
+    @Test
+    public void aServerThatFailsHalfIsPassedBy() {
+      ServerState grey = Servers.told("grey", 0, 1, NOW);
+      ServerState busy = Servers.told("busy", 4, 1, NOW);
+      for (int i = 0; i < 5; i++) {
+        grey.failed(NOW);
+        grey.succeeded(1, NOW);
+      }
+      assertEquals(outer.best(List.of(grey, busy), NOW), "busy");
+    }
+
+    @Test
+    public void aServerThatFailedIsTriedAgainLater() {
+      ServerState failed = Servers.told("failed", 0, 1, NOW);
+      failed.failed(NOW);
+      failed.failed(NOW);
+      long later = NOW + TimeUnit.SECONDS.toNanos(60);
+      assertTrue(failed.failureShare(later) < 0.001);
+    }
+
+    @Test
+    public void whenAllFailOneIsStillChosen() {
+      List<ServerState> servers = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        ServerState server = Servers.told("s" + i, 0, 1, NOW);
+        for (int k = 0; k < 10; k++) {
+          server.failed(NOW);
+        }
+        servers.add(server);
+      }
+      assertTrue(outer.best(servers, NOW).startsWith("s"));
+    }
+
+    /**
+     * A server is several times slower than its load tells. Only the latencies of own answers show
+     * it, and it must lose against one whose report is no better.
+     */
+    @Test
+    public void aServerWithLongLatenciesIsPassedBy() {
+      ServerState slow = Servers.told("slow", 0, 1, NOW);
+      ServerState usual = Servers.told("usual", 2, 1, NOW);
+      for (int i = 0; i < 6; i++) {
+        slow.succeeded(5, NOW);
+        usual.succeeded(1, NOW);
+      }
+      assertEquals(outer.best(List.of(slow, usual), NOW), "usual");
+    }
+  }
+
+  /** Where servers are. */
+  public static final class Places {
+    private final PlacementTest outer = new PlacementTest();
+
+    private ServerState remote(int running, double slowness) {
+      ServerEntry entry = new ServerEntry("remote", "s", "127.0.0.1", 1, "there", 6, false, 0);
+      ServerState state = new ServerState(entry, NOW);
+      state.sampled(new LoadSample(running, 0, 6, slowness), 0, NOW);
+      state.idleConnections(1);
+      return state;
+    }
+
+    @Test
+    public void theNearOneIsTakenWhenBothAreGood() {
+      ServerState near = Servers.told("near", 1, 1, NOW);
+      assertEquals(outer.best(List.of(remote(1, 1), near), NOW), "near");
+    }
+
+    @Test
+    public void theFarOneIsTakenWhenTheNearOneIsSlow() {
+      ServerState near = Servers.told("near", 1, 4, NOW);
+      assertEquals(outer.best(List.of(remote(1, 1), near), NOW), "remote");
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
@@ -0,0 +1,90 @@
+package org.magnoliaswitch.front.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.magnoliaswitch.front.testing.Servers;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerList;
+import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.WeightedService;
+import org.testng.annotations.Test;
+
+/** News on the wire between instances. */
+public final class PeerNewsCodecTest {
+  private static final PeerNews NEWS =
+      new PeerNews(
+          17,
+          3,
+          Optional.of(
+              new RouteTable(
+                  7,
+                  List.of(
+                      new Route(
+                          "r",
+                          "h",
+                          "/p/",
+                          true,
+                          5,
+                          4,
+                          3,
+                          2,
+                          List.of(new WeightedService("s", 0.9), new WeightedService("t", 0.1)))),
+                  List.of(new ServicePolicy("s", "/health", 260)),
+                  CallerLimits.DEFAULT)),
+          new ServerChanges(9, List.of(Servers.entry("i", true)), List.of("j")));
+
+  @Test
+  public void whatIsWrittenIsRead() throws IOException {
+    PeerNews read = PeerNewsCodec.decode(PeerNewsCodec.encode(NEWS));
+    assertEquals(read.ageMillis(), 17);
+    assertEquals(read.instances(), 3);
+    assertEquals(read.servers(), NEWS.servers());
+    assertEquals(read.routes().orElseThrow().version(), 7);
+    assertEquals(read.routes().get().routes(), NEWS.routes().orElseThrow().routes());
+    assertEquals(read.routes().get().limits(), CallerLimits.DEFAULT);
+  }
+
+  /** A peer of another release, or a stranger, sends anything; the reader must only refuse it. */
+  @Test
+  public void damagedMessagesAreRefusedOrReadButNeverThrowAnythingElse() {
+    byte[] good = PeerNewsCodec.encode(NEWS);
+    Random random = new Random(5);
+    for (int i = 0; i < 5_000; i++) {
+      byte[] bad = Arrays.copyOf(good, 1 + random.nextInt(good.length));
+      bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+      try {
+        PeerNewsCodec.decode(bad);
+      } catch (IOException e) {
+        assertEquals(e.getClass(), IOException.class);
+      }
+    }
+  }
+
+  @Test
+  public void anotherProtocolIsRefused() {
+    byte[] other = PeerNewsCodec.encode(NEWS);
+    other[0] = 2;
+    assertThrows(IOException.class, () -> PeerNewsCodec.decode(other));
+  }
+
+  @Test
+  public void changesLeadFromOneListToTheNext() {
+    ServerList before =
+        new ServerList(1, Map.of("a", Servers.entry("a", false), "b", Servers.entry("b", false)));
+    ServerList after =
+        new ServerList(2, Map.of("a", Servers.entry("a", true), "c", Servers.entry("c", false)));
+    ServerChanges changes = ServerChanges.between(before, after);
+    assertEquals(changes.applyTo(before), after);
+    assertEquals(changes.removed(), List.of("b"));
+    assertEquals(ServerChanges.between(after, after).changed(), List.of());
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryKeeperTest.java
@@ -0,0 +1,71 @@
+package org.magnoliaswitch.front.process;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.testing.Servers;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.magnoliaswitch.front.version.ServerList;
+import org.testng.annotations.Test;
+
+/** Which servers exist after reads that fail. */
+public final class DiscoveryKeeperTest {
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  private static ServerList list(long version, String... ids) {
+    Map<String, ServerEntry> servers = new HashMap<>();
+    for (String id : ids) {
+      servers.put(id, Servers.entry(id, id.startsWith("draining")));
+    }
+    return new ServerList(version, servers);
+  }
+
+  private static Set<String> read(DiscoveryKeeper keeper, long now, ServerList list) {
+    return keeper.read(list, now).servers().keySet();
+  }
+
+  /** While the store answers. */
+  public static final class Ordinary {
+    @Test
+    public void aMissingEntryIsGoneAtOnce() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      read(keeper, 0, list(1, "a", "b"));
+      assertEquals(read(keeper, SECOND, list(2, "a")), Set.of("a"));
+    }
+  }
+
+  /** After the store was away. */
+  public static final class AfterAnOutage {
+    /**
+     * The store was down, so the entries of living servers lapsed. Callers would get nothing but
+     * refusals until the servers are listed again, although all of them serve.
+     */
+    @Test
+    public void lapsedEntriesAreKeptUntilTheyHadTimeToComeBack() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      read(keeper, 0, list(1, "a", "b"));
+      keeper.failed();
+      assertEquals(read(keeper, 10 * SECOND, list(9)), Set.of("a", "b"));
+      assertEquals(read(keeper, 11 * SECOND, list(10, "a")), Set.of("a", "b"));
+      assertEquals(read(keeper, 13 * SECOND, list(11, "a")), Set.of("a"));
+    }
+
+    @Test
+    public void aServerThatWasLeavingStaysGone() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      read(keeper, 0, list(1, "a", "draining-b"));
+      keeper.failed();
+      assertEquals(read(keeper, 10 * SECOND, list(9)), Set.of("a"));
+    }
+
+    @Test
+    public void aLongGapBetweenReadsCountsAsAnOutage() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      read(keeper, 0, list(1, "a"));
+      assertEquals(read(keeper, 60 * SECOND, list(9)), Set.of("a"));
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ReadingPlanTest.java
@@ -0,0 +1,64 @@
+package org.magnoliaswitch.front.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Who reads the platform, and when. */
+public final class ReadingPlanTest {
+  private static final long DAY = 86_400_000;
+  private static final List<InetSocketAddress> SEEDS = List.of(at(1), at(2), at(3));
+
+  private static InetSocketAddress at(int port) {
+    return new InetSocketAddress("127.0.0.1", port);
+  }
+
+  private static ReadingPlan plan(int port, boolean firstStart) {
+    return ReadingPlan.of(at(port), SEEDS, firstStart, 0);
+  }
+
+  /** Ordinary days and lost readers. */
+  public static final class Running {
+    @Test
+    public void theFirstSeedReadsBeforeAnyOtherLosesPatience() {
+      assertTrue(plan(1, false).untilRead(0, DAY) < plan(2, false).untilRead(0, DAY));
+      assertTrue(plan(2, false).untilRead(0, DAY) < plan(3, false).untilRead(0, DAY));
+      assertTrue(plan(3, false).untilRead(0, DAY) < plan(9, false).untilRead(0, DAY));
+    }
+
+    /**
+     * The reader dies right after a read, and all seeds with it. Each other instance must read for
+     * itself in time to notice a server that began to leave just then, within two seconds.
+     */
+    @Test
+    public void withoutAnySeedNewsAreYoungerThanTwoSeconds() {
+      ReadingPlan slowest = ReadingPlan.of(at(9), SEEDS, false, ReadingPlan.JITTER_SPAN_MILLIS);
+      assertTrue(slowest.untilRead(0, DAY) < 1_800);
+      assertEquals(slowest.untilRead(5_000, DAY), 0);
+    }
+
+    @Test
+    public void onlyOneInstanceWaitsForChanges() {
+      assertTrue(plan(1, false).waitsForChanges());
+      assertTrue(!plan(2, false).waitsForChanges());
+      assertTrue(!plan(9, false).waitsForChanges());
+    }
+  }
+
+  /** Starts. */
+  public static final class Starting {
+    @Test
+    public void atTheFirstStartOthersWaitForTheFirstSeed() {
+      assertEquals(plan(1, true).untilRead(DAY, 10), 0);
+      assertTrue(plan(9, true).untilRead(DAY, 10) > 1_000);
+    }
+
+    @Test
+    public void afterARestartEachReadsAtOnce() {
+      assertEquals(plan(9, false).untilRead(DAY, 10), 0);
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/Servers.java
@@ -0,0 +1,26 @@
+package org.magnoliaswitch.front.testing;
+
+import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.version.ServerEntry;
+
+/** Backend servers for tests of decisions. */
+public final class Servers {
+  /** Slots of each server. */
+  public static final int SLOTS = 6;
+
+  private Servers() {}
+
+  /** A discovery entry. */
+  public static ServerEntry entry(String id, boolean draining) {
+    return new ServerEntry(id, "s", "127.0.0.1", 1, "here", SLOTS, draining, 0);
+  }
+
+  /** A server that has told its load just now. */
+  public static ServerState told(String id, int running, double slowness, long nowNanos) {
+    ServerState state = new ServerState(entry(id, false), nowNanos);
+    state.sampled(new LoadSample(running, 0, SLOTS, slowness), 0, nowNanos);
+    state.idleConnections(1);
+    return state;
+  }
+}
