Load at its worst: no server gets more than four fifths of its slots

Change: a request is placed only where an estimate of what the server holds leaves room below its knee; else it waits an eighth of its objective in a line by priority and is then refused with a time to come back. The mean over all samples stands in for a server not heard of lately. The first version ran two requests twice: a search whose health checks were still out was taken up after an answer had offered room.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -170,10 +170,7 @@
 
   private void readHead(HttpRequest request) {
     HttpHeaders headers = request.headers();
-    boolean ambiguous =
-        headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-            && headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-    if (ambiguous || headers.getAll(HttpHeaderNames.HOST).size() != 1) {
+    if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
       refuse(BAD_REQUEST);
       return;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
@@ -8,8 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -27,7 +26,6 @@
   private static final int BACKLOG = 1024;
 
   private static final long SWEEP_MILLIS = 500;
-  private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private final Loop loop;
   private final Clocks clocks;
@@ -115,13 +113,9 @@
       CallerLimits current = limits.get();
       CallerConnection connection =
           new CallerConnection(channel, handler, CallerListener.this, clocks, current);
-      HttpDecoderConfig config =
-          new HttpDecoderConfig()
-              .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-              .setMaxHeaderSize(current.maxHeaderBytes());
       connections.add(connection);
       channel.pipeline().addLast(new ArrivalNotice(connection));
-      channel.pipeline().addLast(new HttpServerCodec(config));
+      channel.pipeline().addLast(new CallerRequestDecoder(current), new HttpResponseEncoder());
       channel.pipeline().addLast(connection);
     }
   }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerRequestDecoder.java
@@ -0,0 +1,30 @@
+package org.magnoliaswitch.front.connection;
+
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import org.magnoliaswitch.front.version.CallerLimits;
+
+/**
+ * Decodes requests and marks those that tell their length in two ways.
+ *
+ * <p>The next hop may go by the other length and take the rest of the body for a request of its own
+ * that no caller sent (request smuggling).
+ */
+final class CallerRequestDecoder extends HttpRequestDecoder {
+  private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
+
+  CallerRequestDecoder(CallerLimits limits) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+            .setMaxHeaderSize(limits.maxHeaderBytes()));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    message.setDecoderResult(DecoderResult.failure(new DecoderException("two lengths")));
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -22,9 +22,6 @@
   /** Slowness assumed of a server not heard of lately: a quarter of them run four times slower. */
   private static final double USUAL_SLOWNESS = 1.75;
 
-  /** Above this share of busy slots work slows down. */
-  private static final double KNEE = 0.8;
-
   /** How much it slows down there. */
   private static final double KNEE_FACTOR = 1.7;
 
@@ -59,11 +56,16 @@
    *
    * @param expectedNanos usual latency of such a request on an undisturbed server
    * @param objectiveNanos latency up to which the answer has its full worth
+   * @param meanHeld requests that a server of the service holds on average
    * @param dataCentre where this instance runs
    * @param nowNanos monotonic time
    */
   public record Context(
-      double expectedNanos, long objectiveNanos, String dataCentre, long nowNanos) {}
+      double expectedNanos,
+      long objectiveNanos,
+      double meanHeld,
+      String dataCentre,
+      long nowNanos) {}
 
   /** A server with the cost of sending a request there. */
   public record Ranked(ServerState server, double cost) {}
@@ -96,8 +98,8 @@
   public static double predictedNanos(ServerState server, Context context) {
     double slowness = slowness(server, context.nowNanos());
     double slots = server.sample().slots();
-    double held = held(server, context.nowNanos()) + 1;
-    double knee = held > KNEE * slots ? KNEE_FACTOR : 1;
+    double held = held(server, context.meanHeld(), context.nowNanos()) + 1;
+    double knee = held > Room.KNEE * slots ? KNEE_FACTOR : 1;
     double waves = Math.max(0, held - slots) / slots;
     double cold = server.cold(context.nowNanos()) ? COLD_FACTOR : 1;
     double own = server.latencyRatio(context.nowNanos());
@@ -105,14 +107,15 @@
   }
 
   /** Requests that a server is expected to hold. */
-  public static double held(ServerState server, long nowNanos) {
-    double reported = server.sample().held() * fade(server, nowNanos);
+  public static double held(ServerState server, double meanHeld, long nowNanos) {
+    double known = server.sample().held() - meanHeld;
+    double reported = meanHeld + known * fade(server, nowNanos);
     return Math.max(server.inFlight(), reported + server.ownSinceSample());
   }
 
   private static double fullness(ServerState server, Context context) {
     double room = QUEUE_FACTOR * server.sample().slots();
-    return held(server, context.nowNanos()) >= room ? FULL_LOSS : 0;
+    return held(server, context.meanHeld(), context.nowNanos()) >= room ? FULL_LOSS : 0;
   }
 
   private static double slowness(ServerState server, long nowNanos) {
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
@@ -0,0 +1,24 @@
+package org.magnoliaswitch.front.load;
+
+/**
+ * What a service's servers hold on average, learnt from every load sample; used by one thread.
+ *
+ * <p>It stands in for a server whose own sample is old: on a busy day such a server is busy too,
+ * and taking it for idle would send it what it can only reject.
+ */
+public final class ServiceLoad {
+  /** Weight of one sample: the last dozen count, which is about a second of one instance. */
+  private static final double WEIGHT = 0.08;
+
+  private double meanHeld;
+
+  /** Takes a sample of any server of the service. */
+  public void sampled(LoadSample sample) {
+    meanHeld += WEIGHT * (sample.held() - meanHeld);
+  }
+
+  /** Requests that a server of the service holds on average. */
+  public double meanHeld() {
+    return meanHeld;
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -1,5 +1,6 @@
 package org.magnoliaswitch.front.process;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.magnoliaswitch.front.connection.CallerListener;
@@ -43,6 +44,11 @@
     environment.log().belief("start", "instance=%s", environment.settings().instance());
   }
 
+  /** Address that callers connect to, as bound. */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
   /**
    * Stops in order and calls back when the process may end: not ready at once, served on until the
    * balancer has noticed, then idle connections are closed and requests in flight finished.
--- a/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.magnoliaswitch.front.load.PartPicker;
 import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.version.Route;
 
 /** What outlives a configuration version for each route and service; used by one thread only. */
@@ -14,6 +15,7 @@
   private final Map<String, PartPicker> pickers = new HashMap<>();
   private final Map<String, LatencyBaseline> baselines = new HashMap<>();
   private final Map<String, RepeatBudget> budgets = new HashMap<>();
+  private final Map<String, ServiceLoad> loads = new HashMap<>();
 
   public RouteState(RandomGenerator random, RepeatBudget.Limits repeatLimits) {
     this.random = random;
@@ -35,6 +37,11 @@
     return baselines.computeIfAbsent(route.name(), name -> new LatencyBaseline(route));
   }
 
+  /** What the servers of a service hold on average. */
+  public ServiceLoad load(String service) {
+    return loads.computeIfAbsent(service, name -> new ServiceLoad());
+  }
+
   /** Budget of further sends to a service. */
   public RepeatBudget budget(String service) {
     return budgets.computeIfAbsent(service, name -> new RepeatBudget(repeatLimits));
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -47,6 +47,12 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /** The connections to a server; a server that has left since keeps a pool of its own. */
+  public ServerPool poolOf(ServerState state) {
+    ServerPool pool = byId.get(state.entry().id());
+    return pool != null && pool.state() == state ? pool : new ServerPool(state, connector, clocks);
+  }
+
   /** All servers. */
   public Collection<ServerPool> all() {
     return byId.values();
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -196,11 +196,15 @@
     String load = whole.headers().get(environment.names().load());
     if (load != null) {
       int own = pool.state().inFlight();
-      LoadSample.parse(load)
-          .ifPresent(sample -> pool.state().sampled(sample, own, environment.clocks().nanos()));
+      LoadSample.parse(load).ifPresent(sample -> sampled(sample, own));
     }
   }
 
+  private void sampled(LoadSample sample, int own) {
+    pool.state().sampled(sample, own, environment.clocks().nanos());
+    environment.routeState().load(pool.state().entry().service()).sampled(sample);
+  }
+
   private void end() {
     ended = true;
     pool.state().ended();
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -14,14 +14,11 @@
 import org.magnoliaswitch.front.connection.RequestHandler;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
-import org.magnoliaswitch.front.load.Placement;
-import org.magnoliaswitch.front.load.Placement.Ranked;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.LatencyBaseline;
 import org.magnoliaswitch.front.version.Route;
-import org.magnoliaswitch.front.version.ServicePolicy;
 
 /**
  * One request of a caller, from its last byte to its final answer.
@@ -31,14 +28,11 @@
  * unknown, and the answer says so: 502 or 504, never 503.
  */
 final class Exchange implements RequestHandler.Call {
-  /** Candidates asked for their load: of three, one is undisturbed nearly always. */
-  private static final int PROBED = 3;
+  /** Part of its objective that a request waits for room before it is refused. */
+  private static final double WAIT_SHARE = 0.125;
 
-  /** A load sample this young needs no confirmation. */
-  private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
-
-  /** A sample that shows no more than this counts as undisturbed. */
-  private static final double UNDISTURBED = 1.3;
+  /** Time between two looks for room while nothing is heard from servers. */
+  private static final long LOOK_AGAIN_MILLIS = 12;
 
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
@@ -49,7 +43,8 @@
   private static final long RETRY_AFTER_SPAN_NANOS = TimeUnit.MILLISECONDS.toNanos(160);
 
   private final Environment environment;
-  private final Probes probes;
+  private final ServerSearch search;
+  private final WaitingLine line;
   private final CallerRequest request;
   private final Consumer<CallerAnswer> answer;
   private final String requestId;
@@ -59,18 +54,22 @@
   private String service = "";
   private long deadlineNanos;
   private Loop.@Nullable Timer timer;
+  private int searches;
   private int sends;
   private int unreachable;
   private boolean perhapsRun;
+  private boolean inLine;
   private boolean done;
 
   Exchange(
       Environment environment,
-      Probes probes,
+      ServerSearch search,
+      WaitingLine line,
       CallerRequest request,
       Consumer<CallerAnswer> answer) {
     this.environment = environment;
-    this.probes = probes;
+    this.search = search;
+    this.line = line;
     this.request = request;
     this.answer = answer;
     this.requestId = request.headers().get(environment.names().requestId(), "");
@@ -101,6 +100,7 @@
       return;
     }
     done = true;
+    leaveLine();
     cancelTimer();
     // Work nobody waits for is cancelled only where a half-done run does no harm.
     if (route == null || route.idempotent()) {
@@ -122,70 +122,84 @@
   }
 
   private void place() {
-    if (done) {
-      return;
+    if (!done) {
+      searches++;
+      int current = searches;
+      search.search(requireRoute(), service, tried, result -> found(result, current));
     }
-    List<Ranked> ranked = rank();
-    if (ranked.isEmpty()) {
-      noServer();
+  }
+
+  private void found(ServerSearch.Result result, int asked) {
+    // While a search waits for health checks, an answer may have offered room: the request went
+    // there, and a second send would run it twice.
+    if (done || asked != searches) {
       return;
     }
-    ServerState best = ranked.getFirst().server();
-    long now = environment.clocks().nanos();
-    boolean fresh =
-        best.hasSample()
-            && best.sampleAgeNanos(now) < FRESH_NANOS
-            && best.sample().slowness() <= UNDISTURBED;
-    Optional<ServicePolicy> policy = environment.routes().get().service(service);
-    boolean reporting = ranked.stream().anyMatch(r -> r.server().hasSample());
-    if (fresh || !reporting || policy.isEmpty()) {
-      send(poolOf(best));
-      return;
+    switch (result) {
+      case ServerSearch.Result.Chosen chosen -> {
+        leaveLine();
+        send(environment.servers().poolOf(chosen.server()));
+      }
+      case ServerSearch.Result.Full full -> waitForRoom();
+      case ServerSearch.Result.None none -> giveUp("no_server");
     }
-    List<ServerPool> candidates =
-        ranked.stream().limit(PROBED).map(r -> poolOf(r.server())).toList();
-    probes.ask(candidates, policy.get().healthPath(), this::chooseAfterProbes);
   }
 
-  private void chooseAfterProbes() {
-    if (done) {
+  private void waitForRoom() {
+    long waited = environment.clocks().nanos() - request.readNanos();
+    if (waited > WAIT_SHARE * requireRoute().objectiveNanos()) {
+      giveUp("no_room");
       return;
     }
-    List<Ranked> ranked = rank();
-    if (ranked.isEmpty()) {
-      noServer();
-    } else {
-      send(poolOf(ranked.getFirst().server()));
+    if (!inLine) {
+      inLine = true;
+      line.add(service, this);
     }
+    int current = searches;
+    environment.loop().afterMillis(LOOK_AGAIN_MILLIS, () -> lookAgain(current));
   }
 
-  private List<Ranked> rank() {
-    Route current = requireRoute();
-    List<ServerState> eligible = new ArrayList<>();
-    for (ServerPool pool : environment.servers().of(service)) {
-      if (pool.state().acceptsWork() && !tried.contains(pool.state().entry().id())) {
-        eligible.add(pool.state());
-      }
+  private void lookAgain(int asked) {
+    if (inLine && asked == searches) {
+      place();
     }
-    Placement.Context context =
-        new Placement.Context(
-            environment.routeState().baseline(current).nanos(),
-            current.objectiveNanos(),
-            environment.settings().dataCentre(),
-            environment.clocks().nanos());
-    return Placement.rank(eligible, context, environment.random());
-  }
-
-  private ServerPool poolOf(ServerState state) {
-    for (ServerPool pool : environment.servers().of(service)) {
-      if (pool.state() == state) {
-        return pool;
-      }
+  }
+
+  private void leaveLine() {
+    if (inLine) {
+      inLine = false;
+      line.remove(service, this);
+    }
+  }
+
+  /** A server's answer has told of room there: the first in line may take it. */
+  private void offerRoom(ServerState server) {
+    Optional<Exchange> first = line.first(service);
+    if (first.isPresent() && search.hasRoom(server, service)) {
+      // Deferred, so that the connection that brought the answer is back in its pool.
+      environment.loop().execute(() -> first.get().take(server));
+    }
+  }
+
+  private void take(ServerState server) {
+    if (inLine && !tried.contains(server.entry().id()) && server.acceptsWork()) {
+      leaveLine();
+      send(environment.servers().poolOf(server));
     }
-    throw new IllegalStateException("a ranked server is in the directory");
+  }
+
+  /** Rank of the route among others; 0 is the most urgent. */
+  int priority() {
+    return requireRoute().priority();
+  }
+
+  /** When an answer loses most of its worth. */
+  long objectiveEndNanos() {
+    return request.readNanos() + requireRoute().objectiveNanos();
   }
 
   private void send(ServerPool pool) {
+    searches++;
     tried.add(pool.state().entry().id());
     Attempt attempt = new Attempt(this, environment, pool, request, requestId);
     open.add(attempt);
@@ -210,15 +224,7 @@
   void unreachable(Attempt attempt, String reason) {
     open.remove(attempt);
     unreachable++;
-    environment
-        .log()
-        .trouble(
-            "unreachable",
-            "request=%s service=%s server=%s reason=%s",
-            requestId,
-            service,
-            attempt.serverId(),
-            reason);
+    trouble("unreachable", attempt, "reason=" + reason);
     if (done) {
       return;
     }
@@ -231,15 +237,7 @@
 
   void rejected(Attempt attempt, int status) {
     open.remove(attempt);
-    environment
-        .log()
-        .trouble(
-            "rejected",
-            "request=%s service=%s server=%s status=%d",
-            requestId,
-            service,
-            attempt.serverId(),
-            status);
+    trouble("rejected", attempt, "status=" + status);
     if (done) {
       return;
     }
@@ -253,15 +251,7 @@
   void broken(Attempt attempt, String reason) {
     open.remove(attempt);
     perhapsRun = true;
-    environment
-        .log()
-        .trouble(
-            "broken",
-            "request=%s service=%s server=%s reason=%s",
-            requestId,
-            service,
-            attempt.serverId(),
-            reason);
+    trouble("broken", attempt, "reason=" + reason);
     if (done) {
       return;
     }
@@ -295,6 +285,7 @@
   void learnLatency(long tookNanos, ServerState server) {
     LatencyBaseline baseline = environment.routeState().baseline(requireRoute());
     double slowness = Math.max(1, server.sample().slowness());
+    offerRoom(server);
     server.succeeded(tookNanos / (baseline.nanos() * slowness), environment.clocks().nanos());
     baseline.learn(tookNanos / slowness);
   }
@@ -315,10 +306,6 @@
             .spend(environment.instances().get(), environment.clocks().nanos());
   }
 
-  private void noServer() {
-    giveUp("no_server");
-  }
-
   private void giveUp(String reason) {
     if (perhapsRun) {
       finish(Answers.unknown(HttpResponseStatus.BAD_GATEWAY, reason), reason);
@@ -352,11 +339,24 @@
       return;
     }
     done = true;
+    leaveLine();
     cancelTimer();
     log(outcome.equals("answered"), outcome, result.status().code());
     answer.accept(result);
   }
 
+  private void trouble(String event, Attempt attempt, String cause) {
+    environment
+        .log()
+        .trouble(
+            event,
+            "request=%s service=%s server=%s %s",
+            requestId,
+            service,
+            attempt.serverId(),
+            cause);
+  }
+
   private void cancelTimer() {
     if (timer != null) {
       timer.cancel();
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -12,11 +12,12 @@
 /** Starts an {@link Exchange} for each request of a caller. */
 public final class FrontDispatcher implements RequestHandler {
   private final Environment environment;
-  private final Probes probes;
+  private final ServerSearch search;
+  private final WaitingLine line = new WaitingLine();
 
   public FrontDispatcher(Environment environment) {
     this.environment = environment;
-    this.probes = new Probes(environment);
+    this.search = new ServerSearch(environment, new Probes(environment));
   }
 
   @Override
@@ -26,7 +27,7 @@
 
   @Override
   public Call start(CallerRequest request, Consumer<CallerAnswer> answer) {
-    Exchange exchange = new Exchange(environment, probes, request, answer);
+    Exchange exchange = new Exchange(environment, search, line, request, answer);
     exchange.start(route(request));
     return exchange;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -148,6 +148,11 @@
       }
     }
 
+    private void sampled(LoadSample sample, int own) {
+      pool.state().sampled(sample, own, environment.clocks().nanos());
+      environment.routeState().load(pool.state().entry().service()).sampled(sample);
+    }
+
     private void learn(ServerReply.Whole whole) {
       String id = whole.headers().get(environment.names().serverId());
       if (id != null && !id.equals(pool.state().entry().id())) {
@@ -160,8 +165,7 @@
       String load = whole.headers().get(environment.names().load());
       if (load != null) {
         int own = pool.state().inFlight();
-        LoadSample.parse(load)
-            .ifPresent(sample -> pool.state().sampled(sample, own, environment.clocks().nanos()));
+        LoadSample.parse(load).ifPresent(sample -> sampled(sample, own));
       }
     }
   }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -0,0 +1,122 @@
+package org.magnoliaswitch.front.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.load.Placement;
+import org.magnoliaswitch.front.load.Placement.Ranked;
+import org.magnoliaswitch.front.load.Room;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.ServicePolicy;
+
+/** Finds the server for a request, asking the best candidates for their load when news are old. */
+final class ServerSearch {
+  /** Candidates asked for their load: of three, one is undisturbed nearly always. */
+  private static final int PROBED = 3;
+
+  /** A load sample this young needs no confirmation. */
+  private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+  /** A sample that shows no more than this counts as undisturbed. */
+  private static final double UNDISTURBED = 1.3;
+
+  /** What a search found. */
+  sealed interface Result {
+    /** A server with room. */
+    record Chosen(ServerState server) implements Result {}
+
+    /** There are servers, and all of them are busy. */
+    record Full() implements Result {}
+
+    /** No server may get the request. */
+    record None() implements Result {}
+  }
+
+  private final Environment environment;
+  private final Probes probes;
+
+  ServerSearch(Environment environment, Probes probes) {
+    this.environment = environment;
+    this.probes = probes;
+  }
+
+  /**
+   * Looks for a server; the result may come at once or a few milliseconds later.
+   *
+   * @param excluded ids of servers that the request was sent to before
+   */
+  void search(Route route, String service, Set<String> excluded, Consumer<Result> found) {
+    List<Ranked> ranked = rank(route, service, excluded);
+    Optional<ServerState> best = firstWithRoom(ranked, service);
+    Optional<ServicePolicy> policy = environment.routes().get().service(service);
+    boolean reporting = ranked.stream().anyMatch(candidate -> candidate.server().hasSample());
+    boolean worthAsking = !ranked.isEmpty() && reporting && policy.isPresent();
+    if (!worthAsking || best.filter(this::confirmed).isPresent()) {
+      found.accept(result(ranked, best));
+      return;
+    }
+    List<ServerPool> candidates =
+        ranked.stream()
+            .limit(PROBED)
+            .map(candidate -> environment.servers().poolOf(candidate.server()))
+            .toList();
+    probes.ask(
+        candidates,
+        policy.get().healthPath(),
+        () -> {
+          List<Ranked> again = rank(route, service, excluded);
+          found.accept(result(again, firstWithRoom(again, service)));
+        });
+  }
+
+  private static Result result(List<Ranked> ranked, Optional<ServerState> best) {
+    if (ranked.isEmpty()) {
+      return new Result.None();
+    }
+    return best.<Result>map(Result.Chosen::new).orElseGet(Result.Full::new);
+  }
+
+  private boolean confirmed(ServerState server) {
+    return server.hasSample()
+        && server.sampleAgeNanos(environment.clocks().nanos()) < FRESH_NANOS
+        && server.sample().slowness() <= UNDISTURBED;
+  }
+
+  private Optional<ServerState> firstWithRoom(List<Ranked> ranked, String service) {
+    for (Ranked candidate : ranked) {
+      if (hasRoom(candidate.server(), service)) {
+        return Optional.of(candidate.server());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Whether a server should get one more request now. */
+  boolean hasRoom(ServerState server, String service) {
+    double mean = environment.routeState().load(service).meanHeld();
+    return server.acceptsWork() && Room.hasRoom(server, mean, environment.clocks().nanos());
+  }
+
+  private List<Ranked> rank(Route route, String service, Set<String> excluded) {
+    List<ServerState> eligible = new ArrayList<>();
+    for (ServerPool pool : environment.servers().of(service)) {
+      if (pool.state().acceptsWork() && !excluded.contains(pool.state().entry().id())) {
+        eligible.add(pool.state());
+      }
+    }
+    Placement.Context context =
+        new Placement.Context(
+            environment.routeState().baseline(route).nanos(),
+            route.objectiveNanos(),
+            environment.routeState().load(service).meanHeld(),
+            environment.settings().dataCentre(),
+            environment.clocks().nanos());
+    return Placement.rank(eligible, context, environment.random());
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
@@ -20,7 +20,7 @@
   private final RandomGenerator random = new java.util.Random(7);
 
   private String best(List<ServerState> servers, long now) {
-    Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, "here", now);
+    Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, 1, "here", now);
     return Placement.rank(servers, context, random).getFirst().server().entry().id();
   }
 
@@ -50,7 +50,7 @@
     public void anOldSampleOfASlowMomentFades() {
       ServerState once = Servers.told("once-slow", 0, 4, NOW);
       long later = NOW + TimeUnit.SECONDS.toNanos(2);
-      Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, "here", later);
+      Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, 1, "here", later);
       double usual = Placement.predictedNanos(Servers.told("x", 0, 1.75, later), context);
       assertEquals(Placement.predictedNanos(once, context) / usual, 1.0, 0.05);
     }
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -0,0 +1,143 @@
+package org.magnoliaswitch.front.testing;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.FrontProcess;
+import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.process.Front;
+import org.magnoliaswitch.front.process.FrontSettings;
+import org.magnoliaswitch.front.process.NewsSource;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.magnoliaswitch.front.version.ServerList;
+import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.WeightedService;
+
+/** An instance on free ports with a fixed configuration: {@code /safe/} and {@code /once/}. */
+public final class RunningFront {
+  private static final HeaderNames NAMES =
+      new HeaderNames(
+          "Request-Id", "Deadline-Millis", "Expected-Server", "Not-Run", "Load", "Server-Id");
+  private static final RepeatBudget.Limits REPEATS =
+      new RepeatBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
+
+  private final Front front;
+
+  /**
+   * Starts an instance and waits until it knows its servers.
+   *
+   * @param timeoutMillis timeout of both routes
+   */
+  public RunningFront(long timeoutMillis, ScriptedServer... servers) throws IOException {
+    long timeout = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    RouteTable routes =
+        new RouteTable(
+            1,
+            List.of(route("safe", true, timeout), route("once", false, timeout)),
+            List.of(new ServicePolicy("s", "/health", 100)),
+            CallerLimits.DEFAULT);
+    Map<String, ServerEntry> entries = new HashMap<>();
+    for (ScriptedServer server : servers) {
+      entries.put(server.entry().id(), server.entry());
+    }
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    FrontSettings settings =
+        new FrontSettings(
+            "test",
+            "here",
+            any,
+            any,
+            any,
+            List.of(),
+            false,
+            0,
+            TimeUnit.SECONDS.toNanos(2),
+            REPEATS,
+            100);
+    front =
+        FrontProcess.start(
+            settings, NAMES, (loop, log) -> new Fixed(routes, new ServerList(1, entries)));
+    String answer = "503";
+    while (answer.contains("no_configuration") || answer.equals("503")) {
+      answer = ask("GET", "/none/", 100);
+    }
+  }
+
+  /** Ends the instance. */
+  public void stop(Runnable stopped) {
+    front.stop(stopped);
+  }
+
+  private static Route route(String name, boolean idempotent, long timeout) {
+    List<WeightedService> parts = List.of(new WeightedService("s", 1));
+    return new Route(name, "h", "/" + name + "/", idempotent, timeout, timeout / 3, 0, 2, parts);
+  }
+
+  /** Sends a request on a connection of its own and returns all bytes of the answer. */
+  public String ask(String method, String path, long deadlineMillis) throws IOException {
+    try (Socket socket = connect()) {
+      send(socket, method, path, deadlineMillis, "Connection: close\r\n");
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  /** Opens a caller's connection. */
+  public Socket connect() throws IOException {
+    return new Socket("127.0.0.1", front.callerAddress().getPort());
+  }
+
+  /** Writes a request. */
+  public static void send(
+      Socket socket, String method, String path, long deadlineMillis, String more)
+      throws IOException {
+    String request =
+        "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: id-%s\r\nDeadline-Millis: %d\r\n%s\r\n"
+            .formatted(method, path, path, deadlineMillis, more);
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  /** Reads until a text has come. */
+  public static String readUntil(Socket socket, String end) throws IOException {
+    InputStream in = socket.getInputStream();
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    while (!bytes.toString(StandardCharsets.ISO_8859_1).endsWith(end)) {
+      int next = in.read();
+      if (next < 0) {
+        break;
+      }
+      bytes.write(next);
+    }
+    return bytes.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** A source that never changes. */
+  private record Fixed(RouteTable routes, ServerList servers) implements NewsSource {
+    @Override
+    public void configuration(Consumer<Read<RouteTable>> listener) {
+      listener.accept(new Read.Known<>(routes));
+    }
+
+    @Override
+    public void nextConfiguration(Consumer<Read<RouteTable>> listener) {
+      // Nothing ever changes, so the wait never ends.
+    }
+
+    @Override
+    public void servers(Consumer<Read<ServerList>> listener) {
+      listener.accept(new Read.Known<>(servers));
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
@@ -0,0 +1,181 @@
+package org.magnoliaswitch.front.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.magnoliaswitch.front.version.ServerEntry;
+
+/** A backend server that does to each request what a test says, down to the bytes. */
+public final class ScriptedServer implements AutoCloseable {
+  /** What to do with one request. */
+  @FunctionalInterface
+  public interface Script {
+    /** Handles a request; returns whether the connection is kept. */
+    boolean handle(Received request) throws IOException, InterruptedException;
+  }
+
+  /** One request as it came. */
+  public static final class Received {
+    private final String head;
+    private final Socket socket;
+
+    Received(String head, Socket socket) {
+      this.head = head;
+      this.socket = socket;
+    }
+
+    /** Value of a header, or an empty text. */
+    public String header(String name) {
+      int at = head.toLowerCase(Locale.ROOT).indexOf("\r\n" + name.toLowerCase(Locale.ROOT) + ":");
+      if (at < 0) {
+        return "";
+      }
+      int start = at + name.length() + 3;
+      return head.substring(start, head.indexOf("\r\n", start)).strip();
+    }
+
+    /** Request line. */
+    public String line() {
+      return head.substring(0, head.indexOf("\r\n"));
+    }
+
+    /** Writes bytes as they are. */
+    public void write(String bytes) throws IOException {
+      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+
+    /** Writes a whole answer that echoes the request's id. */
+    public boolean answer(int status, String body) throws IOException {
+      write(
+          "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
+              .formatted(status, header("Request-Id"), body.length(), body));
+      return true;
+    }
+
+    /** Ends the connection with a reset. */
+    public boolean reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      return false;
+    }
+
+    /** Lets what was written arrive before something harsh follows. */
+    public void awaitCloseOrPause() throws IOException {
+      socket.setSoTimeout(50);
+      try {
+        awaitClose();
+      } catch (java.net.SocketTimeoutException e) {
+        socket.setSoTimeout(0);
+      }
+    }
+
+    /** Waits until the other side closes. */
+    public void awaitClose() throws IOException {
+      int unused = socket.getInputStream().read();
+    }
+  }
+
+  private final String id;
+  private final ServerSocket listener;
+  private final Script script;
+  private final List<Received> received = new CopyOnWriteArrayList<>();
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final CountDownLatch first = new CountDownLatch(1);
+
+  public ScriptedServer(String id, Script script) throws IOException {
+    this.id = id;
+    this.script = script;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  /** How discovery lists it. */
+  public ServerEntry entry() {
+    return new ServerEntry(
+        id, "s", "127.0.0.1", listener.getLocalPort(), "here", Servers.SLOTS, false, 0);
+  }
+
+  /** Requests that came, health checks left out. */
+  public List<Received> received() {
+    return received;
+  }
+
+  /** Waits until the first request has come. */
+  public void awaitFirst() throws InterruptedException {
+    first.await();
+  }
+
+  /** Waits until this server or another has had a request. */
+  public void awaitFirstOf(ScriptedServer other) throws InterruptedException {
+    while (received.isEmpty() && other.received.isEmpty()) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        open.add(socket);
+        Thread.ofVirtual().start(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      boolean keep = true;
+      while (keep) {
+        String head = readRequest(socket.getInputStream());
+        if (head.isEmpty()) {
+          return;
+        }
+        Received request = new Received(head, socket);
+        received.add(request);
+        first.countDown();
+        keep = script.handle(request);
+      }
+    } catch (IOException e) {
+      // The other side went away, as some tests mean it to.
+      return;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String readRequest(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return "";
+      }
+      head.append((char) next);
+    }
+    int at = head.toString().toLowerCase(Locale.ROOT).indexOf("content-length:");
+    if (at >= 0) {
+      String value = head.substring(at + 15, head.indexOf("\r\n", at)).strip();
+      byte[] unused = in.readNBytes(Integer.parseInt(value));
+    }
+    return head.toString();
+  }
+}
