--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -11,6 +11,7 @@
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
 import org.magnoliaswitch.front.process.Front;
+import org.magnoliaswitch.front.process.FrontMetrics;
 import org.magnoliaswitch.front.process.FrontSettings;
 import org.magnoliaswitch.front.process.News;
 import org.magnoliaswitch.front.process.NewsSource;
@@ -58,7 +59,8 @@
             servers,
             new RouteState(random, settings.repeats()),
             new AtomicInteger(ASSUMED_INSTANCES),
-            log);
+            log,
+            new FrontMetrics());
     Beliefs beliefs = new Beliefs(routes, servers, requests, log);
     News news = new News(environment, beliefs, control, source.apply(control, log));
     news.start();
--- a/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -28,4 +28,5 @@
     ServerDirectory servers,
     RouteState routeState,
     AtomicInteger instances,
-    EventLog log) {}
+    EventLog log,
+    FrontMetrics metrics) {}
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -39,6 +39,11 @@
   public void start() {
     Loop loop = environment.loop();
     new StatusListener(loop, this::readiness).bind(environment.settings().readiness());
+    FrontSettings settings = environment.settings();
+    InetSocketAddress metrics =
+        new InetSocketAddress(settings.readiness().getAddress(), settings.metricsPort());
+    new StatusListener(loop, () -> new StatusListener.Status(true, environment.metrics().scrape()))
+        .bind(metrics);
     callers.bind(environment.settings().callers());
     loop.everyMillis(SWEEP_MILLIS, environment.servers()::sweep);
     environment.log().belief("start", "instance=%s", environment.settings().instance());
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -12,6 +12,7 @@
 /** Everything by which this instance learns and passes on configuration and discovery. */
 public final class News {
   private final Environment environment;
+  private final Beliefs beliefs;
   private final Loop loop;
   private final PeerHub hub;
   private final NewsReader reader;
@@ -19,6 +20,7 @@
 
   public News(Environment environment, Beliefs beliefs, Loop control, NewsSource source) {
     this.environment = environment;
+    this.beliefs = beliefs;
     this.loop = control;
     FrontSettings settings = environment.settings();
     ReadingPlan plan =
@@ -27,16 +29,7 @@
             settings.seeds(),
             settings.firstStart(),
             environment.random().nextInt(ReadingPlan.JITTER_SPAN_MILLIS));
-    this.reader =
-        new NewsReader(
-            source,
-            beliefs,
-            plan,
-            control,
-            environment.clocks(),
-            environment.random(),
-            environment.log(),
-            this::tell);
+    this.reader = new NewsReader(source, beliefs, plan, control, environment, this::tell);
     this.hub =
         new PeerHub(
             control,
@@ -57,6 +50,10 @@
       }
     }
     reader.start();
+    environment.metrics().gauge("configuration.version", beliefs::routesVersion);
+    environment.metrics().gauge("knowledge.age.milliseconds", reader::ageMillis);
+    environment.metrics().gauge("instances", () -> environment.instances().get());
+    environment.metrics().gauge("servers", () -> beliefs.servers().servers().size());
   }
 
   private void heard(InetSocketAddress seed, PeerNews news, ServerList servers) {
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -26,6 +26,7 @@
   private final Beliefs beliefs;
   private final ReadingPlan plan;
   private final Loop loop;
+  private final Environment environment;
   private final Clocks clocks;
   private final RandomGenerator random;
   private final EventLog log;
@@ -46,19 +47,18 @@
       Beliefs beliefs,
       ReadingPlan plan,
       Loop loop,
-      Clocks clocks,
-      RandomGenerator random,
-      EventLog log,
+      Environment environment,
       Runnable changed) {
     this.source = source;
     this.beliefs = beliefs;
     this.plan = plan;
     this.loop = loop;
-    this.clocks = clocks;
-    this.random = random;
-    this.log = log;
+    this.environment = environment;
+    this.clocks = environment.clocks();
+    this.random = environment.random();
+    this.log = environment.log();
     this.changed = changed;
-    this.startedNanos = clocks.nanos();
+    this.startedNanos = environment.clocks().nanos();
   }
 
   /** Begins to read. */
@@ -141,6 +141,7 @@
   }
 
   private void serversRead(NewsSource.Read<ServerList> read, long asOf) {
+    environment.metrics().count("platform.reads", "", "ended");
     switch (read) {
       case NewsSource.Read.Known<ServerList> known -> {
         if (sourceLost) {
@@ -161,6 +162,7 @@
   }
 
   private void failed(String what, String reason) {
+    environment.metrics().count("platform.reads", "", "failed");
     keeper.failed();
     if (!sourceLost) {
       log.belief("source_lost", "reading=%s reason=%s age_ms=%d", what, reason, ageMillis());
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -43,11 +43,12 @@
   private static final long RETRY_AFTER_SPAN_NANOS = TimeUnit.MILLISECONDS.toNanos(160);
 
   private final Environment environment;
-  private final ServerSearch search;
+  private final ServerFinder search;
   private final WaitingLine line;
   private final CallerRequest request;
   private final Consumer<CallerAnswer> answer;
   private final String requestId;
+  private final RequestReport report;
   private final Set<String> tried = new HashSet<>();
   private final List<Attempt> open = new ArrayList<>();
   private @Nullable Route route;
@@ -63,7 +64,7 @@
 
   Exchange(
       Environment environment,
-      ServerSearch search,
+      ServerFinder search,
       WaitingLine line,
       CallerRequest request,
       Consumer<CallerAnswer> answer) {
@@ -73,6 +74,7 @@
     this.request = request;
     this.answer = answer;
     this.requestId = request.headers().get(environment.names().requestId(), "");
+    this.report = new RequestReport(environment, requestId);
   }
 
   void start(Optional<Route> found) {
@@ -106,7 +108,7 @@
     if (route == null || route.idempotent()) {
       open.forEach(Attempt::abandon);
     }
-    log(false, "caller_left", 0);
+    reportEnd("caller_left", 0);
   }
 
   private long callerWaitNanos(Route current) {
@@ -129,19 +131,19 @@
     }
   }
 
-  private void found(ServerSearch.Result result, int asked) {
+  private void found(ServerFinder.Result result, int asked) {
     // While a search waits for health checks, an answer may have offered room: the request went
     // there, and a second send would run it twice.
     if (done || asked != searches) {
       return;
     }
     switch (result) {
-      case ServerSearch.Result.Chosen chosen -> {
+      case ServerFinder.Result.Chosen chosen -> {
         leaveLine();
         send(environment.servers().poolOf(chosen.server()));
       }
-      case ServerSearch.Result.Full full -> waitForRoom();
-      case ServerSearch.Result.None none -> giveUp("no_server");
+      case ServerFinder.Result.Full full -> waitForRoom();
+      case ServerFinder.Result.None none -> giveUp("no_server");
     }
   }
 
@@ -177,11 +179,12 @@
     Optional<Exchange> first = line.first(service);
     if (first.isPresent() && search.hasRoom(server, service)) {
       // Deferred, so that the connection that brought the answer is back in its pool.
-      environment.loop().execute(() -> first.get().take(server));
+      environment.loop().execute(() -> first.get().offered(server));
     }
   }
 
-  private void take(ServerState server) {
+  /** Takes room that was offered, unless the request has gone elsewhere since. */
+  void offered(ServerState server) {
     if (inLine && !tried.contains(server.entry().id()) && server.acceptsWork()) {
       leaveLine();
       send(environment.servers().poolOf(server));
@@ -224,7 +227,7 @@
   void unreachable(Attempt attempt, String reason) {
     open.remove(attempt);
     unreachable++;
-    trouble("unreachable", attempt, "reason=" + reason);
+    report.attempt("unreachable", service, attempt.serverId(), "reason=" + reason);
     if (done) {
       return;
     }
@@ -237,7 +240,7 @@
 
   void rejected(Attempt attempt, int status) {
     open.remove(attempt);
-    trouble("rejected", attempt, "status=" + status);
+    report.attempt("rejected", service, attempt.serverId(), "status=" + status);
     if (done) {
       return;
     }
@@ -251,7 +254,7 @@
   void broken(Attempt attempt, String reason) {
     open.remove(attempt);
     perhapsRun = true;
-    trouble("broken", attempt, "reason=" + reason);
+    report.attempt("broken", service, attempt.serverId(), "reason=" + reason);
     if (done) {
       return;
     }
@@ -278,7 +281,7 @@
         promisesNotRun(status)
             ? Answers.unknown(HttpResponseStatus.BAD_GATEWAY, "unconfirmed_refusal")
             : new CallerAnswer(whole.status(), Headers.endToEnd(whole.headers()), whole.body());
-    finish(result, failed ? "server_failed" : "answered");
+    finish(result, failed ? "server_failed" : RequestReport.ANSWERED);
   }
 
   /** Compares a whole answer's latency with what was expected of the server. */
@@ -286,6 +289,7 @@
     LatencyBaseline baseline = environment.routeState().baseline(requireRoute());
     double slowness = Math.max(1, server.sample().slowness());
     offerRoom(server);
+    environment.metrics().latency(service, tookNanos);
     server.succeeded(tookNanos / (baseline.nanos() * slowness), environment.clocks().nanos());
     baseline.learn(tookNanos / slowness);
   }
@@ -341,50 +345,20 @@
     done = true;
     leaveLine();
     cancelTimer();
-    log(outcome.equals("answered"), outcome, result.status().code());
+    reportEnd(outcome, result.status().code());
     answer.accept(result);
   }
 
-  private void trouble(String event, Attempt attempt, String cause) {
-    environment
-        .log()
-        .trouble(
-            event,
-            "request=%s service=%s server=%s %s",
-            requestId,
-            service,
-            attempt.serverId(),
-            cause);
-  }
-
   private void cancelTimer() {
     if (timer != null) {
       timer.cancel();
     }
   }
 
-  private void log(boolean success, String outcome, int status) {
-    long took = environment.clocks().nanos() - request.readNanos();
+  private void reportEnd(String outcome, int status) {
     String name = route == null ? "-" : route.name();
-    String format =
-        "request=%s route=%s service=%s outcome=%s status=%d sends=%d servers=%s took_ms=%d"
-            + " version=%d";
-    Object[] values = {
-      requestId,
-      name,
-      service,
-      outcome,
-      status,
-      sends,
-      String.join("/", tried),
-      TimeUnit.NANOSECONDS.toMillis(took),
-      environment.routes().get().version()
-    };
-    if (success) {
-      environment.log().routine("end", format, values);
-    } else {
-      environment.log().trouble("end", format, values);
-    }
+    long took = environment.clocks().nanos() - request.readNanos();
+    report.end(name, service, outcome, status, sends, tried, took);
   }
 
   private Route requireRoute() {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -132,15 +132,22 @@
 
     void ended(ServerReply reply) {
       ended = true;
+      boolean answered = reply instanceof ServerReply.Whole;
+      environment.metrics().count("probes", service(), answered ? "answered" : "broken");
       if (reply instanceof ServerReply.Whole whole) {
         learn(whole);
       }
       round.answered();
     }
 
+    private String service() {
+      return pool.state().entry().service();
+    }
+
     void silent() {
       if (!ended) {
         ended = true;
+        environment.metrics().count("probes", service(), "silent");
         connection.abandon();
         pool.state().failed(environment.clocks().nanos());
         environment.log().trouble("probe_silent", "server=%s", pool.state().entry().id());
@@ -150,7 +157,7 @@
 
     private void sampled(LoadSample sample, int own) {
       pool.state().sampled(sample, own, environment.clocks().nanos());
-      environment.routeState().load(pool.state().entry().service()).sampled(sample);
+      environment.routeState().load(service()).sampled(sample);
     }
 
     private void learn(ServerReply.Whole whole) {
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
@@ -0,0 +1,31 @@
+package org.magnoliaswitch.front.request;
+
+import java.util.Set;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.version.Route;
+
+/** Finds the server for a request. */
+interface ServerFinder {
+  /** What a search found. */
+  sealed interface Result {
+    /** A server with room. */
+    record Chosen(ServerState server) implements Result {}
+
+    /** There are servers, and all of them are busy. */
+    record Full() implements Result {}
+
+    /** No server may get the request. */
+    record None() implements Result {}
+  }
+
+  /**
+   * Looks for a server; the result may come at once or a few milliseconds later.
+   *
+   * @param excluded ids of servers that the request was sent to before
+   */
+  void search(Route route, String service, Set<String> excluded, Consumer<Result> found);
+
+  /** Whether a server should get one more request now. */
+  boolean hasRoom(ServerState server, String service);
+}
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -16,7 +16,7 @@
 import org.magnoliaswitch.front.version.ServicePolicy;
 
 /** Finds the server for a request, asking the best candidates for their load when news are old. */
-final class ServerSearch {
+final class ServerSearch implements ServerFinder {
   /** Candidates asked for their load: of three, one is undisturbed nearly always. */
   private static final int PROBED = 3;
 
@@ -26,18 +26,6 @@
   /** A sample that shows no more than this counts as undisturbed. */
   private static final double UNDISTURBED = 1.3;
 
-  /** What a search found. */
-  sealed interface Result {
-    /** A server with room. */
-    record Chosen(ServerState server) implements Result {}
-
-    /** There are servers, and all of them are busy. */
-    record Full() implements Result {}
-
-    /** No server may get the request. */
-    record None() implements Result {}
-  }
-
   private final Environment environment;
   private final Probes probes;
 
@@ -46,12 +34,8 @@
     this.probes = probes;
   }
 
-  /**
-   * Looks for a server; the result may come at once or a few milliseconds later.
-   *
-   * @param excluded ids of servers that the request was sent to before
-   */
-  void search(Route route, String service, Set<String> excluded, Consumer<Result> found) {
+  @Override
+  public void search(Route route, String service, Set<String> excluded, Consumer<Result> found) {
     List<Ranked> ranked = rank(route, service, excluded);
     Optional<ServerState> best = firstWithRoom(ranked, service);
     Optional<ServicePolicy> policy = environment.routes().get().service(service);
@@ -97,8 +81,8 @@
     return Optional.empty();
   }
 
-  /** Whether a server should get one more request now. */
-  boolean hasRoom(ServerState server, String service) {
+  @Override
+  public boolean hasRoom(ServerState server, String service) {
     double mean = environment.routeState().load(service).meanHeld();
     return server.acceptsWork() && Room.hasRoom(server, mean, environment.clocks().nanos());
   }
