Late requests leave a slot free; unknown servers are asked first; reads hedged

Change: a request is late when its caller's deadline shows that it has spent its objective, and then finds room only up to three fifths of the slots; a server not heard of is asked on a new connection before its first request and else gets one at a time; an idempotent request goes to a second server when its answer is overdue, only where there is room. Ruled out: a longer wait in line (refusals later than an eighth of the objective cost callers time).

--- a/front/src/main/java/org/magnoliaswitch/front/load/Room.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Room.java
@@ -16,14 +16,35 @@
   /** Lets estimates that fade towards a whole number count as that number. */
   private static final double ROUNDING = 0.25;
 
+  /** Share of busy slots up to which late requests are taken. */
+  private static final double LATE_SHARE = 0.6;
+
   private Room() {}
 
-  /** Whether a server serves more, and not less, with one more request. */
-  public static boolean hasRoom(ServerState server, double meanHeld, long nowNanos) {
+  private static double share(Chance chance) {
+    return switch (chance) {
+      case IN_TIME -> KNEE;
+      case LATE -> LATE_SHARE;
+    };
+  }
+
+  /**
+   * Whether a server should get one more request.
+   *
+   * <p>A server not heard of yet gets one request of this instance at a time, unless its service
+   * never tells its load.
+   *
+   * <p>Late requests leave a slot of each server free. When every second request comes back after a
+   * refusal, they would otherwise take the room of those that can still be in time, and soon nobody
+   * is in time.
+   */
+  public static boolean hasRoom(
+      ServerState server, ServiceLoad service, Chance chance, long nowNanos) {
     if (!server.hasSample()) {
-      return true;
+      // After a restart of all instances everyone's callers return at once and nothing is known.
+      return !service.reporting() || server.inFlight() == 0;
     }
-    double limit = Math.max(1, Math.floor(KNEE * server.sample().slots()));
-    return Placement.held(server, meanHeld, nowNanos) + 1 <= limit + ROUNDING;
+    double limit = Math.max(1, Math.floor(share(chance) * server.sample().slots()));
+    return Placement.held(server, service.meanHeld(), nowNanos) + 1 <= limit + ROUNDING;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -102,6 +102,15 @@
     latencyNanos = nowNanos;
   }
 
+  /** Notes that an answer is late already, so that others are not sent to wait behind it. */
+  public void overdue(double ratioToExpected, long nowNanos) {
+    double before = latencyRatio(nowNanos);
+    if (ratioToExpected > before) {
+      latencyRatio = before + SPEED_WEIGHT * (ratioToExpected - before);
+      latencyNanos = nowNanos;
+    }
+  }
+
   /** Notes a failure that says something about the server. */
   public void failed(long nowNanos) {
     double before = failureShare(nowNanos);
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
@@ -11,12 +11,24 @@
   private static final double WEIGHT = 0.08;
 
   private double meanHeld;
+  private boolean reporting = true;
 
   /** Takes a sample of any server of the service. */
   public void sampled(LoadSample sample) {
+    reporting = true;
     meanHeld += WEIGHT * (sample.held() - meanHeld);
   }
 
+  /** Notes a health check whose answer told no load: asking again would only take a slot. */
+  public void toldNothing() {
+    reporting = false;
+  }
+
+  /** Whether servers of the service tell their load, as far as known. */
+  public boolean reporting() {
+    return reporting;
+  }
+
   /** Requests that a server of the service holds on average. */
   public double meanHeld() {
     return meanHeld;
--- a/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
@@ -15,6 +15,7 @@
   private final Map<String, PartPicker> pickers = new HashMap<>();
   private final Map<String, LatencyBaseline> baselines = new HashMap<>();
   private final Map<String, RepeatBudget> budgets = new HashMap<>();
+  private final Map<String, Long> patience = new HashMap<>();
   private final Map<String, ServiceLoad> loads = new HashMap<>();
 
   public RouteState(RandomGenerator random, RepeatBudget.Limits repeatLimits) {
@@ -32,6 +33,14 @@
         .next(route.parts());
   }
 
+  /**
+   * The longest time that callers of a route wait; those that wait less have spent the difference
+   * on earlier tries.
+   */
+  public long fullPatienceNanos(Route route, long callerWaitNanos) {
+    return patience.merge(route.name(), callerWaitNanos, Math::max);
+  }
+
   /** Usual latency of a route. */
   public LatencyBaseline baseline(Route route) {
     return baselines.computeIfAbsent(route.name(), name -> new LatencyBaseline(route));
--- a/front/src/main/java/org/magnoliaswitch/front/request/Answers.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Answers.java
@@ -6,18 +6,23 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.random.RandomGenerator;
 import org.magnoliaswitch.front.connection.CallerAnswer;
 
 /** Answers that this instance gives itself. */
 final class Answers {
-  private static final double NANOS_PER_SECOND = 1e9;
+  /** Callers that were refused come back spread over a span, so that they do not meet again. */
+  private static final double RETRY_AFTER_MIN_SECONDS = 0.08;
+
+  private static final double RETRY_AFTER_SPAN_SECONDS = 0.16;
 
   private Answers() {}
 
   /** The request has not run and never will; the caller may come back after a while. */
-  static CallerAnswer notRun(String reason, long retryAfterNanos) {
+  static CallerAnswer notRun(String reason, RandomGenerator random) {
     HttpHeaders headers = new DefaultHttpHeaders();
-    String seconds = String.format(Locale.ROOT, "%.3f", retryAfterNanos / NANOS_PER_SECOND);
+    double wait = RETRY_AFTER_MIN_SECONDS + RETRY_AFTER_SPAN_SECONDS * random.nextDouble();
+    String seconds = String.format(Locale.ROOT, "%.3f", wait);
     headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
     return answer(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -27,6 +27,12 @@
   /** How long a server may still be at work on a request whose caller has its answer. */
   private static final long LINGER_MILLIS = 1_500;
 
+  /**
+   * How long the loser of two sends may go on. It must end before a caller that has left since
+   * would find its work still running, which counts from half a second.
+   */
+  private static final long OUTRUN_MILLIS = 300;
+
   private final Exchange exchange;
   private final Environment environment;
   private final ServerPool pool;
@@ -79,6 +85,29 @@
     }
   }
 
+  /** The answer is late: the server is a worse choice for others. */
+  void overdue(double usualNanos) {
+    long now = environment.clocks().nanos();
+    pool.state().overdue((now - sentNanos) / usualNanos, now);
+  }
+
+  /**
+   * Another server's answer was first. The rest of the work is left to end, since cutting it costs
+   * a new connection; a server that never answers is noted as failing.
+   */
+  void outrun() {
+    environment
+        .loop()
+        .afterMillis(
+            OUTRUN_MILLIS,
+            () -> {
+              if (!ended) {
+                pool.state().failed(environment.clocks().nanos());
+                abandon();
+              }
+            });
+  }
+
   /** The caller has its final answer; what the server still does is of no use. */
   void timedOut(boolean idempotent) {
     if (ended || connection == null) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.connection.CallerAnswer;
@@ -14,6 +13,8 @@
 import org.magnoliaswitch.front.connection.RequestHandler;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
+import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.HedgeDelay;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
@@ -37,11 +38,6 @@
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
-  /** Callers that were refused come back spread over this span. */
-  private static final long RETRY_AFTER_MIN_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
-
-  private static final long RETRY_AFTER_SPAN_NANOS = TimeUnit.MILLISECONDS.toNanos(160);
-
   private final Environment environment;
   private final ServerFinder search;
   private final WaitingLine line;
@@ -54,6 +50,7 @@
   private @Nullable Route route;
   private String service = "";
   private long deadlineNanos;
+  private long cameBackAfterNanos;
   private Loop.@Nullable Timer timer;
   private int searches;
   private int sends;
@@ -87,8 +84,10 @@
       return;
     }
     route = found.get();
-    long wait = Math.min(route.timeoutNanos(), callerWaitNanos(route));
+    long wait = CallerWait.nanos(route, request, environment.names());
     deadlineNanos = request.readNanos() + wait;
+    cameBackAfterNanos =
+        CallerWait.spentNanos(route, request, environment.names(), environment.routeState());
     long left = deadlineNanos - environment.clocks().nanos();
     timer = environment.loop().after(left, this::timedOut);
     service = environment.routeState().pick(route);
@@ -111,23 +110,11 @@
     reportEnd("caller_left", 0);
   }
 
-  private long callerWaitNanos(Route current) {
-    String value = request.headers().get(environment.names().deadlineMillis());
-    if (value == null) {
-      return current.timeoutNanos();
-    }
-    try {
-      return TimeUnit.MILLISECONDS.toNanos(Math.max(0, Long.parseLong(value.strip())));
-    } catch (NumberFormatException e) {
-      return current.timeoutNanos();
-    }
-  }
-
   private void place() {
     if (!done) {
       searches++;
       int current = searches;
-      search.search(requireRoute(), service, tried, result -> found(result, current));
+      search.search(requireRoute(), service, chance(), tried, result -> found(result, current));
     }
   }
 
@@ -177,7 +164,7 @@
   /** A server's answer has told of room there: the first in line may take it. */
   private void offerRoom(ServerState server) {
     Optional<Exchange> first = line.first(service);
-    if (first.isPresent() && search.hasRoom(server, service)) {
+    if (first.isPresent() && search.hasRoom(server, service, first.get().chance())) {
       // Deferred, so that the connection that brought the answer is back in its pool.
       environment.loop().execute(() -> first.get().offered(server));
     }
@@ -198,7 +185,14 @@
 
   /** When an answer loses most of its worth. */
   long objectiveEndNanos() {
-    return request.readNanos() + requireRoute().objectiveNanos();
+    return request.readNanos() - cameBackAfterNanos + requireRoute().objectiveNanos();
+  }
+
+  /** Whether the request can still be answered within its objective. */
+  Chance chance() {
+    double usual = environment.routeState().baseline(requireRoute()).nanos();
+    long left = objectiveEndNanos() - environment.clocks().nanos();
+    return left < usual ? Chance.LATE : Chance.IN_TIME;
   }
 
   private void send(ServerPool pool) {
@@ -207,6 +201,29 @@
     Attempt attempt = new Attempt(this, environment, pool, request, requestId);
     open.add(attempt);
     attempt.start(requireRoute().idempotent());
+    double usual = environment.routeState().baseline(requireRoute()).nanos();
+    long left = objectiveEndNanos() - environment.clocks().nanos();
+    environment.loop().after(HedgeDelay.nanos(usual, left), () -> overdue(attempt, usual));
+  }
+
+  /** An answer is late: the server is marked, and an idempotent request tries a second one. */
+  private void overdue(Attempt attempt, double usual) {
+    if (done || !open.contains(attempt) || !attempt.written()) {
+      return;
+    }
+    attempt.overdue(usual);
+    if (requireRoute().idempotent() && sends < requireRoute().maxServers()) {
+      searches++;
+      int current = searches;
+      search.search(requireRoute(), service, chance(), tried, result -> hedge(result, current));
+    }
+  }
+
+  private void hedge(ServerFinder.Result result, int asked) {
+    boolean wanted = !done && asked == searches && !open.isEmpty();
+    if (wanted && result instanceof ServerFinder.Result.Chosen chosen && maySendAgain()) {
+      send(environment.servers().poolOf(chosen.server()));
+    }
   }
 
   /** Time that the caller still waits. */
@@ -228,7 +245,7 @@
     open.remove(attempt);
     unreachable++;
     report.attempt("unreachable", service, attempt.serverId(), "reason=" + reason);
-    if (done) {
+    if (othersOpen()) {
       return;
     }
     if (unreachable >= MAX_UNREACHABLE) {
@@ -241,7 +258,7 @@
   void rejected(Attempt attempt, int status) {
     open.remove(attempt);
     report.attempt("rejected", service, attempt.serverId(), "status=" + status);
-    if (done) {
+    if (othersOpen()) {
       return;
     }
     if (maySendAgain()) {
@@ -255,7 +272,7 @@
     open.remove(attempt);
     perhapsRun = true;
     report.attempt("broken", service, attempt.serverId(), "reason=" + reason);
-    if (done) {
+    if (othersOpen()) {
       return;
     }
     if (requireRoute().idempotent() && maySendAgain()) {
@@ -272,6 +289,11 @@
     }
     int status = whole.status().code();
     boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+    if (failed && !open.isEmpty()) {
+      perhapsRun = true;
+      return;
+    }
+    open.forEach(Attempt::outrun);
     if (failed && requireRoute().idempotent() && leftNanos() > 0 && maySendAgain()) {
       perhapsRun = true;
       place();
@@ -294,6 +316,11 @@
     baseline.learn(tookNanos / slowness);
   }
 
+  /** Whether the end of an attempt changes nothing: the caller is served, or another may answer. */
+  private boolean othersOpen() {
+    return done || !open.isEmpty();
+  }
+
   /** Statuses by which callers understand that a request has not run. */
   private static boolean promisesNotRun(int status) {
     return status == HttpResponseStatus.REQUEST_TIMEOUT.code()
@@ -319,8 +346,7 @@
   }
 
   private void refuse(String reason) {
-    long span = (long) (RETRY_AFTER_SPAN_NANOS * environment.random().nextDouble());
-    finish(Answers.notRun(reason, RETRY_AFTER_MIN_NANOS + span), reason);
+    finish(Answers.notRun(reason, environment.random()), reason);
   }
 
   private void timedOut() {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -47,12 +47,15 @@
     this.environment = environment;
   }
 
-  /** Asks each candidate with a kept connection; runs the action when it is time to choose. */
+  /**
+   * Asks each candidate with a kept connection, and those of which nothing is known yet on a new
+   * one; runs the action when it is time to choose.
+   */
   void ask(List<ServerPool> candidates, String healthPath, Runnable choose) {
     Round round = new Round(choose);
     for (ServerPool pool : candidates) {
       if (allowed(pool)) {
-        pool.takeIdle(MAX_IDLE_NANOS).ifPresent(c -> round.ask(pool, c, healthPath));
+        round.ask(pool, healthPath);
       }
     }
     round.begin();
@@ -81,8 +84,18 @@
       this.choose = choose;
     }
 
-    void ask(ServerPool pool, ServerConnection connection, String healthPath) {
-      open++;
+    void ask(ServerPool pool, String healthPath) {
+      Optional<ServerConnection> kept = pool.takeIdle(MAX_IDLE_NANOS);
+      if (kept.isPresent()) {
+        open++;
+        ask(pool, kept.get(), healthPath);
+      } else if (!pool.state().hasSample() && pool.size() == 0) {
+        open++;
+        pool.connect(opened -> ask(pool, opened, healthPath), cause -> answered());
+      }
+    }
+
+    private void ask(ServerPool pool, ServerConnection connection, String healthPath) {
       FullHttpRequest request =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.GET, healthPath, Unpooled.EMPTY_BUFFER);
@@ -170,7 +183,9 @@
         return;
       }
       String load = whole.headers().get(environment.names().load());
-      if (load != null) {
+      if (load == null) {
+        environment.routeState().load(service()).toldNothing();
+      } else {
         int own = pool.state().inFlight();
         LoadSample.parse(load).ifPresent(sample -> sampled(sample, own));
       }
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.function.Consumer;
+import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.version.Route;
 
@@ -22,10 +23,12 @@
   /**
    * Looks for a server; the result may come at once or a few milliseconds later.
    *
+   * @param chance whether the request can be in time
    * @param excluded ids of servers that the request was sent to before
    */
-  void search(Route route, String service, Set<String> excluded, Consumer<Result> found);
+  void search(
+      Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found);
 
   /** Whether a server should get one more request now. */
-  boolean hasRoom(ServerState server, String service);
+  boolean hasRoom(ServerState server, String service, Chance chance);
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -7,10 +7,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.Placement.Ranked;
 import org.magnoliaswitch.front.load.Room;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.ServicePolicy;
@@ -35,11 +37,12 @@
   }
 
   @Override
-  public void search(Route route, String service, Set<String> excluded, Consumer<Result> found) {
-    List<Ranked> ranked = rank(route, service, excluded);
-    Optional<ServerState> best = firstWithRoom(ranked, service);
+  public void search(
+      Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found) {
+    List<Ranked> ranked = rank(route, service, chance, excluded);
+    Optional<ServerState> best = firstWithRoom(ranked, service, chance);
     Optional<ServicePolicy> policy = environment.routes().get().service(service);
-    boolean reporting = ranked.stream().anyMatch(candidate -> candidate.server().hasSample());
+    boolean reporting = environment.routeState().load(service).reporting();
     boolean worthAsking = !ranked.isEmpty() && reporting && policy.isPresent();
     if (!worthAsking || best.filter(this::confirmed).isPresent()) {
       found.accept(result(ranked, best));
@@ -54,8 +57,8 @@
         candidates,
         policy.get().healthPath(),
         () -> {
-          List<Ranked> again = rank(route, service, excluded);
-          found.accept(result(again, firstWithRoom(again, service)));
+          List<Ranked> again = rank(route, service, chance, excluded);
+          found.accept(result(again, firstWithRoom(again, service, chance)));
         });
   }
 
@@ -72,9 +75,9 @@
         && server.sample().slowness() <= UNDISTURBED;
   }
 
-  private Optional<ServerState> firstWithRoom(List<Ranked> ranked, String service) {
+  private Optional<ServerState> firstWithRoom(List<Ranked> ranked, String service, Chance chance) {
     for (Ranked candidate : ranked) {
-      if (hasRoom(candidate.server(), service)) {
+      if (hasRoom(candidate.server(), service, chance)) {
         return Optional.of(candidate.server());
       }
     }
@@ -82,12 +85,13 @@
   }
 
   @Override
-  public boolean hasRoom(ServerState server, String service) {
-    double mean = environment.routeState().load(service).meanHeld();
-    return server.acceptsWork() && Room.hasRoom(server, mean, environment.clocks().nanos());
+  public boolean hasRoom(ServerState server, String service, Chance chance) {
+    ServiceLoad load = environment.routeState().load(service);
+    long now = environment.clocks().nanos();
+    return server.acceptsWork() && Room.hasRoom(server, load, chance, now);
   }
 
-  private List<Ranked> rank(Route route, String service, Set<String> excluded) {
+  private List<Ranked> rank(Route route, String service, Chance chance, Set<String> excluded) {
     List<ServerState> eligible = new ArrayList<>();
     for (ServerPool pool : environment.servers().of(service)) {
       if (pool.state().acceptsWork() && !excluded.contains(pool.state().entry().id())) {
@@ -97,7 +101,7 @@
     Placement.Context context =
         new Placement.Context(
             environment.routeState().baseline(route).nanos(),
-            route.objectiveNanos(),
+            chance == Chance.LATE ? route.timeoutNanos() : route.objectiveNanos(),
             environment.routeState().load(service).meanHeld(),
             environment.settings().dataCentre(),
             environment.clocks().nanos());
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/load/RoomTest.java
@@ -0,0 +1,75 @@
+package org.magnoliaswitch.front.load;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.testing.Servers;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Whether a server should get one more request. */
+public final class RoomTest {
+  private static final long NOW = TimeUnit.SECONDS.toNanos(50);
+
+  private static ServiceLoad service(int meanHeld) {
+    ServiceLoad load = new ServiceLoad();
+    for (int i = 0; i < 200; i++) {
+      load.sampled(new LoadSample(meanHeld, 0, Servers.SLOTS, 1));
+    }
+    return load;
+  }
+
+  @DataProvider
+  public Object[][] loads() {
+    return new Object[][] {
+      {0, Chance.IN_TIME, true},
+      {3, Chance.IN_TIME, true},
+      {4, Chance.IN_TIME, false},
+      {6, Chance.IN_TIME, false},
+      {2, Chance.LATE, true},
+      {3, Chance.LATE, false},
+    };
+  }
+
+  /** Six slots: in-time requests fill four of them, late ones three. */
+  @Test(dataProvider = "loads")
+  public void slotsAreFilledToTheKneeAndLateRequestsLeaveOneMore(
+      int running, Chance chance, boolean room) {
+    ServerState server = Servers.told("a", running, 1, NOW);
+    assertEquals(Room.hasRoom(server, service(running), chance, NOW), room);
+  }
+
+  /**
+   * The server was idle when it was last heard of, a second ago, and since then the service has
+   * filled up. Taking the old news for true would send it one request from each instance at once.
+   */
+  @Test
+  public void oldNewsOfAnIdleServerDoNotCountOnABusyDay() {
+    ServerState server = Servers.told("a", 0, 1, NOW);
+    long later = NOW + TimeUnit.SECONDS.toNanos(1);
+    assertEquals(Room.hasRoom(server, service(5), Chance.IN_TIME, later), false);
+    assertEquals(Room.hasRoom(server, service(1), Chance.IN_TIME, later), true);
+  }
+
+  /**
+   * All instances were killed and are back; their pools are empty and nobody knows a load. Every
+   * caller returns in the same second. Each instance may have one request at a server until the
+   * server has told its load; without the bound all slots and queues fill at once.
+   */
+  @Test
+  public void aServerNotHeardOfYetGetsOneRequestAtATime() {
+    ServerState server = new ServerState(Servers.entry("a", false), NOW);
+    assertEquals(Room.hasRoom(server, service(0), Chance.IN_TIME, NOW), true);
+    server.sent();
+    assertEquals(Room.hasRoom(server, service(0), Chance.IN_TIME, NOW), false);
+  }
+
+  @Test
+  public void aServiceThatTellsNoLoadAlwaysHasRoom() {
+    ServerState server = new ServerState(Servers.entry("a", false), NOW);
+    server.sent();
+    ServiceLoad silent = new ServiceLoad();
+    silent.toldNothing();
+    assertEquals(Room.hasRoom(server, silent, Chance.LATE, NOW), true);
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
@@ -84,6 +84,8 @@
     }
   }
 
+  private static final String HEALTH_CHECK = "GET /health ";
+
   private final String id;
   private final ServerSocket listener;
   private final Script script;
@@ -143,8 +145,10 @@
           return;
         }
         Received request = new Received(head, socket);
-        received.add(request);
-        first.countDown();
+        if (!request.line().startsWith(HEALTH_CHECK)) {
+          received.add(request);
+          first.countDown();
+        }
         keep = script.handle(request);
       }
     } catch (IOException e) {
