--- a/front/src/main/java/org/magnoliaswitch/front/load/RepeatBudget.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RepeatBudget.java
@@ -27,13 +27,16 @@
    */
   public record Limits(double ratio, double slack, long windowNanos) {
     /** Own margin below the ratio: what is in flight while a window slides. */
-    private static final double SAFETY = 0.8;
+    private static final double RATIO_SHARE = 0.8;
+
+    /** A restarted instance has forgotten what it spent: the slack must last for both lives. */
+    private static final double SLACK_SHARE = 0.5;
 
     /** In force when a deployment names none. */
     public static final Limits DEFAULT = new Limits(0.1, 0, TimeUnit.SECONDS.toNanos(10));
 
     double allowed(int requests, int instances) {
-      return SAFETY * (ratio * requests + slack / Math.max(1, instances));
+      return RATIO_SHARE * ratio * requests + SLACK_SHARE * slack / Math.max(1, instances);
     }
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -42,7 +42,7 @@
   private long failureNanos;
   private double latencyRatio = 1;
   private long latencyNanos;
-  private boolean replaced;
+  private boolean gone;
 
   public ServerState(ServerEntry entry, long nowNanos) {
     this.entry = entry;
@@ -64,14 +64,14 @@
     return entry;
   }
 
-  /** Notes that another incarnation answers at the address, so this one gets nothing more. */
-  public void markReplaced() {
-    replaced = true;
+  /** Notes that it is no longer listed or at its address, so that it gets nothing more. */
+  public void markGone() {
+    gone = true;
   }
 
   /** Whether new requests may go there. */
   public boolean acceptsWork() {
-    return !replaced && !entry.draining();
+    return !gone && !entry.draining();
   }
 
   /** Counts a request that is about to be sent. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -104,6 +104,8 @@
       ServerEntry entry = pool.state().entry();
       if (!current.servers().containsKey(entry.id())) {
         pools.remove();
+        // A request that waits in line may still hold this state.
+        pool.state().markGone();
         pool.retire();
         log.belief("server_gone", "server=%s service=%s", entry.id(), entry.service());
       }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Answers.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Answers.java
@@ -37,6 +37,13 @@
     return answer(HttpResponseStatus.NOT_FOUND, new DefaultHttpHeaders(), "no_route");
   }
 
+  /** Statuses by which callers understand that a request has not run. */
+  static boolean promisesNotRun(int status) {
+    return status == HttpResponseStatus.REQUEST_TIMEOUT.code()
+        || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
+        || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+  }
+
   private static CallerAnswer answer(HttpResponseStatus status, HttpHeaders headers, String text) {
     headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
     return new CallerAnswer(status, headers, text.getBytes(StandardCharsets.UTF_8));
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -200,7 +200,7 @@
     learnLoad(whole);
     int status = whole.status().code();
     if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-      pool.state().markReplaced();
+      pool.state().markGone();
       environment.log().belief("server_replaced", "server=%s", serverId());
       exchange.rejected(this, status);
     } else if (whole.headers().contains(environment.names().notExecuted())) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -16,6 +16,7 @@
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.HedgeDelay;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.WaitLimit;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.LatencyBaseline;
@@ -29,9 +30,6 @@
  * unknown, and the answer says so: 502 or 504, never 503.
  */
 final class Exchange implements RequestHandler.Call {
-  /** Part of its objective that a request waits for room before it is refused. */
-  private static final double WAIT_SHARE = 0.125;
-
   /** Time between two looks for room while nothing is heard from servers. */
   private static final long LOOK_AGAIN_MILLIS = 12;
 
@@ -57,6 +55,7 @@
   private int unreachable;
   private boolean perhapsRun;
   private boolean inLine;
+  private Chance chanceInLine = Chance.IN_TIME;
   private boolean done;
 
   Exchange(
@@ -136,12 +135,14 @@
 
   private void waitForRoom() {
     long waited = environment.clocks().nanos() - request.readNanos();
-    if (waited > WAIT_SHARE * requireRoute().objectiveNanos()) {
+    long objective = requireRoute().objectiveNanos();
+    if (waited > WaitLimit.nanos(chance(), objective, deadlineNanos - request.readNanos())) {
       giveUp("no_room");
       return;
     }
     if (!inLine) {
       inLine = true;
+      chanceInLine = chance();
       line.add(service, this);
     }
     int current = searches;
@@ -183,6 +184,11 @@
     return requireRoute().priority();
   }
 
+  /** Whether the request could still be in time when it began to wait. */
+  Chance chanceInLine() {
+    return chanceInLine;
+  }
+
   /** When an answer loses most of its worth. */
   long objectiveEndNanos() {
     return request.readNanos() - cameBackAfterNanos + requireRoute().objectiveNanos();
@@ -300,7 +306,7 @@
       return;
     }
     CallerAnswer result =
-        promisesNotRun(status)
+        Answers.promisesNotRun(status)
             ? Answers.unknown(HttpResponseStatus.BAD_GATEWAY, "unconfirmed_refusal")
             : new CallerAnswer(whole.status(), Headers.endToEnd(whole.headers()), whole.body());
     finish(result, failed ? "server_failed" : RequestReport.ANSWERED);
@@ -321,13 +327,6 @@
     return done || !open.isEmpty();
   }
 
-  /** Statuses by which callers understand that a request has not run. */
-  private static boolean promisesNotRun(int status) {
-    return status == HttpResponseStatus.REQUEST_TIMEOUT.code()
-        || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
-        || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-  }
-
   private boolean maySendAgain() {
     return sends < requireRoute().maxServers()
         && leftNanos() > 0
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -176,7 +176,7 @@
     private void learn(ServerReply.Whole whole) {
       String id = whole.headers().get(environment.names().serverId());
       if (id != null && !id.equals(pool.state().entry().id())) {
-        pool.state().markReplaced();
+        pool.state().markGone();
         environment
             .log()
             .belief("server_replaced", "server=%s found=%s", pool.state().entry().id(), id);
--- a/front/src/main/java/org/magnoliaswitch/front/request/WaitingLine.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/WaitingLine.java
@@ -9,12 +9,15 @@
 /**
  * Requests that wait for room at a service's servers; used by one thread only.
  *
- * <p>The most urgent goes first, and of equals the one whose objective ends first. None waits long:
- * one that cannot be placed soon is refused while its caller still has time to come back.
+ * <p>Those that can still be in time go before late ones, then the most urgent, and of equals the
+ * one whose objective ends first. None waits long: one that cannot be placed soon is refused while
+ * its caller still has time to come back.
  */
 final class WaitingLine {
   private static final Comparator<Exchange> ORDER =
-      Comparator.comparingInt(Exchange::priority).thenComparingLong(Exchange::objectiveEndNanos);
+      Comparator.comparing(Exchange::chanceInLine)
+          .thenComparingInt(Exchange::priority)
+          .thenComparingLong(Exchange::objectiveEndNanos);
 
   private final Map<String, PriorityQueue<Exchange>> byService = new HashMap<>();
 
--- a/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
@@ -263,6 +263,17 @@
 
   /** Planned stops. */
   public static final class Stops {
+    /** The stop is taken up by the event loop, which may read an answer first. */
+    private static void awaitStopAnnounced(RunningFront front) throws IOException {
+      String answer = "";
+      while (!answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close")) {
+        try (Socket caller = front.connect()) {
+          RunningFront.send(caller, "GET", "/no/", PATIENT, "");
+          answer = RunningFront.readUntil(caller, "no_route");
+        }
+      }
+    }
+
     /**
      * The instance is told to stop while a server works on a request. The caller must get its
      * answer, and the instance must not end before.
@@ -288,6 +299,7 @@
                 end.countDown();
               });
           assertFalse(stopped.get());
+          awaitStopAnnounced(front);
           go.countDown();
           String answer = RunningFront.readUntil(caller, "done");
           assertEquals(status(answer), 200);
