--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -8,8 +8,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -83,7 +85,7 @@
     if (exchange != null) {
       throw new IllegalStateException("the connection is busy");
     }
-    boolean headOnly = io.netty.handler.codec.http.HttpMethod.HEAD.equals(request.method());
+    boolean headOnly = HttpMethod.HEAD.equals(request.method());
     ChannelFuture written = channel.writeAndFlush(request);
     exchange = new Exchange(requestId, headOnly, written, listener);
     if (closed) {
@@ -182,8 +184,7 @@
       // Only a refusal may lack the id; taking anything else could hand out another's answer.
       return !tainted
           && (response.headers().contains(names.notExecuted())
-              || response.status().code()
-                  == io.netty.handler.codec.http.HttpResponseStatus.MISDIRECTED_REQUEST.code());
+              || response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code());
     }
     return echoed.equals(exchange.requestId().get());
   }
--- a/front/src/main/java/org/magnoliaswitch/front/loop/Channels.java
+++ b/front/src/main/java/org/magnoliaswitch/front/loop/Channels.java
@@ -1,7 +1,13 @@
 package org.magnoliaswitch.front.loop;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundInvoker;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
 
 /**
  * Channel operations whose futures nobody needs: a write or close that fails ends the channel, and
@@ -10,6 +16,18 @@
 public final class Channels {
   private Channels() {}
 
+  /** Opens a connection whose handlers the given initializer installs. */
+  public static ChannelFuture connect(
+      Loop loop, InetSocketAddress address, int timeoutMillis, ChannelHandler initializer) {
+    return new Bootstrap()
+        .group(loop.events())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+        .handler(initializer)
+        .connect(address);
+  }
+
   /** Closes a channel. */
   public static void close(ChannelOutboundInvoker channel) {
     var unused = channel.close();
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -1,15 +1,12 @@
 package org.magnoliaswitch.front.peer;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -87,14 +84,7 @@
 
   private void connect() {
     connecting = true;
-    ChannelFuture future =
-        new Bootstrap()
-            .group(loop.events())
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new Pipeline())
-            .connect(peer);
+    ChannelFuture future = Channels.connect(loop, peer, CONNECT_TIMEOUT_MILLIS, new Pipeline());
     var unused =
         future.addListener(
             done -> {
