--- a/front/src/main/java/org/magnoliaswitch/front/load/Chance.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Chance.java
@@ -7,7 +7,7 @@
 
   /**
    * It cannot, mostly because its caller was refused before and came back. A late answer keeps a
-   * tenth of its worth; it goes where it takes nothing from those that can be in time.
+   * tenth of its value; it goes where it takes nothing from those that can be in time.
    */
   LATE
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/HedgeDelay.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/HedgeDelay.java
@@ -24,7 +24,7 @@
    * Time after a send.
    *
    * @param usualNanos usual latency of such a request
-   * @param objectiveLeftNanos time until the answer loses most of its worth
+   * @param objectiveLeftNanos time until the answer loses most of its value
    */
   public static long nanos(double usualNanos, long objectiveLeftNanos) {
     double latest = objectiveLeftNanos - SECOND_FACTOR * usualNanos;
--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -9,7 +9,7 @@
 /**
  * Ranks the backend servers that a request could go to; pure.
  *
- * <p>A server's cost is the share of the caller's worth that is expected to be lost there: by
+ * <p>A server's cost is the share of the request's value that is expected to be lost there: by
  * failure, by an answer after the objective, and by bytes between data centres. Load that shifts in
  * milliseconds makes most reports stale, so a sample counts by its age and fades towards what is
  * usual; the requests this instance sent since are added. A little noise keeps instances with the
@@ -36,10 +36,10 @@
   /** Orders servers that would all be in time. */
   private static final double LATENCY_LOSS = 0.1;
 
-  /** Cost of bytes between data centres, relative to the worth of a request. */
+  /** Cost of bytes between data centres, relative to the value of a request. */
   private static final double REMOTE_LOSS = 0.03;
 
-  /** Cost of opening a connection, relative to the worth of a request. */
+  /** Cost of opening a connection, relative to the value of a request. */
   private static final double CONNECT_LOSS = 0.02;
 
   private static final double NOISE = 0.02;
@@ -55,7 +55,7 @@
    * What a ranking depends on besides the servers.
    *
    * @param expectedNanos usual latency of such a request on an undisturbed server
-   * @param objectiveNanos latency up to which the answer has its full worth
+   * @param objectiveNanos latency up to which the answer has its full value
    * @param meanHeld requests that a server of the service holds on average
    * @param dataCentre where this instance runs
    * @param nowNanos monotonic time
@@ -82,7 +82,7 @@
     return ranked;
   }
 
-  /** Share of the request's worth that is expected to be lost at a server. */
+  /** Share of the request's value that is expected to be lost at a server. */
   public static double cost(ServerState server, Context context) {
     double latency = predictedNanos(server, context);
     double ratio = latency / context.objectiveNanos();
--- a/front/src/main/java/org/magnoliaswitch/front/load/WaitLimit.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/WaitLimit.java
@@ -5,7 +5,7 @@
  *
  * <p>Load pattern: servers are full for moments in a burst, or for long in an overload. A request
  * that can still be in time waits a moment only, so that its caller has time for another try. A
- * late one waits longer: its worth no longer falls, and the room that others leave comes and goes.
+ * late one waits longer: its value no longer falls, and the room that others leave comes and goes.
  */
 public final class WaitLimit {
   /** Part of its objective that a request in time waits. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -189,7 +189,7 @@
     return chanceInLine;
   }
 
-  /** When an answer loses most of its worth. */
+  /** When an answer loses most of its value. */
   long objectiveEndNanos() {
     return request.readNanos() - cameBackAfterNanos + requireRoute().objectiveNanos();
   }
--- a/front/src/main/java/org/magnoliaswitch/front/version/Route.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Route.java
@@ -10,7 +10,7 @@
  * @param prefix begins and ends with a slash
  * @param idempotent whether a request may run more than once
  * @param timeoutNanos longest time a caller waits for its final answer
- * @param objectiveNanos latency up to which an answer has its full worth
+ * @param objectiveNanos latency up to which an answer has its full value
  * @param priority rank among routes; 0 is the most urgent
  * @param maxServers most backend servers that one request is sent to
  * @param parts services that share the route's traffic; never empty
