Tests of how instances learn from peers and through outages

Five tests: learning through a peer, without peers, after a failed wait, no step back, a start while the platform is away. No product code changed.

--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -0,0 +1,205 @@
+package org.magnoliaswitch.front.process;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.connection.ServerConnector;
+import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.testing.Servers;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerEntry;
+import org.magnoliaswitch.front.version.ServerList;
+import org.testng.annotations.Test;
+
+/** How instances learn from the platform and from each other. */
+public final class NewsTest {
+  private static final HeaderNames NAMES = new HeaderNames("a", "b", "c", "d", "e", "f");
+
+  /** A platform whose answers a test sets. */
+  private static final class Source implements NewsSource {
+    private final AtomicReference<Read<RouteTable>> configuration =
+        new AtomicReference<>(new Read.Failed<>("away"));
+    private final AtomicReference<Read<ServerList>> servers =
+        new AtomicReference<>(new Read.Failed<>("away"));
+    private final List<Consumer<Read<RouteTable>>> waits = new ArrayList<>();
+    private final AtomicInteger reads = new AtomicInteger();
+    private final CountDownLatch waiting = new CountDownLatch(1);
+
+    void answer(long version, String... ids) {
+      configuration.set(new Read.Known<>(table(version)));
+      Map<String, ServerEntry> entries = new HashMap<>();
+      for (String id : ids) {
+        entries.put(id, Servers.entry(id, false));
+      }
+      servers.set(new Read.Known<>(new ServerList(version, entries)));
+    }
+
+    @Override
+    public void configuration(Consumer<Read<RouteTable>> listener) {
+      reads.incrementAndGet();
+      listener.accept(configuration.get());
+    }
+
+    @Override
+    public void nextConfiguration(Consumer<Read<RouteTable>> listener) {
+      waits.add(listener);
+      waiting.countDown();
+    }
+
+    @Override
+    public void servers(Consumer<Read<ServerList>> listener) {
+      listener.accept(servers.get());
+    }
+  }
+
+  /** The parts of an instance that learn, without callers. */
+  private static final class Learner {
+    private final Environment environment;
+    private final Beliefs beliefs;
+    private final Loop control = Loop.start();
+
+    Learner(int peersPort, List<InetSocketAddress> seeds, Source source) {
+      Clocks clocks = Clocks.system();
+      EventLog log = new EventLog(clocks);
+      Loop requests = Loop.start();
+      Random random = new Random(peersPort);
+      RepeatBudget.Limits repeats = RepeatBudget.Limits.DEFAULT;
+      InetSocketAddress any = at(0);
+      FrontSettings settings =
+          new FrontSettings("i", "here", any, any, at(peersPort), seeds, false, 0, 1, repeats, 1);
+      ServerDirectory servers =
+          new ServerDirectory(new ServerConnector(requests, clocks, NAMES), clocks, log);
+      environment =
+          new Environment(
+              settings,
+              NAMES,
+              clocks,
+              requests,
+              random,
+              new AtomicReference<>(RouteTable.EMPTY),
+              servers,
+              new RouteState(random, repeats),
+              new AtomicInteger(1),
+              log,
+              new FrontMetrics());
+      beliefs = new Beliefs(environment.routes(), servers, requests, log);
+      new News(environment, beliefs, control, source).start();
+    }
+
+    void awaitVersion(long version) {
+      while (beliefs.routesVersion() < version || beliefs.servers().version() < version) {
+        Thread.onSpinWait();
+      }
+    }
+  }
+
+  private static RouteTable table(long version) {
+    return new RouteTable(version, List.of(), List.of(), CallerLimits.DEFAULT);
+  }
+
+  private static InetSocketAddress at(int port) {
+    return new InetSocketAddress("127.0.0.1", port);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  /** What peers bring. */
+  public static final class Peers {
+    /**
+     * The platform turns one machine away and serves the others. Its callers must not notice: it
+     * learns configuration, servers and later changes from a peer.
+     */
+    @Test
+    public void anInstanceThatThePlatformTurnsAwayLearnsFromItsPeer() throws Exception {
+      int port = freePort();
+      Source good = new Source();
+      good.answer(3, "a");
+      Learner seed = new Learner(port, List.of(at(port)), good);
+      Learner alone = new Learner(freePort(), List.of(at(port)), new Source());
+      alone.awaitVersion(3);
+      good.answer(4, "a", "b");
+      good.waiting.await();
+      seed.control.execute(
+          () -> good.waits.removeFirst().accept(new NewsSource.Read.Known<>(table(4))));
+      alone.awaitVersion(4);
+      assertEquals(alone.beliefs.servers().servers().keySet(), Set.of("a", "b"));
+      assertEquals(alone.environment.instances().get(), 2);
+    }
+
+    /**
+     * The seeds are gone and nobody tells anything. An instance must not wait for them: it reads
+     * the platform itself.
+     */
+    @Test
+    public void anInstanceWithoutPeersReadsForItself() throws IOException {
+      Source good = new Source();
+      good.answer(5, "a");
+      Learner learner = new Learner(freePort(), List.of(at(freePort())), good);
+      learner.awaitVersion(5);
+    }
+  }
+
+  /** Faults of the platform. */
+  public static final class Outages {
+    /** The wait for changes fails (its history is gone): a plain read must follow by itself. */
+    @Test
+    public void aFailedWaitIsFollowedByARead() throws Exception {
+      int port = freePort();
+      Source source = new Source();
+      source.answer(6, "a");
+      Learner seed = new Learner(port, List.of(at(port)), source);
+      seed.awaitVersion(6);
+      source.waiting.await();
+      source.answer(7, "a");
+      seed.control.execute(
+          () -> source.waits.removeFirst().accept(new NewsSource.Read.Failed<>("history_gone")));
+      seed.awaitVersion(7);
+    }
+
+    /** The platform answers with an older version after a newer one: nothing may change. */
+    @Test
+    public void anOlderConfigurationChangesNothing() throws IOException {
+      Source source = new Source();
+      source.answer(9, "a");
+      Learner learner = new Learner(freePort(), List.of(), source);
+      learner.awaitVersion(9);
+      source.configuration.set(new NewsSource.Read.Known<>(table(8)));
+      int before = source.reads.get();
+      while (source.reads.get() < before + 2) {
+        Thread.onSpinWait();
+      }
+      assertEquals(learner.beliefs.routesVersion(), 9);
+    }
+
+    @Test
+    public void anInstanceStartsWhenThePlatformComesBack() throws Exception {
+      Source source = new Source();
+      Learner learner = new Learner(freePort(), List.of(), source);
+      while (source.reads.get() < 2) {
+        Thread.onSpinWait();
+      }
+      source.answer(1, "a");
+      learner.awaitVersion(1);
+    }
+  }
+}
