--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -58,7 +58,7 @@
   private @Nullable HttpRequest head;
   private boolean closing;
   private boolean malformed;
-  private long lastReadNanos;
+  private long lastUsedNanos;
   private long partialSinceNanos;
   private boolean partial;
 
@@ -86,15 +86,15 @@
     this.listener = listener;
     this.clocks = clocks;
     this.limits = limits;
-    this.lastReadNanos = clocks.nanos();
+    this.lastUsedNanos = clocks.nanos();
   }
 
   /** Notes that bytes came, before they are decoded. */
   void bytesArrived() {
-    lastReadNanos = clocks.nanos();
+    lastUsedNanos = clocks.nanos();
     if (!partial) {
       partial = true;
-      partialSinceNanos = lastReadNanos;
+      partialSinceNanos = lastUsedNanos;
     }
   }
 
@@ -105,7 +105,7 @@
     }
     if (partial && nowNanos - partialSinceNanos > limits.headerTimeoutNanos() && head == null) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT);
-    } else if (nowNanos - lastReadNanos > limits.idleTimeoutNanos()) {
+    } else if (nowNanos - lastUsedNanos > limits.idleTimeoutNanos()) {
       if (partial) {
         refuse(HttpResponseStatus.REQUEST_TIMEOUT);
       } else {
@@ -139,6 +139,9 @@
   public void channelInactive(ChannelHandlerContext context) {
     closing = true;
     listener.closed(this);
+    listener.release(body.readableBytes());
+    body.clear();
+    slots.forEach(slot -> listener.release(slot.request.body().length));
     for (Slot slot : slots) {
       if (slot.call != null && slot.answer == null) {
         slot.call.callerLeft();
@@ -187,11 +190,15 @@
   }
 
   private void readContent(HttpContent content, HttpRequest request) {
-    body.writeBytes(content.content());
-    if (body.readableBytes() > limits.maxBodyBytes()) {
+    if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
+    if (!listener.reserve(content.content().readableBytes())) {
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+      return;
+    }
+    body.writeBytes(content.content());
     if (content instanceof LastHttpContent) {
       byte[] bytes = new byte[body.readableBytes()];
       body.readBytes(bytes);
@@ -263,6 +270,10 @@
   }
 
   private void write(Slot slot, CallerAnswer answer) {
+    listener.release(slot.request.body().length);
+    // Idle time counts from the answer: a caller may use the connection again long after a slow
+    // one.
+    lastUsedNanos = clocks.nanos();
     boolean keep = slot.keepAlive && !listener.stopping();
     boolean headOnly = HttpMethod.HEAD.equals(slot.request.method());
     ByteBuf content = headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body());
@@ -295,6 +306,7 @@
       if (slot.call != null && slot.answer == null) {
         slot.call.callerLeft();
       }
+      listener.release(slot.request.body().length);
     }
     slots.clear();
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
@@ -25,6 +25,13 @@
   /** Callers that all come within one minute must not meet a full accept queue. */
   private static final int BACKLOG = 1024;
 
+  /**
+   * Memory for bodies of requests that are not answered yet, in bytes. A body is held up to three
+   * times, so this is a quarter of the heap; a full heap would end the process and all its
+   * requests.
+   */
+  private static final long MAX_HELD_BODY_BYTES = 32 << 20;
+
   private static final long SWEEP_MILLIS = 500;
 
   private final Loop loop;
@@ -33,6 +40,7 @@
   private final Supplier<CallerLimits> limits;
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel server;
+  private long heldBodyBytes;
   private boolean stopping;
 
   public CallerListener(
@@ -89,6 +97,20 @@
     return connections.size();
   }
 
+  /** Takes memory for a part of a request's body, if there is any left. */
+  boolean reserve(int bytes) {
+    if (heldBodyBytes + bytes > MAX_HELD_BODY_BYTES) {
+      return false;
+    }
+    heldBodyBytes += bytes;
+    return true;
+  }
+
+  /** Gives back memory of a body. */
+  void release(int bytes) {
+    heldBodyBytes -= bytes;
+  }
+
   Loop loop() {
     return loop;
   }
