--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -44,6 +45,7 @@
   private final Loop loop;
   private final Supplier<Knowledge> knowledge;
   private final Set<Listener> listeners = new HashSet<>();
+  private @Nullable Encoded last;
 
   public PeerHub(Loop loop, Supplier<Knowledge> knowledge) {
     this.loop = loop;
@@ -74,6 +76,42 @@
     List.copyOf(listeners).forEach(listener -> listener.tell(now));
   }
 
+  /**
+   * The message for a listener that was told a list and a version before. Nearly all listeners were
+   * told the same, so the last message is kept: a seed of a large system would spend most of its
+   * processor time on comparing the same two lists for each of them.
+   */
+  private byte[] message(Knowledge now, ServerList toldServers, long toldRoutes) {
+    Told told =
+        new Told(
+            now.ageMillis(),
+            toldServers.version(),
+            now.servers().version(),
+            toldRoutes,
+            now.routes().version(),
+            instances());
+    if (last == null || !last.told().equals(told)) {
+      boolean news = now.routes().version() > toldRoutes;
+      Optional<RouteTable> routes = news ? Optional.of(now.routes()) : Optional.empty();
+      ServerChanges changes = ServerChanges.between(toldServers, now.servers());
+      PeerNews message = new PeerNews(now.ageMillis(), instances(), routes, changes);
+      last = new Encoded(told, PeerNewsCodec.encode(message));
+    }
+    return last.bytes();
+  }
+
+  /** What a message depends on; a version names one list and one configuration of this instance. */
+  private record Told(
+      long ageMillis,
+      long serversBefore,
+      long serversNow,
+      long routesBefore,
+      long routesNow,
+      int instances) {}
+
+  /** A message and what it was made from. */
+  private record Encoded(Told told, byte[] bytes) {}
+
   private final class Pipeline extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
@@ -118,13 +156,10 @@
         Channels.close(channel);
         return;
       }
-      boolean news = now.routes().version() > toldRoutes;
-      Optional<RouteTable> routes = news ? Optional.of(now.routes()) : Optional.empty();
-      ServerChanges changes = ServerChanges.between(toldServers, now.servers());
-      PeerNews message = new PeerNews(now.ageMillis(), instances(), routes, changes);
+      byte[] message = message(now, toldServers, toldRoutes);
       toldRoutes = Math.max(toldRoutes, now.routes().version());
       toldServers = now.servers();
-      Channels.write(channel, Unpooled.wrappedBuffer(PeerNewsCodec.encode(message)));
+      Channels.write(channel, Unpooled.wrappedBuffer(message));
     }
   }
 }
