--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -22,9 +22,10 @@
   /** Slowness assumed of a server not heard of lately: a quarter of them run four times slower. */
   private static final double USUAL_SLOWNESS = 1.75;
 
-  /** How much it slows down there. */
+  /** Slow-down above {@link Room#KNEE} of the slots, as the users describe their servers. */
   private static final double KNEE_FACTOR = 1.7;
 
+  /** Slow-down while a server warms up, as the users describe their servers. */
   private static final double COLD_FACTOR = 2.0;
 
   /** Steepness of the chance to miss the objective around a predicted latency equal to it. */
@@ -42,11 +43,13 @@
   /** Cost of opening a connection, relative to the value of a request. */
   private static final double CONNECT_LOSS = 0.02;
 
+  /** Spread that orders servers of nearly equal cost at random; below the cost of bytes abroad. */
   private static final double NOISE = 0.02;
 
   /** A server whose slots and as many queue places are taken would reject or reset the request. */
   private static final double FULL_LOSS = 0.8;
 
+  /** Requests held, as a multiple of the slots, at which a server counts as full. */
   private static final double QUEUE_FACTOR = 2.0;
 
   private Placement() {}
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -27,7 +27,9 @@
   /** After this time without samples the server's speed counts half, so that it is tried again. */
   private static final double SPEED_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+  /** Bounds on one latency relative to the expected one, so that no single answer decides. */
   private static final double MAX_SPEED_RATIO = 20;
+
   private static final double MIN_SPEED_RATIO = 0.3;
 
   private ServerEntry entry;
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -15,7 +15,10 @@
   /** Left of the grace time when the process ends, whatever is still open. */
   private static final long RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Time between two looks at whether all connections have ended. */
   private static final long POLL_MILLIS = 50;
+
+  /** Time between two closings of kept connections that their servers would soon close. */
   private static final long SWEEP_MILLIS = 500;
 
   private final Environment environment;
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -16,7 +16,9 @@
  * while it fails the configuration is read like the servers.
  */
 public final class NewsReader {
+  /** Wait after a failed read, spread so that instances do not ask a returning store together. */
   private static final long RETRY_MIN_MILLIS = 250;
+
   private static final long RETRY_SPAN_MILLIS = 300;
 
   /** Smallest time between two looks at the plan. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -35,6 +35,7 @@
   /** Kept connections younger than this may carry a health check. */
   private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /** Checks of one server that may follow each other at once, after a pause. */
   private static final double BURST = 4;
 
   /** Instances may be more than this one knows of. */
