--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 . bin/java-home.sh
-mvn -q -B -ntp package -DskipTests -pl platform -am \
+mvn -q -B -ntp package -Dmaven.test.skip=true -pl platform -am \
   -Dspotless.check.skip -Dcheckstyle.skip \
   "-DoutputRoot=$PWD/target/modules/\${project.artifactId}"
 rm -rf target/app target/jdk
