--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -78,7 +78,7 @@
       Clocks clocks = Clocks.system();
       EventLog log = new EventLog(clocks);
       Loop requests = Loop.start();
-      Random random = new Random(peersPort);
+      Random random = new Random(1);
       RepeatBudget.Limits repeats = RepeatBudget.Limits.DEFAULT;
       InetSocketAddress any = at(0);
       FrontSettings settings =
