--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds what runs on the platform's machines into target/: a JDK link, the program and its
-# libraries, and an archive of loaded classes that shortens the start.
+# libraries in one file, and an archive of loaded classes that shortens the start.
 set -eu
 cd "$(dirname "$0")/.."
 . bin/java-home.sh
@@ -10,10 +10,15 @@
 rm -rf target/app target/jdk
 mkdir -p target/app
 cp target/modules/platform/platform.jar target/app/
-cp -r target/modules/platform/lib target/app/lib
 ln -s "$JAVA_HOME" target/jdk
 
-# The options must be those of deploy/system.toml, or the archive is not used.
+# A restarted machine's callers wait until its classes are loaded and linked, so that is done here:
+# one start with the options of deploy/system.toml lists what is loaded, a second one archives it.
 options=$(sed -n 's/^run = "target\/jdk\/bin\/java \(.*\) -jar .*/\1/p' deploy/system.toml)
-target/jdk/bin/java ${options/-XX:SharedArchiveFile=/-XX:ArchiveClassesAtExit=} \
+plain=${options/-XX:SharedArchiveFile=target\/app\/front.jsa/}
+linked=-XX:+AOTClassLinking
+target/jdk/bin/java "$linked" -version >/dev/null 2>&1 || linked=
+target/jdk/bin/java $plain -XX:DumpLoadedClassList=target/app/classes.lst \
   -cp target/app/platform.jar org.magnoliaswitch.platform.TrainingMain >target/training.log 2>&1
+target/jdk/bin/java $options $linked -Xshare:dump -XX:SharedClassListFile=target/app/classes.lst \
+  -cp target/app/platform.jar >target/archive.log 2>&1
