Requests that come before the first configuration wait for it; an exchange leaves placing to a class of its own

Change: such a request waits up to 0.3 s, and until then nothing of its connection runs beside it, since it is not known what may run twice.

--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -2,21 +2,20 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.connection.CallerAnswer;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.connection.RequestHandler;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.HedgeDelay;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.WaitLimit;
 import org.magnoliaswitch.front.load.WaitingLine;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
@@ -30,43 +29,46 @@
  * has not run it, or when nothing of it was written. After any other trouble its outcome is
  * unknown, and the answer says so: 502 or 504, never 503.
  */
-final class Exchange implements RequestHandler.Call, WaitingLine.Entry {
-  /** Time between two looks for room while nothing is heard from servers. */
-  private static final long LOOK_AGAIN_MILLIS = 12;
+final class Exchange implements RequestHandler.Call, Placing.Owner {
+  /** Time between two looks for a configuration. */
+  private static final long LOOK_AGAIN_MILLIS = 10;
+
+  /**
+   * How long a request waits for the first configuration. After a loss of all instances everyone's
+   * callers return at once; a started instance knows its servers 0.2 s after it listens, and a
+   * refusal would cost each of them a try.
+   */
+  private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
   private final Environment environment;
-  private final ServerFinder search;
-  private final WaitingLine<Exchange> line;
+  private final ServerFinder finder;
+  private final WaitingLine<Placing> line;
   private final CallerRequest request;
   private final Consumer<CallerAnswer> answer;
   private final String requestId;
   private final RequestReport report;
-  private final Set<String> tried = new HashSet<>();
   private final List<Attempt> open = new ArrayList<>();
   private @Nullable Route route;
+  private @Nullable RequestTimes times;
+  private @Nullable Placing placing;
   private String service = "";
-  private long deadlineNanos;
-  private long cameBackAfterNanos;
   private Loop.@Nullable Timer timer;
-  private int searches;
   private int sends;
   private int unreachable;
   private boolean perhapsRun;
-  private boolean inLine;
-  private Chance chanceInLine = Chance.IN_TIME;
   private boolean done;
 
   Exchange(
       Environment environment,
-      ServerFinder search,
-      WaitingLine<Exchange> line,
+      ServerFinder finder,
+      WaitingLine<Placing> line,
       CallerRequest request,
       Consumer<CallerAnswer> answer) {
     this.environment = environment;
-    this.search = search;
+    this.finder = finder;
     this.line = line;
     this.request = request;
     this.answer = answer;
@@ -74,25 +76,34 @@
     this.report = new RequestReport(environment, requestId);
   }
 
-  void start(Optional<Route> found) {
-    if (!environment.routes().get().known() || !environment.servers().known()) {
-      refuse("no_configuration");
+  /** Begins; the route is looked up once there is a configuration. */
+  void start(Supplier<Optional<Route>> router) {
+    if (done) {
       return;
     }
+    if (environment.routes().get().known() && environment.servers().known()) {
+      begin(router.get());
+    } else if (environment.clocks().nanos() - request.readNanos() < CONFIGURATION_WAIT_NANOS) {
+      environment.loop().afterMillis(LOOK_AGAIN_MILLIS, () -> start(router));
+    } else {
+      refuse("no_configuration");
+    }
+  }
+
+  private void begin(Optional<Route> found) {
     if (found.isEmpty()) {
       finish(Answers.noRoute(), "no_route");
       return;
     }
-    route = found.get();
-    long wait = CallerWait.nanos(route, request, environment.names());
-    deadlineNanos = request.readNanos() + wait;
-    cameBackAfterNanos =
-        CallerWait.spentNanos(route, request, environment.names(), environment.routeState());
-    long left = deadlineNanos - environment.clocks().nanos();
-    timer = environment.loop().after(left, this::timedOut);
-    service = environment.routeState().pick(route);
+    Route chosen = found.get();
+    RequestTimes left = new RequestTimes(environment, chosen, request);
+    route = chosen;
+    times = left;
+    timer = environment.loop().after(left.leftNanos(), this::timedOut);
+    service = environment.routeState().pick(chosen);
     environment.routeState().budget(service).request(environment.clocks().nanos());
-    place();
+    placing = new Placing(environment.loop(), finder, line, chosen, service, left, this);
+    placing.place();
   }
 
   @Override
@@ -110,109 +121,15 @@
     reportEnd("caller_left", 0);
   }
 
-  private void place() {
-    if (!done) {
-      searches++;
-      int current = searches;
-      search.search(requireRoute(), service, chance(), tried, result -> found(result, current));
-    }
-  }
-
-  private void found(ServerFinder.Result result, int asked) {
-    // While a search waits for health checks, an answer may have offered room: the request went
-    // there, and a second send would run it twice.
-    if (done || asked != searches) {
-      return;
-    }
-    switch (result) {
-      case ServerFinder.Result.Chosen chosen -> {
-        leaveLine();
-        send(environment.servers().poolOf(chosen.server()));
-      }
-      case ServerFinder.Result.Full full -> waitForRoom();
-      case ServerFinder.Result.None none -> giveUp("no_server");
-    }
-  }
-
-  private void waitForRoom() {
-    long waited = environment.clocks().nanos() - request.readNanos();
-    long objective = requireRoute().objectiveNanos();
-    double usual = environment.routeState().baseline(requireRoute()).nanos();
-    long patience = deadlineNanos - request.readNanos();
-    if (waited > WaitLimit.nanos(chance(), usual, objective, patience)) {
-      giveUp("no_room");
-      return;
-    }
-    if (!inLine) {
-      inLine = true;
-      chanceInLine = chance();
-      line.add(service, this);
-    }
-    int current = searches;
-    environment.loop().afterMillis(LOOK_AGAIN_MILLIS, () -> lookAgain(current));
-  }
-
-  private void lookAgain(int asked) {
-    if (inLine && asked == searches) {
-      place();
-    }
-  }
-
-  private void leaveLine() {
-    if (inLine) {
-      inLine = false;
-      line.remove(service, this);
-    }
-  }
-
-  /** A server's answer has told of room there: the first in line may take it. */
-  private void offerRoom(ServerState server) {
-    Optional<Exchange> first = line.first(service);
-    if (first.isPresent() && search.hasRoom(server, service, first.get().chance())) {
-      // Deferred, so that the connection that brought the answer is back in its pool.
-      environment.loop().execute(() -> first.get().offered(server));
-    }
-  }
-
-  /** Takes room that was offered, unless the request has gone elsewhere since. */
-  void offered(ServerState server) {
-    if (inLine && !tried.contains(server.entry().id()) && server.acceptsWork()) {
-      leaveLine();
-      send(environment.servers().poolOf(server));
-    }
-  }
-
-  @Override
-  public int priority() {
-    return requireRoute().priority();
-  }
-
   @Override
-  public Chance chanceInLine() {
-    return chanceInLine;
-  }
-
-  @Override
-  public long objectiveEndNanos() {
-    return request.readNanos() - cameBackAfterNanos + requireRoute().objectiveNanos();
-  }
-
-  /** Whether the request can still be answered within its objective. */
-  Chance chance() {
-    double usual = environment.routeState().baseline(requireRoute()).nanos();
-    long left = objectiveEndNanos() - environment.clocks().nanos();
-    return left < usual ? Chance.LATE : Chance.IN_TIME;
-  }
-
-  private void send(ServerPool pool) {
-    searches++;
-    tried.add(pool.state().entry().id());
+  public void send(ServerState server) {
+    ServerPool pool = environment.servers().poolOf(server);
     Attempt attempt = new Attempt(this, environment, pool, request, requestId);
     open.add(attempt);
     attempt.start(requireRoute().idempotent());
-    double usual = environment.routeState().baseline(requireRoute()).nanos();
-    long left = objectiveEndNanos() - environment.clocks().nanos();
-    environment.loop().after(HedgeDelay.nanos(usual, left), () -> overdue(attempt, usual));
+    double usual = requireTimes().usualNanos();
+    long delay = HedgeDelay.nanos(usual, requireTimes().objectiveLeftNanos());
+    environment.loop().after(delay, () -> overdue(attempt, usual));
   }
 
   /** An answer is late: the server is marked, and an idempotent request tries a second one. */
@@ -222,26 +139,23 @@
     }
     attempt.overdue(usual);
     if (requireRoute().idempotent() && sends < requireRoute().maxServers()) {
-      searches++;
-      int current = searches;
-      search.search(requireRoute(), service, chance(), tried, result -> hedge(result, current));
+      requirePlacing().findAnother(this::hedge);
     }
   }
 
-  private void hedge(ServerFinder.Result result, int asked) {
-    boolean wanted = !done && asked == searches && !open.isEmpty();
-    if (wanted && result instanceof ServerFinder.Result.Chosen chosen && maySendAgain()) {
-      send(environment.servers().poolOf(chosen.server()));
+  private void hedge(ServerState server) {
+    if (!open.isEmpty() && maySendAgain()) {
+      requirePlacing().take(server);
     }
   }
 
   /** Time that the caller still waits. */
   long leftNanos() {
-    return deadlineNanos - environment.clocks().nanos();
+    return requireTimes().leftNanos();
   }
 
-  /** Whether the exchange still wants an answer. */
-  boolean waiting() {
+  @Override
+  public boolean waiting() {
     return !done;
   }
 
@@ -260,7 +174,7 @@
     if (unreachable >= MAX_UNREACHABLE) {
       giveUp("unreachable");
     } else {
-      place();
+      requirePlacing().place();
     }
   }
 
@@ -271,7 +185,7 @@
       return;
     }
     if (maySendAgain()) {
-      place();
+      requirePlacing().place();
     } else {
       giveUp("rejected");
     }
@@ -285,7 +199,7 @@
       return;
     }
     if (requireRoute().idempotent() && maySendAgain()) {
-      place();
+      requirePlacing().place();
     } else {
       giveUp("broken");
     }
@@ -305,7 +219,7 @@
     open.forEach(Attempt::outrun);
     if (failed && requireRoute().idempotent() && leftNanos() > 0 && maySendAgain()) {
       perhapsRun = true;
-      place();
+      requirePlacing().place();
       return;
     }
     CallerAnswer result =
@@ -319,7 +233,7 @@
   void learnLatency(long tookNanos, ServerState server) {
     LatencyBaseline baseline = environment.routeState().baseline(requireRoute());
     double slowness = Math.max(1, server.sample().slowness());
-    offerRoom(server);
+    requirePlacing().offerRoom(server);
     environment.metrics().latency(service, tookNanos);
     server.succeeded(tookNanos / (baseline.nanos() * slowness), environment.clocks().nanos());
     baseline.learn(tookNanos / slowness);
@@ -339,7 +253,8 @@
             .spend(environment.instances().get(), environment.clocks().nanos());
   }
 
-  private void giveUp(String reason) {
+  @Override
+  public void giveUp(String reason) {
     if (perhapsRun) {
       finish(Answers.unknown(HttpResponseStatus.BAD_GATEWAY, reason), reason);
     } else {
@@ -377,6 +292,12 @@
     answer.accept(result);
   }
 
+  private void leaveLine() {
+    if (placing != null) {
+      placing.leaveLine();
+    }
+  }
+
   private void cancelTimer() {
     if (timer != null) {
       timer.cancel();
@@ -386,6 +307,7 @@
   private void reportEnd(String outcome, int status) {
     String name = route == null ? "-" : route.name();
     long took = environment.clocks().nanos() - request.readNanos();
+    Collection<String> tried = placing == null ? List.of() : placing.tried();
     report.end(name, service, outcome, status, sends, tried, took);
   }
 
@@ -395,4 +317,18 @@
     }
     return route;
   }
+
+  private RequestTimes requireTimes() {
+    if (times == null) {
+      throw new IllegalStateException("no route yet");
+    }
+    return times;
+  }
+
+  private Placing requirePlacing() {
+    if (placing == null) {
+      throw new IllegalStateException("no route yet");
+    }
+    return placing;
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -14,7 +14,7 @@
 public final class FrontDispatcher implements RequestHandler {
   private final Environment environment;
   private final ServerSearch search;
-  private final WaitingLine<Exchange> line = new WaitingLine<>();
+  private final WaitingLine<Placing> line = new WaitingLine<>();
 
   public FrontDispatcher(Environment environment) {
     this.environment = environment;
@@ -23,13 +23,14 @@
 
   @Override
   public boolean idempotent(CallerRequest request) {
-    return route(request).map(Route::idempotent).orElse(true);
+    // Before the first configuration nothing is known to be harmless beside others.
+    return environment.routes().get().known() && route(request).map(Route::idempotent).orElse(true);
   }
 
   @Override
   public Call start(CallerRequest request, Consumer<CallerAnswer> answer) {
     Exchange exchange = new Exchange(environment, search, line, request, answer);
-    exchange.start(route(request));
+    exchange.start(() -> route(request));
     return exchange;
   }
 
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -0,0 +1,177 @@
+package org.magnoliaswitch.front.request;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.WaitLimit;
+import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.version.Route;
+
+/** Finds servers for one request, and lets it wait in line while all of them are busy. */
+final class Placing implements WaitingLine.Entry {
+  /** Time between two looks for room while nothing is heard from servers. */
+  private static final long LOOK_AGAIN_MILLIS = 12;
+
+  /** The request that is placed. */
+  interface Owner {
+    /** Whether it still wants an answer. */
+    boolean waiting();
+
+    /** Sends it to a server. */
+    void send(ServerState server);
+
+    /** No server will get it. */
+    void giveUp(String reason);
+  }
+
+  private final Loop loop;
+  private final ServerFinder finder;
+  private final WaitingLine<Placing> line;
+  private final Route route;
+  private final String service;
+  private final RequestTimes times;
+  private final Owner owner;
+  private final Set<String> tried = new HashSet<>();
+  private int searches;
+  private boolean inLine;
+  private Chance chanceInLine = Chance.IN_TIME;
+
+  Placing(
+      Loop loop,
+      ServerFinder finder,
+      WaitingLine<Placing> line,
+      Route route,
+      String service,
+      RequestTimes times,
+      Owner owner) {
+    this.loop = loop;
+    this.finder = finder;
+    this.line = line;
+    this.route = route;
+    this.service = service;
+    this.times = times;
+    this.owner = owner;
+  }
+
+  /** Ids of the servers that the request was sent to. */
+  Collection<String> tried() {
+    return tried;
+  }
+
+  /** Looks for a server, and waits for one while all are busy. */
+  void place() {
+    if (owner.waiting()) {
+      search(this::found);
+    }
+  }
+
+  /** Looks once for a further server; nothing happens when there is none. */
+  void findAnother(Consumer<ServerState> found) {
+    search(
+        result -> {
+          if (result instanceof ServerFinder.Result.Chosen chosen) {
+            found.accept(chosen.server());
+          }
+        });
+  }
+
+  /** Sends the request to a server; searches under way come to nothing. */
+  void take(ServerState server) {
+    leaveLine();
+    searches++;
+    tried.add(server.entry().id());
+    owner.send(server);
+  }
+
+  /** Ends the wait, if there is one. */
+  void leaveLine() {
+    if (inLine) {
+      inLine = false;
+      line.remove(service, this);
+    }
+  }
+
+  /** A server's answer has told of room there: the first in line may take it. */
+  void offerRoom(ServerState server) {
+    Optional<Placing> first = line.first(service);
+    if (first.isPresent() && finder.hasRoom(server, service, first.get().times.chance())) {
+      // Deferred, so that the connection that brought the answer is back in its pool.
+      loop.execute(() -> first.get().offered(server));
+    }
+  }
+
+  /** Takes room that was offered, unless the request has gone elsewhere since. */
+  void offered(ServerState server) {
+    if (inLine && !tried.contains(server.entry().id()) && server.acceptsWork()) {
+      take(server);
+    }
+  }
+
+  private void search(Consumer<ServerFinder.Result> then) {
+    searches++;
+    int asked = searches;
+    finder.search(
+        route,
+        service,
+        times.chance(),
+        tried,
+        result -> {
+          // While a search waits for health checks, an answer may have offered room: the request
+          // went there, and a second send would run it twice.
+          if (owner.waiting() && asked == searches) {
+            then.accept(result);
+          }
+        });
+  }
+
+  private void found(ServerFinder.Result result) {
+    switch (result) {
+      case ServerFinder.Result.Chosen chosen -> take(chosen.server());
+      case ServerFinder.Result.Full full -> waitForRoom();
+      case ServerFinder.Result.None none -> owner.giveUp("no_server");
+    }
+  }
+
+  private void waitForRoom() {
+    double limit =
+        WaitLimit.nanos(
+            times.chance(), times.usualNanos(), route.objectiveNanos(), times.patienceNanos());
+    if (times.waitedNanos() > limit) {
+      owner.giveUp("no_room");
+      return;
+    }
+    if (!inLine) {
+      inLine = true;
+      chanceInLine = times.chance();
+      line.add(service, this);
+    }
+    int current = searches;
+    loop.afterMillis(LOOK_AGAIN_MILLIS, () -> lookAgain(current));
+  }
+
+  private void lookAgain(int asked) {
+    if (inLine && asked == searches) {
+      place();
+    }
+  }
+
+  @Override
+  public Chance chanceInLine() {
+    return chanceInLine;
+  }
+
+  @Override
+  public int priority() {
+    return route.priority();
+  }
+
+  @Override
+  public long objectiveEndNanos() {
+    return times.objectiveEndNanos();
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/request/FirstConfigurationTest.java
@@ -0,0 +1,81 @@
+package org.magnoliaswitch.front.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.testing.ScriptedServer;
+import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.WeightedService;
+import org.testng.annotations.Test;
+
+/** Requests that reach an instance right after its start. */
+public final class FirstConfigurationTest {
+  private static final long MINUTE = TimeUnit.MINUTES.toNanos(1);
+  private static final Route ROUTE =
+      new Route("r", "h", "/", false, MINUTE, MINUTE, 0, 2, List.of(new WeightedService("s", 1)));
+
+  private static CallerRequest request(Environment environment) {
+    return new CallerRequest(
+        HttpMethod.POST,
+        "/x",
+        new DefaultHttpHeaders().set("Request-Id", "1").set("Host", "h"),
+        new byte[0],
+        environment.clocks().nanos());
+  }
+
+  private static BlockingQueue<CallerAnswer> start(Environment environment) {
+    BlockingQueue<CallerAnswer> answers = new ArrayBlockingQueue<>(1);
+    FrontDispatcher dispatcher = new FrontDispatcher(environment);
+    environment.loop().execute(() -> dispatcher.start(request(environment), answers::add));
+    return answers;
+  }
+
+  /**
+   * All instances lost power and their callers return together. The instance listens, but its
+   * configuration comes a moment later. The caller has one more try, so it must not be spent on a
+   * refusal: the request waits and is answered.
+   */
+  @Test
+  public void aRequestWaitsForTheFirstConfiguration() throws IOException, InterruptedException {
+    try (ScriptedServer server = new ScriptedServer("a", r -> r.answer(200, "x"))) {
+      Environment environment = TestEnvironment.unknowing();
+      BlockingQueue<CallerAnswer> answers = start(environment);
+      environment.loop().execute(() -> TestEnvironment.know(environment, ROUTE, server));
+      assertEquals(answers.take().status().code(), 200);
+      environment.loop().stop();
+    }
+  }
+
+  /** Without any configuration the caller is told soon that its request has not run. */
+  @Test
+  public void aRequestIsRefusedWhenNoConfigurationComes() throws InterruptedException {
+    Environment environment = TestEnvironment.unknowing();
+    CallerAnswer answer = start(environment).take();
+    assertEquals(answer.status().code(), 503);
+    assertFalse(answer.headers().get("Retry-After").isEmpty());
+    environment.loop().stop();
+  }
+
+  /**
+   * Before the first configuration it is not known which requests may run more than once. If such a
+   * request ran beside others of its connection, an answer that closes the connection would make
+   * its caller send it again.
+   */
+  @Test
+  public void nothingRunsBesideOthersBeforeTheFirstConfiguration() {
+    Environment environment = TestEnvironment.unknowing();
+    assertFalse(new FrontDispatcher(environment).idempotent(request(environment)));
+    environment.loop().stop();
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -0,0 +1,64 @@
+package org.magnoliaswitch.front.testing;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.connection.ServerConnector;
+import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.process.EventLog;
+import org.magnoliaswitch.front.process.FrontMetrics;
+import org.magnoliaswitch.front.process.FrontSettings;
+import org.magnoliaswitch.front.process.RouteState;
+import org.magnoliaswitch.front.process.ServerDirectory;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerList;
+
+/** The parts of a process around one request, without listeners. */
+public final class TestEnvironment {
+  private TestEnvironment() {}
+
+  /** One that knows a route and a server. */
+  public static Environment with(Route route, ScriptedServer server) {
+    Environment environment = unknowing();
+    know(environment, route, server);
+    return environment;
+  }
+
+  /** One that has no configuration yet. */
+  public static Environment unknowing() {
+    Clocks clocks = Clocks.system();
+    EventLog log = new EventLog(clocks);
+    Loop loop = Loop.start();
+    HeaderNames names = new HeaderNames("Request-Id", "D", "E", "Not-Run", "Load", "Server-Id");
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    RepeatBudget.Limits repeats = RepeatBudget.Limits.DEFAULT;
+    Random random = new Random(1);
+    return new Environment(
+        new FrontSettings("t", "here", any, any, any, List.of(), false, 0, 1, repeats, 1),
+        names,
+        clocks,
+        loop,
+        random,
+        new AtomicReference<>(RouteTable.EMPTY),
+        new ServerDirectory(new ServerConnector(loop, clocks, names), clocks, log),
+        new RouteState(random, repeats),
+        new AtomicInteger(1),
+        log,
+        new FrontMetrics());
+  }
+
+  /** Puts a configuration with one route and a list with one server in force. */
+  public static void know(Environment environment, Route route, ScriptedServer server) {
+    environment.routes().set(new RouteTable(1, List.of(route), List.of(), CallerLimits.DEFAULT));
+    environment.servers().apply(new ServerList(1, Map.of("a", server.entry())));
+  }
+}
