magnolia-timeline reads the logs of instances

Cause: on the platform's machines there is no operators' address to gather events from; on-call engineers have the collected standard output of all processes. One kind of entry serves both sources.

--- a/operator/src/main/java/org/magnoliaswitch/operator/TimelineFilter.java
+++ b/operator/src/main/java/org/magnoliaswitch/operator/TimelineFilter.java
@@ -1,7 +1,6 @@
 package org.magnoliaswitch.operator;
 
 import java.util.Locale;
-import org.magnoliaswitch.core.process.TimelineEvent;
 
 /**
  * Which events to show; empty texts select all.
@@ -15,13 +14,13 @@
  */
 record TimelineFilter(
     String request, String server, String service, String kind, long fromMillis, long toMillis) {
-  boolean selects(TimelineEvent event) {
-    return matches(request, event.request())
-        && matches(server, event.server())
-        && matches(service, event.service())
-        && matches(kind.toUpperCase(Locale.ROOT), event.kind().name())
-        && event.time().millis() >= fromMillis
-        && event.time().millis() <= toMillis;
+  boolean selects(TimelineEntry entry) {
+    return matches(request, entry.value("request"))
+        && (matches(server, entry.value("server")) || entry.value("servers").contains(server))
+        && matches(service, entry.value("service"))
+        && matches(kind.toLowerCase(Locale.ROOT), entry.event())
+        && entry.millis() >= fromMillis
+        && entry.millis() <= toMillis;
   }
 
   private static boolean matches(String wanted, String found) {
--- a/operator/src/main/java/org/magnoliaswitch/operator/TimelineMain.java
+++ b/operator/src/main/java/org/magnoliaswitch/operator/TimelineMain.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -29,6 +30,11 @@
           .defaultsTo("http://127.0.0.1:7101");
   private final OptionSpec<String> token =
       parser.accepts("token-file", "file with the bearer token").withRequiredArg();
+  private final OptionSpec<String> logs =
+      parser
+          .accepts("logs", "files with the output of instances instead, - for standard input")
+          .withRequiredArg()
+          .withValuesSeparatedBy(',');
   private final OptionSpec<String> format =
       parser.accepts("output", "text, json or html").withRequiredArg().defaultsTo("text");
   private final OptionSpec<String> request = filter("request", "only this request id");
@@ -73,15 +79,15 @@
         System.out.println("magnolia-timeline " + Version.TEXT);
         return 0;
       }
-      if (!options.has(token)) {
-        return fail(USAGE, "--token-file is needed; see --help");
+      if (!options.has(token) && !options.has(logs)) {
+        return fail(USAGE, "--token-file or --logs is needed; see --help");
       }
       print(options);
       return 0;
     } catch (OptionException e) {
       return fail(USAGE, e.getMessage() + "; see --help");
     } catch (IOException e) {
-      return fail(FAILED, "no use of the instance: " + e.getMessage());
+      return fail(FAILED, "cannot read the events: " + e.getMessage());
     }
   }
 
@@ -94,19 +100,26 @@
             options.valueOf(kind),
             options.valueOf(from),
             options.valueOf(to));
-    List<TimelineEvent> events = gather(options, filter);
+    List<TimelineEntry> events =
+        new ArrayList<>(options.has(logs) ? read(options) : gather(options));
+    events.removeIf(event -> !filter.selects(event));
+    events.sort(Comparator.comparingLong(TimelineEntry::micros));
     switch (options.valueOf(format)) {
       case "html" -> System.out.print(TimelinePage.of(events));
       case "json" -> {
-        for (TimelineEvent event : events) {
+        for (TimelineEntry event : events) {
           System.out.println(Json.MAPPER.writeValueAsString(event));
         }
       }
-      default -> events.forEach(event -> System.out.println(TimelineText.line(event)));
+      default -> events.forEach(event -> System.out.println(event.line()));
     }
   }
 
-  private List<TimelineEvent> gather(OptionSet options, TimelineFilter filter) throws IOException {
+  private List<TimelineEntry> read(OptionSet options) throws IOException {
+    return LogReader.read(options.valuesOf(logs));
+  }
+
+  private List<TimelineEntry> gather(OptionSet options) throws IOException {
     List<TimelineEvent> events = new ArrayList<>();
     String secret = Files.readString(Path.of(options.valueOf(token))).strip();
     try (EntryClient client = new EntryClient(URI.create(options.valueOf(entry)), secret)) {
@@ -115,7 +128,7 @@
       members.add(asked.self());
       for (Member member : members) {
         try (EntryClient other = client.at(member)) {
-          other.timeline().stream().filter(filter::selects).forEach(events::add);
+          events.addAll(other.timeline());
         } catch (IOException e) {
           System.err.println(
               "magnolia-timeline: " + member.instance() + " left out: " + e.getMessage());
@@ -123,7 +136,7 @@
       }
     }
     events.sort((a, b) -> a.time().compareTo(b.time()));
-    return events;
+    return events.stream().map(TimelineEntry::of).toList();
   }
 
   private static int fail(int code, String message) {
--- a/operator/src/main/java/org/magnoliaswitch/operator/TimelinePage.java
+++ b/operator/src/main/java/org/magnoliaswitch/operator/TimelinePage.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-import org.magnoliaswitch.core.process.TimelineEvent;
 
 /** A self-contained HTML page with one lane per process. */
 final class TimelinePage {
@@ -14,11 +13,11 @@
 
   private TimelinePage() {}
 
-  static String of(List<TimelineEvent> events) {
+  static String of(List<TimelineEntry> events) {
     List<String> lanes =
-        new ArrayList<>(new TreeSet<>(events.stream().map(TimelineEvent::instance).toList()));
-    long first = events.isEmpty() ? 0 : events.getFirst().time().millis();
-    long last = events.isEmpty() ? 1 : events.getLast().time().millis();
+        new ArrayList<>(new TreeSet<>(events.stream().map(TimelineEntry::instance).toList()));
+    long first = events.isEmpty() ? 0 : events.getFirst().millis();
+    long last = events.isEmpty() ? 1 : events.getLast().millis();
     double scale = (double) (WIDTH - LEFT - 20) / Math.max(1, last - first);
     StringBuilder page = new StringBuilder();
     page.append(
@@ -38,20 +37,20 @@
                   "<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\" stroke=\"#bbb\"/>",
                   LEFT, y, WIDTH, y));
     }
-    for (TimelineEvent event : events) {
-      double x = LEFT + (event.time().millis() - first) * scale;
+    for (TimelineEntry event : events) {
+      double x = LEFT + (event.millis() - first) * scale;
       int y = 20 + lanes.indexOf(event.instance()) * LANE_HEIGHT;
-      int hue = Math.floorMod(event.kind().name().hashCode(), COLOURS);
+      int hue = Math.floorMod(event.event().hashCode(), COLOURS);
       page.append(
               String.format(
                   "<circle cx=\"%.1f\" cy=\"%d\" r=\"4\" fill=\"hsl(%d,70%%,45%%)\">", x, y, hue))
           .append("<title>")
-          .append(escape(TimelineText.line(event)))
+          .append(escape(event.line()))
           .append("</title></circle>");
     }
     page.append("</svg><table>");
-    for (TimelineEvent event : events) {
-      page.append("<tr><td>").append(escape(TimelineText.line(event))).append("</td></tr>");
+    for (TimelineEntry event : events) {
+      page.append("<tr><td>").append(escape(event.line())).append("</td></tr>");
     }
     return page.append("</table></body></html>\n").toString();
   }
