Servers are asked by those that use them, on new connections too; what may run once goes on fresh ones

Cause: on the grown deployment of Riga most requests were placed blind: 1.1 questions a request instead of three. Each instance took its share of a server's budget as if all 129 asked it, one in four seconds, and could only ask on connections that were open. A server slowed by a neighbour gathered requests meanwhile. Change: ProbeShare divides a server's budget by the instances that send to it, with a margin for hashing; a candidate without a connection is asked on a new one, which the request then uses. What may run once is written only on a connection used within 0.15 s, since a server may have forgotten an older one.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Placement;
+import org.magnoliaswitch.front.load.ProbeShare;
 import org.magnoliaswitch.front.load.RateLimit;
 import org.magnoliaswitch.front.load.RepeatBudget;
 import org.magnoliaswitch.front.load.Room;
@@ -20,7 +21,6 @@
   private static final double BUDGET_RATIO = 0.2;
   private static final double BUDGET_SLACK = 62;
   private static final long BUDGET_WINDOW_NANOS = VirtualTime.nanosOf(10_000);
-  private static final double PROBE_MARGIN = 1.3;
   private static final double PROBE_BURST = 4;
 
   private final World world;
@@ -93,8 +93,11 @@
   }
 
   boolean mayProbe(ServerState state) {
+    String service = state.entry().service();
+    double part = states.get(service).size() / (double) world.servers(service).size();
     double perSecond =
-        world.deployment().probesPerServer() / (PROBE_MARGIN * world.deployment().instances());
+        ProbeShare.perSecond(
+            world.deployment().probesPerServer(), world.deployment().instances(), part);
     return probes.get(state).take(perSecond, world.time().nanos());
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
@@ -16,9 +16,12 @@
  * two instances take the same ones, and a server that joins or leaves moves no other.
  */
 public final class ServerSubset {
-  /** Servers of one service that an instance sends to; services with no more are used whole. */
+  /** Servers of a large service that an instance sends to. */
   static final int SIZE = 16;
 
+  /** Services with no more servers than this are used whole: all instances know them well. */
+  static final int WHOLE = 32;
+
   /** How many of them lie in the instance's own data centre, if there are as many. */
   static final int NEAR = 11;
 
@@ -33,7 +36,7 @@
    */
   public static <T> List<T> of(
       List<T> servers, Function<T, ServerEntry> entry, String instance, String dataCentre) {
-    if (servers.size() <= SIZE) {
+    if (servers.size() <= WHOLE) {
       return servers;
     }
     List<T> sorted = new ArrayList<>(servers);
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -12,8 +12,11 @@
   /** The balancer takes an instance out after two missed checks, a second apart. */
   private static final long NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_200);
 
-  /** Left of the grace time when the process ends, whatever is still open. */
-  private static final long RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  /**
+   * Left of the grace time when the process ends, whatever is still open. With 0.3 s a slow machine
+   * was killed while it wrote its last lines.
+   */
+  private static final long RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
   /** Time between two looks at whether all connections have ended. */
   private static final long POLL_MILLIS = 50;
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -27,6 +27,7 @@
   private final String dataCentre;
   private final Map<String, ServerPool> byId = new HashMap<>();
   private final Map<String, List<ServerPool>> byService = new HashMap<>();
+  private final Map<String, Double> parts = new HashMap<>();
   private ServerList current = ServerList.EMPTY;
 
   /**
@@ -59,6 +60,11 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /** Share of a service's servers that this instance sends to, as do others of theirs. */
+  public double part(String service) {
+    return parts.getOrDefault(service, 1.0);
+  }
+
   /** The connections to a server; a server that has left since keeps a pool of its own. */
   public ServerPool poolOf(ServerState state) {
     ServerPool pool = byId.get(state.entry().id());
@@ -93,7 +99,13 @@
       group.computeIfAbsent(pool.state().entry().service(), name -> new ArrayList<>()).add(pool);
     }
     byService.clear();
-    accepting.forEach((service, pools) -> byService.put(service, new ArrayList<>(subset(pools))));
+    parts.clear();
+    accepting.forEach(
+        (service, pools) -> {
+          List<ServerPool> used = subset(pools);
+          byService.put(service, new ArrayList<>(used));
+          parts.put(service, used.size() / (double) pools.size());
+        });
     leaving.forEach(
         (service, pools) ->
             byService.computeIfAbsent(service, name -> new ArrayList<>()).addAll(pools));
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -19,7 +19,7 @@
 /** One send of a request to one backend server. */
 final class Attempt {
   /** Idle time after which a connection carries no request that may run only once. */
-  private static final long MAX_IDLE_ONCE_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final long MAX_IDLE_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
   /** Idle time after which a connection carries no request at all, if its server names none. */
   private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -15,6 +15,7 @@
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.ProbeShare;
 import org.magnoliaswitch.front.load.RateLimit;
 import org.magnoliaswitch.front.process.Environment;
 
@@ -26,8 +27,11 @@
  * a request that may run only once is written on it.
  */
 final class Probes {
-  /** Answers later than this are not waited for; between data centres they take 3 ms. */
-  private static final long WAIT_MILLIS = 8;
+  /**
+   * Answers later than this are not waited for. Between data centres they take 3 ms, on a new
+   * connection 8 ms.
+   */
+  private static final long WAIT_MILLIS = 12;
 
   /** A connection that has not answered a health check by then is taken for silent. */
   private static final long SILENT_MILLIS = 300;
@@ -38,9 +42,6 @@
   /** Checks of one server that may follow each other at once, after a pause. */
   private static final double BURST = 4;
 
-  /** Instances may be more than this one knows of. */
-  private static final double INSTANCE_MARGIN = 1.3;
-
   private final Environment environment;
   private final Map<String, RateLimit> limits = new HashMap<>();
 
@@ -49,8 +50,10 @@
   }
 
   /**
-   * Asks each candidate with a kept connection, and those of which nothing is known yet on a new
-   * one; runs the action when it is time to choose.
+   * Asks each candidate on a kept connection, or on a new one where there is none; runs the action
+   * when it is time to choose. The request itself would need the connection, and one that was not
+   * chosen stays for the next: where each instance sees few requests, only half of the questions
+   * could be asked without.
    */
   void ask(List<ServerPool> candidates, String healthPath, Runnable choose) {
     Round round = new Round(choose);
@@ -68,8 +71,10 @@
       limits.clear();
     }
     double perSecond =
-        environment.settings().probesPerServer()
-            / (INSTANCE_MARGIN * Math.max(1, environment.instances().get()));
+        ProbeShare.perSecond(
+            environment.settings().probesPerServer(),
+            environment.instances().get(),
+            environment.servers().part(pool.state().entry().service()));
     return limits
         .computeIfAbsent(pool.state().entry().id(), id -> new RateLimit(BURST, now))
         .take(perSecond, now);
@@ -90,7 +95,7 @@
       if (kept.isPresent()) {
         open++;
         ask(pool, kept.get(), healthPath);
-      } else if (!pool.state().hasSample() && pool.size() == 0) {
+      } else if (pool.size() == 0) {
         open++;
         pool.connect(opened -> ask(pool, opened, healthPath), cause -> answered());
       }
--- a/front/src/test/java/org/magnoliaswitch/front/load/ServerSubsetTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ServerSubsetTest.java
@@ -32,7 +32,7 @@
 
   @Test
   public void aSmallServiceIsUsedWhole() {
-    List<ServerEntry> servers = servers(ServerSubset.SIZE);
+    List<ServerEntry> servers = servers(ServerSubset.WHOLE);
     assertEquals(subset(servers, 1), servers);
   }
 
