A read whose answer is overdue looks for a second server until there is one

Change: the look is repeated every 0.1 s while the first send is alone, the budget allows a further one and there is time for an answer. Test: OverdueReadTest (504 after its timeout before, 200 after).

--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -42,6 +42,9 @@
    */
   private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Time between two looks for a second server; each asks up to six servers. */
+  private static final long SEEK_AGAIN_MILLIS = 100;
+
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
@@ -61,6 +64,7 @@
   private int sends;
   private int unreachable;
   private boolean perhapsRun;
+  private boolean hedgeForbidden;
   private boolean done;
 
   Exchange(
@@ -141,14 +145,32 @@
     }
     attempt.overdue(usual);
     report.overdue(service, attempt.serverId(), usual);
-    if (requireRoute().idempotent() && sends < requireRoute().maxServers()) {
+    if (requireRoute().idempotent()) {
+      seekAnother(attempt);
+    }
+  }
+
+  /**
+   * Looks for a second server until there is one. Under load there is none at most moments; after a
+   * single look a read stayed with a server that hung until its caller gave up.
+   */
+  private void seekAnother(Attempt late) {
+    boolean useful = leftNanos() > requireTimes().usualNanos();
+    boolean wanted = !done && open.size() == 1 && open.contains(late);
+    if (wanted && useful && !hedgeForbidden) {
       requirePlacing().findAnother(this::hedge);
+      environment.loop().afterMillis(SEEK_AGAIN_MILLIS, () -> seekAnother(late));
     }
   }
 
   private void hedge(ServerState server) {
-    if (!open.isEmpty() && maySendAgain()) {
+    if (open.isEmpty()) {
+      return;
+    }
+    if (maySendAgain()) {
       requirePlacing().take(server);
+    } else {
+      hedgeForbidden = true;
     }
   }
 
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
@@ -0,0 +1,103 @@
+package org.magnoliaswitch.front.request;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.testing.ScriptedServer;
+import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.WeightedService;
+import org.testng.annotations.Test;
+
+/** A read whose server does not answer. */
+public final class OverdueReadTest {
+  private static final long OBJECTIVE = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final long MINUTE = TimeUnit.MINUTES.toNanos(1);
+  private static final Route ROUTE =
+      new Route("r", "h", "/", true, MINUTE, OBJECTIVE, 0, 2, List.of(new WeightedService("s", 1)));
+
+  /** Finds one server first, then nothing for some searches, then another server. */
+  private record LateFinder(ServerState first, ServerState second, int[] searches)
+      implements ServerFinder {
+    private static final int FULL_SEARCHES = 2;
+
+    @Override
+    public void search(
+        Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found) {
+      int search = searches[0]++;
+      if (search == 0) {
+        found.accept(new Result.Chosen(first));
+      } else if (search <= FULL_SEARCHES) {
+        found.accept(new Result.Full());
+      } else {
+        found.accept(new Result.Chosen(second));
+      }
+    }
+
+    @Override
+    public void sought(String service, Chance chance, boolean found) {
+      // Nothing is learnt from one request.
+    }
+
+    @Override
+    public boolean hasRoom(ServerState server, String service, Chance chance) {
+      return false;
+    }
+  }
+
+  /**
+   * The server hangs, and when the answer is overdue all others are full. A moment later one has
+   * room. The caller still waits and must get the answer from there, not the hung server's silence.
+   */
+  @Test
+  public void aSecondServerIsSoughtUntilThereIsRoom() throws IOException, InterruptedException {
+    BlockingQueue<CallerAnswer> answers = new ArrayBlockingQueue<>(1);
+    try (ScriptedServer hung =
+            new ScriptedServer(
+                "a",
+                r -> {
+                  r.awaitClose();
+                  return false;
+                });
+        ScriptedServer well = new ScriptedServer("b", r -> r.answer(200, "x"))) {
+      Environment environment = TestEnvironment.with(ROUTE, hung, well);
+      ServerState first = state(environment, "a");
+      LateFinder finder = new LateFinder(first, state(environment, "b"), new int[1]);
+      CallerRequest request =
+          new CallerRequest(
+              HttpMethod.GET,
+              "/x",
+              new DefaultHttpHeaders().set("Request-Id", "1"),
+              new byte[0],
+              environment.clocks().nanos());
+      Exchange exchange =
+          new Exchange(environment, finder, new WaitingLine<>(), request, answers::add);
+      environment.loop().execute(() -> exchange.start(() -> Optional.of(ROUTE)));
+      assertEquals(answers.take().status().code(), 200);
+      environment.loop().stop();
+    }
+  }
+
+  private static ServerState state(Environment environment, String id) {
+    return environment.servers().of("s").stream()
+        .map(pool -> pool.state())
+        .filter(server -> server.entry().id().equals(id))
+        .findFirst()
+        .orElseThrow();
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -1,9 +1,11 @@
 package org.magnoliaswitch.front.testing;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
@@ -20,6 +22,7 @@
 import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
 
 /** The parts of a process around one request, without listeners. */
@@ -27,9 +30,9 @@
   private TestEnvironment() {}
 
   /** One that knows a route and a server. */
-  public static Environment with(Route route, ScriptedServer server) {
+  public static Environment with(Route route, ScriptedServer... servers) {
     Environment environment = unknowing();
-    know(environment, route, server);
+    know(environment, route, servers);
     return environment;
   }
 
@@ -40,7 +43,7 @@
     Loop loop = Loop.start();
     HeaderNames names = new HeaderNames("Request-Id", "D", "E", "Not-Run", "Load", "Server-Id");
     InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-    RepeatBudget.Limits repeats = RepeatBudget.Limits.DEFAULT;
+    RepeatBudget.Limits repeats = new RepeatBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
     Random random = new Random(1);
     return new Environment(
         new FrontSettings("t", "here", any, any, any, List.of(), false, 0, 1, repeats, 1),
@@ -57,8 +60,12 @@
   }
 
   /** Puts a configuration with one route and a list with one server in force. */
-  public static void know(Environment environment, Route route, ScriptedServer server) {
+  public static void know(Environment environment, Route route, ScriptedServer... servers) {
     environment.routes().set(new RouteTable(1, List.of(route), List.of(), CallerLimits.DEFAULT));
-    environment.servers().apply(new ServerList(1, Map.of("a", server.entry())));
+    Map<String, ServerEntry> entries = new HashMap<>();
+    for (ScriptedServer server : servers) {
+      entries.put(server.entry().id(), server.entry());
+    }
+    environment.servers().apply(new ServerList(1, entries));
   }
 }
