--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryKeeper.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryKeeper.java
@@ -56,7 +56,12 @@
           });
     }
     known = Map.copyOf(believed);
-    return new ServerList(list.version(), believed);
+    // A quiet store gives the list without the kept entries under the same version later. It must
+    // be
+    // newer than this one, or servers that are gone would get requests until something else
+    // changes.
+    long version = keeping ? list.version() - 1 : list.version();
+    return new ServerList(version, believed);
   }
 
   /** Takes what a peer believes, which is as good as an own read. */
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryKeeperTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryKeeperTest.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.front.process;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -53,6 +54,21 @@
       assertEquals(read(keeper, 13 * SECOND, list(11, "a")), Set.of("a"));
     }
 
+    /**
+     * The store came back and nothing has changed there since, so its version stands still. The
+     * list without the server that is gone must be newer than the one that kept it, or callers'
+     * requests would go to that server until something else changes.
+     */
+    @Test
+    public void theListWithoutKeptEntriesIsNewerThoughTheStoreIsQuiet() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      read(keeper, 0, list(1, "a", "b"));
+      keeper.failed();
+      long kept = keeper.read(list(9, "a"), 10 * SECOND).version();
+      long dropped = keeper.read(list(9, "a"), 13 * SECOND).version();
+      assertTrue(dropped > kept, kept + " to " + dropped);
+    }
+
     @Test
     public void aServerThatWasLeavingStaysGone() {
       DiscoveryKeeper keeper = new DiscoveryKeeper();
