--- a/front/src/main/java/org/magnoliaswitch/front/request/Answers.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Answers.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.connection.ServerReply;
 
 /** Answers that this instance gives itself. */
 final class Answers {
@@ -25,6 +26,16 @@
     return answer(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
 
+  /**
+   * A server's own answer. A refusal that does not say that the request has not run is no promise,
+   * and callers would take it for one.
+   */
+  static CallerAnswer passedOn(ServerReply.Whole whole) {
+    return promisesNotRun(whole.status().code())
+        ? unknown(HttpResponseStatus.BAD_GATEWAY, "unconfirmed_refusal")
+        : new CallerAnswer(whole.status(), Headers.endToEnd(whole.headers()), whole.body());
+  }
+
   /** Nothing is known of whether the request has run. */
   static CallerAnswer unknown(HttpResponseStatus status, String reason) {
     return answer(status, new DefaultHttpHeaders(), reason);
@@ -36,7 +47,7 @@
   }
 
   /** Statuses by which callers understand that a request has not run. */
-  static boolean promisesNotRun(int status) {
+  private static boolean promisesNotRun(int status) {
     return status == HttpResponseStatus.REQUEST_TIMEOUT.code()
         || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
         || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -42,12 +42,11 @@
    */
   private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-  /** Time between two looks for a second server; each asks up to six servers. */
-  private static final long SEEK_AGAIN_MILLIS = 100;
-
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
+  private static final String SERVER_FAILED = "server_failed";
+
   private final Environment environment;
   private final ServerFinder finder;
   private final WaitingLine<Placing> line;
@@ -64,7 +63,8 @@
   private int sends;
   private int unreachable;
   private boolean perhapsRun;
-  private boolean hedgeForbidden;
+  private @Nullable Hedge hedge;
+  private @Nullable CallerAnswer serverFailure;
   private boolean done;
 
   Exchange(
@@ -108,8 +108,11 @@
     timer = environment.loop().after(left.leftNanos(), this::timedOut);
     service = environment.routeState().pick(chosen);
     environment.routeState().budget(service).request(environment.clocks().nanos());
-    placing = new Placing(environment.loop(), finder, line, chosen, service, left, report, this);
-    placing.place();
+    Placing places =
+        new Placing(environment.loop(), finder, line, chosen, service, left, report, this);
+    placing = places;
+    hedge = chosen.idempotent() ? new Hedge(this, environment.loop(), places, left) : null;
+    places.place();
   }
 
   @Override
@@ -145,33 +148,14 @@
     }
     attempt.overdue(usual);
     report.overdue(service, attempt.serverId(), usual);
-    if (requireRoute().idempotent()) {
-      seekAnother(attempt);
-    }
-  }
-
-  /**
-   * Looks for a second server until there is one. Under load there is none at most moments; after a
-   * single look a read stayed with a server that hung until its caller gave up.
-   */
-  private void seekAnother(Attempt late) {
-    boolean useful = leftNanos() > requireTimes().usualNanos();
-    boolean wanted = !done && open.size() == 1 && open.contains(late);
-    if (wanted && useful && !hedgeForbidden) {
-      requirePlacing().findAnother(this::hedge);
-      environment.loop().afterMillis(SEEK_AGAIN_MILLIS, () -> seekAnother(late));
+    if (hedge != null) {
+      hedge.seek(attempt);
     }
   }
 
-  private void hedge(ServerState server) {
-    if (open.isEmpty()) {
-      return;
-    }
-    if (maySendAgain()) {
-      requirePlacing().take(server);
-    } else {
-      hedgeForbidden = true;
-    }
+  /** Whether one send is under way and nothing else can bring an answer. */
+  boolean waitsOnlyFor(Attempt attempt) {
+    return !done && open.size() == 1 && open.contains(attempt);
   }
 
   /** Time that the caller still waits. */
@@ -235,23 +219,21 @@
     if (done) {
       return;
     }
-    int status = whole.status().code();
-    boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-    if (failed && !open.isEmpty()) {
+    boolean failed = whole.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+    CallerAnswer result = Answers.passedOn(whole);
+    if (failed) {
       perhapsRun = true;
+      serverFailure = result;
+    }
+    if (failed && !open.isEmpty()) {
       return;
     }
     open.forEach(Attempt::outrun);
     if (failed && requireRoute().idempotent() && leftNanos() > 0 && maySendAgain()) {
-      perhapsRun = true;
       requirePlacing().place();
       return;
     }
-    CallerAnswer result =
-        Answers.promisesNotRun(status)
-            ? Answers.unknown(HttpResponseStatus.BAD_GATEWAY, "unconfirmed_refusal")
-            : new CallerAnswer(whole.status(), Headers.endToEnd(whole.headers()), whole.body());
-    finish(result, failed ? "server_failed" : RequestReport.ANSWERED);
+    finish(result, failed ? SERVER_FAILED : RequestReport.ANSWERED);
   }
 
   /** Compares a whole answer's latency with what was expected of the server. */
@@ -269,7 +251,8 @@
     return done || !open.isEmpty();
   }
 
-  private boolean maySendAgain() {
+  /** Whether a further send is allowed; it is taken from the budget. */
+  boolean maySendAgain() {
     Optional<String> obstacle = obstacle();
     obstacle.ifPresent(reason -> report.notRepeated(service, reason, leftNanos()));
     return obstacle.isEmpty();
@@ -290,7 +273,10 @@
 
   @Override
   public void giveUp(String reason) {
-    if (perhapsRun) {
+    if (serverFailure != null) {
+      // Made by a server that ran the request: it tells the caller more than an answer of our own.
+      finish(serverFailure, SERVER_FAILED);
+    } else if (perhapsRun) {
       finish(Answers.unknown(HttpResponseStatus.BAD_GATEWAY, reason), reason);
     } else {
       refuse(reason);
@@ -311,7 +297,9 @@
     boolean mayRun = perhapsRun || open.stream().anyMatch(Attempt::written);
     boolean idempotent = requireRoute().idempotent();
     List<Attempt> cancelled = List.copyOf(open);
-    if (mayRun) {
+    if (serverFailure != null) {
+      finish(serverFailure, SERVER_FAILED);
+    } else if (mayRun) {
       finish(Answers.unknown(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout"), "timeout");
     } else {
       refuse("timeout_before_send");
