--- a/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
@@ -11,7 +11,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Load patterns replayed on the decisions alone, seeded and in virtual time. */
+/**
+ * Load patterns replayed on the decisions alone, seeded and in virtual time. Each gain is shown by
+ * two ways that differ in one decision only.
+ */
 public final class LoadModelTest {
   private static Pattern pattern(String name) {
     return Pattern.ALL.stream().filter(p -> p.name().equals(name)).findFirst().orElseThrow();
@@ -49,7 +52,7 @@
   @Test(dataProvider = "overloads")
   public void waitingWhileInTimeHelpsTheWorstSeconds(String name) {
     Result before = replay(name, Way.SHORT_WAIT);
-    Result after = replay(name, Way.CURRENT);
+    Result after = replay(name, Way.ALL_SERVERS);
     assertTrue(after.worstSecond() > before.worstSecond() + 0.03);
     assertTrue(after.inTime() > before.inTime());
     assertTrue(after.refusedTwice() < before.refusedTwice());
@@ -67,7 +70,7 @@
   @Test
   public void keepingToAPartOfALargeServiceBringsMoreAnswersInTime() {
     double before = replay("grown", Way.ALL_SERVERS).inTime();
-    double after = replay("grown", Way.CURRENT).inTime();
+    double after = replay("grown", Way.ONE_ROUND).inTime();
     assertTrue(after > before + 0.01, before + " to " + after);
   }
 
@@ -78,7 +81,7 @@
   @Test
   public void aSecondRoundOfQuestionsHelpsBesideNoisyNeighbours() {
     double before = replay("noise", Way.ONE_ROUND).inTime();
-    double after = replay("noise", Way.CURRENT).inTime();
+    double after = replay("noise", Way.UNYIELDING).inTime();
     assertTrue(after > before + 0.01, before + " to " + after);
   }
 
