Requests start only where they can be in time; an answer's report is taken without the request it counts

(1) Answers' reports never said 0 although health checks did: they count the request that they answer, so a server with three slots looked full whenever a slot had just become free. (2) How long a request takes is settled when it starts: those sent to a server that said it was five times slower took 630 ms of 160 to their end, although the neighbour is gone after 200 ms; 11% of the answers took 38% of the slot time. (3) The usual latency was divided by the slowness at the end of a request, which says nothing of it. Ruled out: age of reports (three quarters under 20 ms), second sends (a few a second). Change: a server whose answer is expected too late gets no request; it waits in line. Reports of answers are taken without the answered request, unless the service's servers show that they do not count it. The usual slowness of a service is learnt in place of a constant. The load model's servers settle a request's length at its start, have traits in place of constants, and three slots in two new patterns.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Deployment.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Deployment.java
@@ -9,6 +9,7 @@
  * @param instances instances that do not see each other
  * @param servers services with their numbers of servers; in a fixed order, or a seed would not
  *     repeat
+ * @param traits how the servers behave
  * @param kinds kinds of requests
  * @param probesPerServer health checks a second that a server gets of all instances together
  * @param retries how often a caller comes back
@@ -16,17 +17,35 @@
 record Deployment(
     int instances,
     List<Map.Entry<String, Integer>> servers,
+    ServerTraits traits,
     List<Kind> kinds,
     double probesPerServer,
     int retries) {
   /** Few and small servers, short work. */
-  static final Deployment SMALL = new Deployment(17, services(19, 8, 6), Kind.SHORT, 60, 1);
+  static final Deployment SMALL =
+      new Deployment(17, services(19, 8, 6), ServerTraits.SIX_SLOTS, Kind.SHORT, 60, 1);
 
   /** Callers that wait long and come back twice. */
-  static final Deployment PATIENT = new Deployment(18, services(19, 8, 6), Kind.PATIENT, 60, 2);
+  static final Deployment PATIENT =
+      new Deployment(18, services(19, 8, 6), ServerTraits.SIX_SLOTS, Kind.PATIENT, 60, 2);
 
   /** Many instances that each see few requests, and work that outlasts a neighbour's noise. */
-  static final Deployment GROWN = new Deployment(129, services(148, 62, 42), Kind.LONG, 42, 1);
+  static final Deployment GROWN =
+      new Deployment(129, services(148, 62, 42), ServerTraits.SIX_SLOTS, Kind.LONG, 42, 1);
+
+  /** Servers with three slots, and work that lasts as long as a neighbour's noise. */
+  static final Deployment FEW_SLOTS =
+      new Deployment(
+          18,
+          List.of(
+              Map.entry(Kind.STATUS, 15),
+              Map.entry(Kind.BOOKING, 8),
+              Map.entry(Kind.SCHEDULE, 11),
+              Map.entry(Kind.CERTIFICATES, 8)),
+          ServerTraits.THREE_SLOTS,
+          Kind.FEW_SLOTS,
+          60,
+          1);
 
   private static List<Map.Entry<String, Integer>> services(int status, int booking, int schedule) {
     return List.of(
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.HedgeDelay;
+import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.Selection;
 import org.magnoliaswitch.front.load.ServerState;
@@ -36,11 +38,17 @@
   private static final class Send {
     private final ServerState state;
     private final ModelServer.Job job;
+    private final double slowness;
     private boolean ended;
 
-    Send(ServerState state, double workMillis, Consumer<Send> finished) {
+    Send(
+        ServerState state,
+        double workMillis,
+        double slowness,
+        BiConsumer<Send, LoadSample> finished) {
       this.state = state;
-      this.job = new ModelServer.Job(workMillis, () -> finished.accept(this));
+      this.slowness = slowness;
+      this.job = new ModelServer.Job(workMillis, told -> finished.accept(this, told));
     }
   }
 
@@ -86,7 +94,7 @@
   }
 
   private void look(int rounds, Consumer<Selection.Step> found) {
-    List<Placement.Ranked> ranked = node.rank(request.kind(), chance(), tried);
+    List<Placement.Ranked> ranked = node.rank(request.kind(), allowedNanos(), tried);
     if (!node.rules().bounded()) {
       found.accept(
           ranked.isEmpty()
@@ -181,7 +189,12 @@
     state.sent();
     long sentNanos = now();
     double network = node.networkMillis(state);
-    Send send = new Send(state, request.workMillis(), ended -> ran(ended, sentNanos, network));
+    Send send =
+        new Send(
+            state,
+            request.workMillis(),
+            node.slowness(state),
+            (ended, told) -> ran(ended, told, sentNanos, network));
     open.add(send);
     node.world()
         .time()
@@ -242,18 +255,18 @@
     }
   }
 
-  private void ran(Send send, long sentNanos, double network) {
-    node.world().time().afterMillis(network, () -> answered(send, sentNanos));
+  private void ran(Send send, LoadSample told, long sentNanos, double network) {
+    node.world().time().afterMillis(network, () -> answered(send, told, sentNanos));
   }
 
-  private void answered(Send send, long sentNanos) {
+  private void answered(Send send, LoadSample told, long sentNanos) {
     if (send.ended) {
       return;
     }
     send.ended = true;
     send.state.ended();
-    node.sampled(send.state);
-    learn(send.state, now() - sentNanos);
+    node.answered(send.state, told);
+    learn(send.state, now() - sentNanos, send.slowness);
     if (!done) {
       done = true;
       open.remove(send);
@@ -262,17 +275,25 @@
     }
   }
 
-  private void learn(ServerState state, long tookNanos) {
+  private void learn(ServerState state, long tookNanos, double slowness) {
     LatencyBaseline baseline = node.routes().baseline(request.kind().route());
-    double slowness = Math.max(1, state.sample().slowness());
     Optional<FrontExchange> first = node.line().first(service());
-    if (first.isPresent() && node.hasRoom(state, service(), first.get().chance())) {
+    if (first.isPresent() && first.get().suits(state)) {
       first.get().offered(state);
     }
     state.succeeded(tookNanos / (baseline.nanos() * slowness), now());
     baseline.learn(tookNanos / slowness);
   }
 
+  private boolean suits(ServerState state) {
+    return node.suits(state, request.kind(), chance(), allowedNanos());
+  }
+
+  private long allowedNanos() {
+    long end = chance() == Chance.IN_TIME ? request.objectiveEndNanos() : request.deadlineNanos();
+    return end - now();
+  }
+
   private void offered(ServerState state) {
     if (inLine && !tried.contains(state)) {
       leaveLine();
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.ProbeShare;
 import org.magnoliaswitch.front.load.RateLimit;
@@ -79,17 +80,23 @@
     return World.networkMillis(index, model(state));
   }
 
-  List<Placement.Ranked> rank(Kind kind, Chance chance, Set<ServerState> excluded) {
+  List<Placement.Ranked> rank(Kind kind, long allowedNanos, Set<ServerState> excluded) {
     List<ServerState> eligible =
         states.get(kind.service()).stream().filter(state -> !excluded.contains(state)).toList();
-    Placement.Context context =
-        new Placement.Context(
-            routes.baseline(kind.route()).nanos(),
-            chance == Chance.LATE ? kind.route().timeoutNanos() : kind.route().objectiveNanos(),
-            routes.load(kind.service()).meanHeld(),
-            World.dataCentre(index),
-            world.time().nanos());
-    return Placement.rank(eligible, context, world.random());
+    List<Placement.Ranked> ranked =
+        Placement.rank(eligible, context(kind, allowedNanos), world.random());
+    return rules.fitting()
+        ? ranked
+        : ranked.stream().map(one -> new Placement.Ranked(one.server(), one.cost(), true)).toList();
+  }
+
+  private Placement.Context context(Kind kind, long allowedNanos) {
+    return new Placement.Context(
+        routes.baseline(kind.route()).nanos(),
+        allowedNanos,
+        routes.load(kind.service()),
+        World.dataCentre(index),
+        world.time().nanos());
   }
 
   boolean mayProbe(ServerState state) {
@@ -101,14 +108,31 @@
     return probes.get(state).take(perSecond, world.time().nanos());
   }
 
-  boolean hasRoom(ServerState state, String service, Chance chance) {
-    ServiceLoad load = routes.load(service);
-    return !rules.bounded() || Room.hasRoom(state, load, chance, world.time().nanos());
+  boolean suits(ServerState state, Kind kind, Chance chance, long allowedNanos) {
+    ServiceLoad load = routes.load(kind.service());
+    boolean room = !rules.bounded() || Room.hasRoom(state, load, chance, world.time().nanos());
+    return room && (!rules.fitting() || Placement.fits(state, context(kind, allowedNanos)));
   }
 
+  /** Takes what a health check or a rejection tells. */
   void sampled(ServerState state) {
-    state.sampled(model(state).sample(), state.inFlight(), world.time().nanos());
-    routes.load(state.entry().service()).sampled(state.sample());
+    sampled(state, model(state).sample());
+  }
+
+  /** Takes what an answer tells. */
+  void answered(ServerState state, LoadSample told) {
+    ServiceLoad load = routes.load(state.entry().service());
+    sampled(state, rules.exactReports() ? load.afterAnswer(told) : told);
+  }
+
+  private void sampled(ServerState state, LoadSample sample) {
+    state.sampled(sample, state.inFlight(), world.time().nanos());
+    routes.load(state.entry().service()).sampled(sample);
+  }
+
+  double slowness(ServerState state) {
+    ServiceLoad load = routes.load(state.entry().service());
+    return Placement.slowness(state, load, world.time().nanos());
   }
 
   boolean mayRepeat(String service) {
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/IdealPolicy.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/IdealPolicy.java
@@ -73,7 +73,7 @@
   }
 
   private boolean suits(ModelServer server, Waiting waiting) {
-    if (server.sample().held() + 1 > ModelServer.KNEE * ModelServer.SLOTS) {
+    if (server.atKnee()) {
       return false;
     }
     double work = waiting.request.workMillis() * server.sample().slowness();
@@ -87,9 +87,10 @@
 
   private void send(Waiting waiting, ModelServer server) {
     double network = World.networkMillis(waiting.instance, server);
-    Runnable done =
-        () -> world.time().afterMillis(network, () -> callers.answered(waiting.request));
-    ModelServer.Job job = new ModelServer.Job(waiting.request.workMillis() + network, done);
+    ModelServer.Job job =
+        new ModelServer.Job(
+            waiting.request.workMillis() + network,
+            told -> world.time().afterMillis(network, () -> callers.answered(waiting.request)));
     server.take(job);
     long left = waiting.request.deadlineNanos() - world.time().nanos();
     world.time().after(left, () -> server.cancel(job));
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Kind.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Kind.java
@@ -19,6 +19,7 @@
   static final String STATUS = "status";
   static final String BOOKING = "booking";
   static final String SCHEDULE = "schedule";
+  static final String CERTIFICATES = "certificates";
 
   /** Reads, bookings, changes and closings over three services. */
   static final List<Kind> SHORT =
@@ -44,6 +45,14 @@
           kind("shift", SCHEDULE, false, 100, 400, 1_010, 2_000, 0, 3),
           kind("close", SCHEDULE, false, 46.5, 460, 1_204, 2_000, 2, 1));
 
+  /** Readings, payouts, lots and certificates over four services. */
+  static final List<Kind> FEW_SLOTS =
+      List.of(
+          kind("read", STATUS, true, 60.5, 160, 400, 1_200, 2, 1),
+          kind("pay", BOOKING, false, 18.8, 210, 500, 1_500, 1, 2),
+          kind("lots", SCHEDULE, true, 18.8, 400, 1_000, 3_000, 2, 1),
+          kind("certify", CERTIFICATES, false, 6.78, 130, 400, 1_000, 2, 1));
+
   private static Kind kind(
       String name,
       String service,
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/LoadModelMain.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/LoadModelMain.java
@@ -5,10 +5,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -29,22 +31,58 @@
     OptionParser parser = new OptionParser();
     OptionSpec<String> directory =
         parser.accepts("dir", "where the plot goes").withRequiredArg().defaultsTo(".");
+    OptionSpec<String> patterns =
+        parser
+            .accepts("pattern", "patterns to play, all where none is named")
+            .withRequiredArg()
+            .withValuesSeparatedBy(',');
+    OptionSpec<String> ways =
+        parser
+            .accepts(
+                "way", "ways to play beside the current and the ideal one, all where none is named")
+            .withRequiredArg()
+            .withValuesSeparatedBy(',');
     OptionSpec<Void> help = parser.accepts("help", "print this text").forHelp();
     try {
       OptionSet options = parser.parse(arguments);
       if (options.has(help)) {
-        System.out.println("magnolia-load-model [--dir DIR]\n");
+        System.out.println(
+            "magnolia-load-model [--dir DIR] [--pattern NAME,...] [--way WAY,...]\n");
         parser.printHelpOn(System.out);
         return;
       }
-      run(Path.of(options.valueOf(directory)));
+      run(
+          Path.of(options.valueOf(directory)),
+          chosen(options.valuesOf(patterns)),
+          ways(options.valuesOf(ways)));
     } catch (OptionException e) {
       System.err.println("magnolia-load-model: " + e.getMessage() + "; see --help");
       System.exit(USAGE);
     }
   }
 
-  private static void run(Path directory) throws IOException {
+  private static List<Pattern> chosen(List<String> names) {
+    if (names.isEmpty()) {
+      return Pattern.ALL;
+    }
+    return Pattern.ALL.stream().filter(pattern -> names.contains(pattern.name())).toList();
+  }
+
+  private static Set<Way> ways(List<String> names) {
+    if (names.isEmpty()) {
+      return EnumSet.allOf(Way.class);
+    }
+    Set<Way> played = EnumSet.of(Way.CURRENT, Way.IDEAL);
+    for (Way way : Way.values()) {
+      if (names.contains(way.name().toLowerCase(Locale.ROOT))) {
+        played.add(way);
+      }
+    }
+    return played;
+  }
+
+  private static void run(Path directory, List<Pattern> patterns, Set<Way> played)
+      throws IOException {
     Map<Pattern, Map<Way, Result>> results = new LinkedHashMap<>();
     System.out.printf(
         Locale.ROOT,
@@ -56,16 +94,19 @@
         "credit",
         "worst_second",
         "refused_twice");
-    for (Pattern pattern : Pattern.ALL) {
+    for (Pattern pattern : patterns) {
       Map<Way, Result> ways = new EnumMap<>(Way.class);
-      for (Way way : Way.values()) {
+      for (Way way : played) {
         Result result = Replay.run(pattern, way);
         ways.put(way, result);
         print(pattern, way, result);
       }
       results.put(pattern, ways);
     }
-    plot(directory, results);
+    plot(directory, results, played);
+    if (!played.contains(Way.ROUND_ROBIN)) {
+      return;
+    }
     System.out.printf(
         Locale.ROOT,
         "load-model: served_vs_ideal=%.3f objective_vs_ideal=%.3f worst_second_vs_ideal=%.3f"
@@ -100,12 +141,12 @@
         .orElse(0);
   }
 
-  private static void plot(Path directory, Map<Pattern, Map<Way, Result>> results)
+  private static void plot(Path directory, Map<Pattern, Map<Way, Result>> results, Set<Way> played)
       throws IOException {
     Files.createDirectories(directory);
     List<String> patterns = results.keySet().stream().map(Pattern::name).toList();
     Map<String, List<Double>> bars = new LinkedHashMap<>();
-    for (Way way : Way.values()) {
+    for (Way way : played) {
       List<Double> values = new ArrayList<>();
       results.values().forEach(ways -> values.add(ways.get(way).inTime()));
       bars.put(way.name().toLowerCase(Locale.ROOT), values);
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.version.ServerEntry;
@@ -11,62 +12,92 @@
 /**
  * A backend server: slots, a short queue, a knee above which work slows down, and neighbours that
  * slow the whole machine for a few hundred milliseconds.
+ *
+ * <p>How long a request takes is settled when its work starts. In the logs of the users' servers
+ * those that started beside a busy neighbour took four times as long to their end, also when it had
+ * gone after a third of that, and those that started undisturbed took their usual time.
  */
 final class ModelServer {
-  static final int SLOTS = 6;
-  static final int QUEUE = 12;
-
-  /** Share of busy slots above which work takes longer, and how much longer. */
-  static final double KNEE = 0.8;
-
-  static final double KNEE_FACTOR = 1.7;
-
-  /** How much longer work takes beside a busy neighbour, and for how long one is busy. */
-  static final double NOISE_FACTOR = 4;
-
-  static final double NOISE_MILLIS = 300;
-
   /** One request at the server. */
   static final class Job {
-    private final Runnable done;
-    private double workMillis;
-
-    Job(double workMillis, Runnable done) {
+    private final double workMillis;
+    private final Consumer<LoadSample> done;
+
+    /**
+     * Creates a request.
+     *
+     * @param done takes what the answer says of the load, which still counts the request itself
+     */
+    Job(double workMillis, Consumer<LoadSample> done) {
       this.workMillis = workMillis;
       this.done = done;
     }
   }
 
   private final ServerEntry entry;
+  private final ServerTraits traits;
   private final double noiseShare;
+  private final VirtualTime time;
   private final RandomGenerator random;
   private final List<Job> running = new ArrayList<>();
   private final Deque<Job> waiting = new ArrayDeque<>();
   private double slowness = 1;
-  private double nextNoiseMillis;
   private boolean lost;
 
-  ModelServer(ServerEntry entry, double noiseShare, RandomGenerator random) {
+  ModelServer(
+      ServerEntry entry,
+      ServerTraits traits,
+      double noiseShare,
+      VirtualTime time,
+      RandomGenerator random) {
     this.entry = entry;
+    this.traits = traits;
     this.noiseShare = noiseShare;
+    this.time = time;
     this.random = random;
-    this.nextNoiseMillis = random.nextDouble() * NOISE_MILLIS;
+    time.afterMillis(
+        random.nextDouble() * traits.noiseMillis(),
+        () -> time.everyMillis(traits.noiseMillis(), this::shiftNoise));
+  }
+
+  private void shiftNoise() {
+    slowness = random.nextDouble() < noiseShare ? traits.noiseFactor() : 1;
   }
 
   ServerEntry entry() {
     return entry;
   }
 
+  /** Whether one more request would take longer than usual. */
+  boolean atKnee() {
+    return running.size() + waiting.size() + 1 > traits.knee() * traits.slots();
+  }
+
   /** Takes a request; false when slots and queue are full. */
   boolean take(Job job) {
     if (lost) {
       // Nobody answers; the job never ends.
       return true;
     }
-    if (running.size() < SLOTS) {
-      return running.add(job);
+    if (running.size() < traits.slots()) {
+      start(job);
+      return true;
+    }
+    return waiting.size() < traits.queue() && waiting.add(job);
+  }
+
+  private void start(Job job) {
+    running.add(job);
+    double knee = running.size() > traits.knee() * traits.slots() ? traits.kneeFactor() : 1;
+    time.afterMillis(job.workMillis * slowness * knee, () -> end(job));
+  }
+
+  private void end(Job job) {
+    LoadSample told = sample();
+    if (running.remove(job)) {
+      next();
+      job.done.accept(told);
     }
-    return waiting.size() < QUEUE && waiting.add(job);
   }
 
   /** Stops work on a request whose connection was closed. */
@@ -89,28 +120,12 @@
   }
 
   LoadSample sample() {
-    return new LoadSample(running.size(), waiting.size(), SLOTS, slowness);
-  }
-
-  /** Lets time pass. */
-  void step(double nowMillis, double stepMillis) {
-    if (nowMillis >= nextNoiseMillis) {
-      slowness = random.nextDouble() < noiseShare ? NOISE_FACTOR : 1;
-      nextNoiseMillis += NOISE_MILLIS;
-    }
-    double knee = running.size() > KNEE * SLOTS ? KNEE_FACTOR : 1;
-    for (Job job : List.copyOf(running)) {
-      job.workMillis -= stepMillis / (slowness * knee);
-      if (job.workMillis <= 0 && running.remove(job)) {
-        next();
-        job.done.run();
-      }
-    }
+    return new LoadSample(running.size(), waiting.size(), traits.slots(), slowness);
   }
 
   private void next() {
     if (!waiting.isEmpty()) {
-      running.add(waiting.removeFirst());
+      start(waiting.removeFirst());
     }
   }
 }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
@@ -45,6 +45,8 @@
           new Pattern("outage", Deployment.SMALL, 1.2, 1, 0, 0, 0, true, NOISE),
           new Pattern("aftermath", Deployment.PATIENT, 1.35, 1.7, 0, 0, 0, false, 0.35),
           new Pattern("grown", Deployment.GROWN, 1.2, 1.5, 0, 0, 0, false, 0.3),
+          new Pattern("few-slots", Deployment.FEW_SLOTS, 1.2, 1.6, 0, 0, 0, false, NOISE),
+          new Pattern("few-slots-3", Deployment.FEW_SLOTS, 1.3, 2.4, 0, 0, 0, false, NOISE),
           new Pattern("zone-lost", Deployment.SMALL, 1.2, 1.4, 0, 0, 1 / 3.0, false, NOISE));
 
   /** Requests at a moment relative to an ordinary day. */
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
@@ -17,6 +17,8 @@
     ALL_SERVERS,
     ONE_ROUND,
     UNYIELDING,
+    INEXACT,
+    UNFITTED,
     CURRENT,
     IDEAL
   }
@@ -25,7 +27,7 @@
 
   static Scoreboard.Result run(Pattern pattern, Way way) {
     return Scoreboard.Result.mean(
-        Arrays.stream(SEEDS).mapToObj(seed -> run(pattern, way, seed)).toList());
+        Arrays.stream(SEEDS).parallel().mapToObj(seed -> run(pattern, way, seed)).toList());
   }
 
   private static Scoreboard.Result run(Pattern pattern, Way way, long seed) {
@@ -57,6 +59,8 @@
       case ALL_SERVERS -> new FrontPolicy(world, callers, Rules.ALL_SERVERS);
       case ONE_ROUND -> new FrontPolicy(world, callers, Rules.ONE_ROUND);
       case UNYIELDING -> new FrontPolicy(world, callers, Rules.UNYIELDING);
+      case INEXACT -> new FrontPolicy(world, callers, Rules.INEXACT);
+      case UNFITTED -> new FrontPolicy(world, callers, Rules.UNFITTED);
       case CURRENT -> new FrontPolicy(world, callers, Rules.CURRENT);
       case IDEAL -> new IdealPolicy(world, callers);
     };
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/SimplePolicy.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/SimplePolicy.java
@@ -36,17 +36,10 @@
   }
 
   private void reach(ModelRequest request, ModelServer server, String key, double network) {
-    Runnable done =
-        () ->
-            world
-                .time()
-                .afterMillis(
-                    network,
-                    () -> {
-                      inFlight.merge(key, -1, Integer::sum);
-                      callers.answered(request);
-                    });
-    ModelServer.Job job = new ModelServer.Job(request.workMillis(), done);
+    ModelServer.Job job =
+        new ModelServer.Job(
+            request.workMillis(),
+            told -> world.time().afterMillis(network, () -> answered(request, key)));
     if (!server.take(job)) {
       inFlight.merge(key, -1, Integer::sum);
       callers.refused(request, RETRY_AFTER_SECONDS);
@@ -55,6 +48,11 @@
     world.time().after(request.deadlineNanos() - world.time().nanos(), () -> server.cancel(job));
   }
 
+  private void answered(ModelRequest request, String key) {
+    inFlight.merge(key, -1, Integer::sum);
+    callers.answered(request);
+  }
+
   private ModelServer choose(String service, int instance) {
     List<ModelServer> servers = world.servers(service);
     int turn = turns.merge(service + instance, 1, Integer::sum);
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/World.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/World.java
@@ -10,7 +10,6 @@
 /** The parts of one replay: time, servers, instances and what becomes of requests. */
 final class World {
   private static final int DATA_CENTRES = 3;
-  private static final double STEP_MILLIS = 1;
   private static final double NEAR_MILLIS = 0.2;
   private static final double FAR_MILLIS = 1.4;
 
@@ -26,7 +25,6 @@
     for (Map.Entry<String, Integer> service : pattern.deployment().servers()) {
       servers.put(service.getKey(), servers(service.getKey(), service.getValue(), pattern));
     }
-    time.everyMillis(STEP_MILLIS, this::step);
   }
 
   private List<ModelServer> servers(String service, int count, Pattern pattern) {
@@ -39,18 +37,14 @@
               "127.0.0.1",
               1,
               dataCentre(i),
-              ModelServer.SLOTS,
+              deployment.traits().slots(),
               false,
               0);
-      list.add(new ModelServer(entry, pattern.noiseShare(), random));
+      list.add(new ModelServer(entry, deployment.traits(), pattern.noiseShare(), time, random));
     }
     return list;
   }
 
-  private void step() {
-    servers.values().forEach(list -> list.forEach(s -> s.step(time.millis(), STEP_MILLIS)));
-  }
-
   Deployment deployment() {
     return deployment;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -19,9 +19,6 @@
   /** Neighbours change a server's speed several times a second: a sample says little after this. */
   private static final double SAMPLE_FADE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-  /** Slowness assumed of a server not heard of lately: a quarter of them run four times slower. */
-  private static final double USUAL_SLOWNESS = 1.75;
-
   /** Slow-down above {@link Room#KNEE} of the slots, as the users describe their servers. */
   private static final double KNEE_FACTOR = 1.7;
 
@@ -58,20 +55,24 @@
    * What a ranking depends on besides the servers.
    *
    * @param expectedNanos usual latency of such a request on an undisturbed server
-   * @param objectiveNanos latency up to which the answer has its full value
-   * @param meanHeld requests that a server of the service holds on average
+   * @param allowedNanos time until an answer loses most of the value that it can still have
+   * @param load what is known of the service as a whole
    * @param dataCentre where this instance runs
    * @param nowNanos monotonic time
    */
   public record Context(
       double expectedNanos,
-      long objectiveNanos,
-      double meanHeld,
+      long allowedNanos,
+      ServiceLoad load,
       String dataCentre,
       long nowNanos) {}
 
-  /** A server with the cost of sending a request there. */
-  public record Ranked(ServerState server, double cost) {}
+  /**
+   * A server with the cost of sending a request there.
+   *
+   * @param fits whether the answer can be expected in the time that it is allowed
+   */
+  public record Ranked(ServerState server, double cost, boolean fits) {}
 
   /** The servers by rising cost. */
   public static List<Ranked> rank(
@@ -79,16 +80,27 @@
     List<Ranked> ranked = new ArrayList<>(eligible.size());
     for (ServerState server : eligible) {
       double cost = cost(server, context) + NOISE * random.nextDouble();
-      ranked.add(new Ranked(server, cost));
+      ranked.add(new Ranked(server, cost, fits(server, context)));
     }
     ranked.sort(Comparator.comparingDouble(Ranked::cost));
     return ranked;
   }
 
+  /**
+   * Whether an answer can be expected in the time that it is allowed.
+   *
+   * <p>Load pattern: a neighbour slows a server down, and a request that starts at that moment is
+   * slow to its end. Five times slower it is late for certain and keeps a slot that would serve
+   * five others, while the neighbour is gone after a moment.
+   */
+  public static boolean fits(ServerState server, Context context) {
+    return predictedNanos(server, context) <= context.allowedNanos();
+  }
+
   /** Share of the request's value that is expected to be lost at a server. */
   public static double cost(ServerState server, Context context) {
     double latency = predictedNanos(server, context);
-    double ratio = latency / context.objectiveNanos();
+    double ratio = latency / Math.max(1, context.allowedNanos());
     double late = 1 / (1 + Math.exp(-LATE_STEEPNESS * (ratio - 1)));
     double failure = server.failureShare(context.nowNanos());
     double inTime = LATE_LOSS * late + LATENCY_LOSS * Math.min(2, ratio);
@@ -99,9 +111,9 @@
 
   /** Latency to expect at a server. */
   public static double predictedNanos(ServerState server, Context context) {
-    double slowness = slowness(server, context.nowNanos());
+    double slowness = slowness(server, context.load(), context.nowNanos());
     double slots = server.sample().slots();
-    double held = held(server, context.meanHeld(), context.nowNanos()) + 1;
+    double held = held(server, context.load().meanHeld(), context.nowNanos()) + 1;
     double knee = held > Room.KNEE * slots ? KNEE_FACTOR : 1;
     double waves = Math.max(0, held - slots) / slots;
     double cold = server.cold(context.nowNanos()) ? COLD_FACTOR : 1;
@@ -118,15 +130,16 @@
 
   private static double fullness(ServerState server, Context context) {
     double room = QUEUE_FACTOR * server.sample().slots();
-    return held(server, context.meanHeld(), context.nowNanos()) >= room ? FULL_LOSS : 0;
+    return held(server, context.load().meanHeld(), context.nowNanos()) >= room ? FULL_LOSS : 0;
   }
 
-  private static double slowness(ServerState server, long nowNanos) {
+  /** How much longer work that starts now takes at a server, as far as its last sample tells. */
+  public static double slowness(ServerState server, ServiceLoad load, long nowNanos) {
+    double usual = load.meanSlowness();
     if (!server.hasSample()) {
-      return USUAL_SLOWNESS;
+      return usual;
     }
-    double fade = fade(server, nowNanos);
-    return USUAL_SLOWNESS + (server.sample().slowness() - USUAL_SLOWNESS) * fade;
+    return usual + (server.sample().slowness() - usual) * fade(server, nowNanos);
   }
 
   private static double fade(ServerState server, long nowNanos) {
--- a/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
@@ -77,6 +77,7 @@
     }
     Optional<ServerState> best =
         ranked.stream()
+            .filter(Ranked::fits)
             .map(Ranked::server)
             .filter(server -> Room.hasRoom(server, load, chance, nowNanos))
             .findFirst();
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
@@ -1,7 +1,8 @@
 package org.magnoliaswitch.front.load;
 
 /**
- * What a service's servers hold on average, learnt from every load sample; used by one thread.
+ * What a service's servers hold and how slow they are on average, learnt from every load sample;
+ * used by one thread.
  *
  * <p>It stands in for a server whose own sample is old: on a busy day such a server is busy too,
  * and taking it for idle would send it what it can only reject.
@@ -16,7 +17,15 @@
   /** Share of requests in time that found no room at once, from which the service is pressed. */
   private static final double PRESSED_SHARE = 0.3;
 
+  /** Weight of one sample: the last fifty count, some seconds, as long as neighbours stay alike. */
+  private static final double SLOWNESS_WEIGHT = 0.02;
+
+  /** Slowness assumed before the first samples: a quarter of the servers four times slower. */
+  private static final double INITIAL_SLOWNESS = 1.75;
+
   private double meanHeld;
+  private double meanSlowness = INITIAL_SLOWNESS;
+  private boolean answersCountThemselves = true;
   private double waitedShare;
   private boolean reporting = true;
 
@@ -24,6 +33,22 @@
   public void sampled(LoadSample sample) {
     reporting = true;
     meanHeld += WEIGHT * (sample.held() - meanHeld);
+    meanSlowness += SLOWNESS_WEIGHT * (sample.slowness() - meanSlowness);
+  }
+
+  /**
+   * The load after an answer, from the sample that came with it.
+   *
+   * <p>Most servers still count the request that they answer. Taken as it is, a server with three
+   * slots looked full whenever it had just become free, the next in line was not offered the slot,
+   * and a service at three quarters of its load refused requests in each second. A sample that
+   * counts nothing shows that this service's servers do not.
+   */
+  public LoadSample afterAnswer(LoadSample told) {
+    if (told.running() == 0) {
+      answersCountThemselves = false;
+    }
+    return answersCountThemselves ? told.withoutOne() : told;
   }
 
   /** Notes a health check whose answer told no load: asking again would only take a slot. */
@@ -46,6 +71,11 @@
     return reporting;
   }
 
+  /** How much longer work takes on the service's servers on average; 1 is undisturbed. */
+  public double meanSlowness() {
+    return meanSlowness;
+  }
+
   /** Requests that a server of the service holds on average. */
   public double meanHeld() {
     return meanHeld;
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -14,6 +14,8 @@
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.Placement;
+import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.process.Environment;
 
 /** One send of a request to one backend server. */
@@ -40,6 +42,7 @@
   private final String requestId;
   private @Nullable ServerConnection connection;
   private long sentNanos;
+  private double slownessAtStart = 1;
   private boolean ended;
 
   Attempt(
@@ -152,6 +155,7 @@
     }
     connection = target;
     sentNanos = environment.clocks().nanos();
+    slownessAtStart = Placement.slowness(pool.state(), serviceLoad(), sentNanos);
     exchange.writing();
     FullHttpRequest message =
         new DefaultFullHttpRequest(
@@ -217,7 +221,7 @@
       environment.servers().failed(pool.state(), "error");
       return;
     }
-    exchange.learnLatency(environment.clocks().nanos() - sentNanos, pool.state());
+    exchange.learnLatency(environment.clocks().nanos() - sentNanos, slownessAtStart, pool.state());
   }
 
   private void learnLoad(ServerReply.Whole whole) {
@@ -228,9 +232,15 @@
     }
   }
 
-  private void sampled(LoadSample sample, int own) {
+  private void sampled(LoadSample told, int own) {
+    ServiceLoad service = serviceLoad();
+    LoadSample sample = service.afterAnswer(told);
     pool.state().sampled(sample, own, environment.clocks().nanos());
-    environment.routeState().load(pool.state().entry().service()).sampled(sample);
+    service.sampled(sample);
+  }
+
+  private ServiceLoad serviceLoad() {
+    return environment.routeState().load(pool.state().entry().service());
   }
 
   private void end() {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -236,10 +236,14 @@
     finish(result, failed ? SERVER_FAILED : RequestReport.ANSWERED);
   }
 
-  /** Compares a whole answer's latency with what was expected of the server. */
-  void learnLatency(long tookNanos, ServerState server) {
+  /**
+   * Compares a whole answer's latency with what was expected of the server.
+   *
+   * @param slowness how slow the server was when the request was sent; how slow it is when the
+   *     answer leaves says nothing, and taken for it the usual latency came out a fifth too short
+   */
+  void learnLatency(long tookNanos, double slowness, ServerState server) {
     LatencyBaseline baseline = environment.routeState().baseline(requireRoute());
-    double slowness = Math.max(1, server.sample().slowness());
     requirePlacing().offerRoom(server);
     environment.metrics().latency(service, tookNanos);
     environment.servers().succeeded(server, tookNanos / (baseline.nanos() * slowness));
--- a/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -103,7 +103,7 @@
   /** A server's answer has told of room there: the first in line may take it. */
   void offerRoom(ServerState server) {
     Optional<Placing> first = line.first(service);
-    if (first.isPresent() && finder.hasRoom(server, service, first.get().times.chance())) {
+    if (first.isPresent() && finder.suits(server, first.get().wanted())) {
       // Deferred, so that the connection that brought the answer is back in its pool.
       loop.execute(() -> first.get().offered(server));
     }
@@ -120,9 +120,7 @@
     searches++;
     int asked = searches;
     finder.search(
-        route,
-        service,
-        times.chance(),
+        wanted(),
         tried,
         result -> {
           // While a search waits for health checks, an answer may have offered room: the request
@@ -133,6 +131,12 @@
         });
   }
 
+  private Wanted wanted() {
+    Chance chance = times.chance();
+    long allowed = chance == Chance.IN_TIME ? times.objectiveLeftNanos() : times.leftNanos();
+    return new Wanted(route, service, chance, allowed);
+  }
+
   private void found(ServerFinder.Result result) {
     if (!sought) {
       sought = true;
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
@@ -4,7 +4,6 @@
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.version.Route;
 
 /** Finds the server for a request. */
 interface ServerFinder {
@@ -23,15 +22,13 @@
   /**
    * Looks for a server; the result may come at once or a few milliseconds later.
    *
-   * @param chance whether the request can be in time
    * @param excluded ids of servers that the request was sent to before
    */
-  void search(
-      Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found);
+  void search(Wanted wanted, Set<String> excluded, Consumer<Result> found);
 
   /** Notes whether a request found room at its first search. */
   void sought(String service, Chance chance, boolean found);
 
-  /** Whether a server should get one more request now. */
-  boolean hasRoom(ServerState server, String service, Chance chance);
+  /** Whether a server should get the request now. */
+  boolean suits(ServerState server, Wanted wanted);
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -14,7 +14,6 @@
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.process.Environment;
-import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.ServicePolicy;
 
 /** Finds the server for a request, asking the best candidates for their load when news are old. */
@@ -28,35 +27,29 @@
   }
 
   @Override
-  public void search(
-      Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found) {
-    new Search(route, service, chance, excluded, found).look(Selection.ROUNDS);
+  public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
+    new Search(wanted, excluded, found).look(Selection.ROUNDS);
   }
 
   /** One search: it asks servers in rounds until the best one is known well enough. */
   private final class Search {
-    private final Route route;
-    private final String service;
-    private final Chance chance;
+    private final Wanted wanted;
     private final Set<String> excluded;
     private final Consumer<Result> found;
 
-    Search(
-        Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found) {
-      this.route = route;
-      this.service = service;
-      this.chance = chance;
+    Search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
+      this.wanted = wanted;
       this.excluded = excluded;
       this.found = found;
     }
 
     void look(int rounds) {
-      ServiceLoad load = environment.routeState().load(service);
-      Optional<ServicePolicy> policy = environment.routes().get().service(service);
-      List<Ranked> ranked = rank(route, service, chance, excluded);
+      ServiceLoad load = environment.routeState().load(wanted.service());
+      Optional<ServicePolicy> policy = environment.routes().get().service(wanted.service());
+      List<Ranked> ranked = rank(wanted, excluded);
       boolean askable = rounds > 0 && policy.isPresent();
       long now = environment.clocks().nanos();
-      Selection.Step step = Selection.next(ranked, load, chance, askable, now);
+      Selection.Step step = Selection.next(ranked, load, wanted.chance(), askable, now);
       if (step instanceof Selection.Step.Ask ask && policy.isPresent()) {
         ask(ask.servers(), policy.get(), rounds - 1);
       } else {
@@ -87,26 +80,29 @@
   }
 
   @Override
-  public boolean hasRoom(ServerState server, String service, Chance chance) {
-    ServiceLoad load = environment.routeState().load(service);
-    long now = environment.clocks().nanos();
-    return server.acceptsWork() && Room.hasRoom(server, load, chance, now);
+  public boolean suits(ServerState server, Wanted wanted) {
+    Placement.Context context = context(wanted);
+    return server.acceptsWork()
+        && Placement.fits(server, context)
+        && Room.hasRoom(server, context.load(), wanted.chance(), context.nowNanos());
   }
 
-  private List<Ranked> rank(Route route, String service, Chance chance, Set<String> excluded) {
+  private List<Ranked> rank(Wanted wanted, Set<String> excluded) {
     List<ServerState> eligible = new ArrayList<>();
-    for (ServerPool pool : environment.servers().of(service)) {
+    for (ServerPool pool : environment.servers().of(wanted.service())) {
       if (pool.state().acceptsWork() && !excluded.contains(pool.state().entry().id())) {
         eligible.add(pool.state());
       }
     }
-    Placement.Context context =
-        new Placement.Context(
-            environment.routeState().baseline(route).nanos(),
-            chance == Chance.LATE ? route.timeoutNanos() : route.objectiveNanos(),
-            environment.routeState().load(service).meanHeld(),
-            environment.settings().dataCentre(),
-            environment.clocks().nanos());
-    return Placement.rank(eligible, context, environment.random());
+    return Placement.rank(eligible, context(wanted), environment.random());
+  }
+
+  private Placement.Context context(Wanted wanted) {
+    return new Placement.Context(
+        environment.routeState().baseline(wanted.route()).nanos(),
+        wanted.allowedNanos(),
+        environment.routeState().load(wanted.service()),
+        environment.settings().dataCentre(),
+        environment.clocks().nanos());
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/load/LoadReplayTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/LoadReplayTest.java
@@ -151,11 +151,7 @@
     private List<Ranked> rank(int instance, long now) {
       Placement.Context context =
           new Placement.Context(
-              WORK_MILLIS * 1e6,
-              nanos(OBJECTIVE_MILLIS),
-              loads.get(instance).meanHeld(),
-              "here",
-              now);
+              WORK_MILLIS * 1e6, nanos(OBJECTIVE_MILLIS), loads.get(instance), "here", now);
       return Placement.rank(states.get(instance), context, random);
     }
 
--- a/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
@@ -19,8 +19,17 @@
 
   private final RandomGenerator random = new java.util.Random(7);
 
+  /** A service whose servers hold one request on average. */
+  private static ServiceLoad service() {
+    ServiceLoad load = new ServiceLoad();
+    for (int i = 0; i < 200; i++) {
+      load.sampled(new LoadSample(1, 0, Servers.SLOTS, 1.75));
+    }
+    return load;
+  }
+
   private String best(List<ServerState> servers, long now) {
-    Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, 1, "here", now);
+    Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, service(), "here", now);
     return Placement.rank(servers, context, random).getFirst().server().entry().id();
   }
 
@@ -50,7 +59,8 @@
     public void anOldSampleOfASlowMomentFades() {
       ServerState once = Servers.told("once-slow", 0, 4, NOW);
       long later = NOW + TimeUnit.SECONDS.toNanos(2);
-      Placement.Context context = new Placement.Context(EXPECTED, OBJECTIVE, 1, "here", later);
+      Placement.Context context =
+          new Placement.Context(EXPECTED, OBJECTIVE, service(), "here", later);
       double usual = Placement.predictedNanos(Servers.told("x", 0, 1.75, later), context);
       assertEquals(Placement.predictedNanos(once, context) / usual, 1.0, 0.05);
     }
--- a/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
@@ -16,7 +16,7 @@
   private static final long LONG_AGO = TimeUnit.SECONDS.toNanos(9);
 
   private static Selection.Step next(boolean askable, ServerState... servers) {
-    List<Ranked> ranked = Stream.of(servers).map(server -> new Ranked(server, 0)).toList();
+    List<Ranked> ranked = Stream.of(servers).map(server -> new Ranked(server, 0, true)).toList();
     return Selection.next(ranked, new ServiceLoad(), Chance.IN_TIME, askable, NOW);
   }
 
@@ -45,6 +45,20 @@
     assertEquals(next(true, slow), new Selection.Step.Send(slow));
   }
 
+  /**
+   * All servers with room are slowed down by neighbours, and an answer of theirs would come too
+   * late. Started there all the same, a request was slow to its end and kept a slot that would have
+   * served five others; a neighbour is gone after a moment, so the request waits in line.
+   */
+  @Test
+  public void aRequestDoesNotStartWhereItsAnswerWouldBeLate() {
+    ServerState slow = Servers.told("a", 1, 5, NOW);
+    Selection.Step step =
+        Selection.next(
+            List.of(new Ranked(slow, 0, false)), new ServiceLoad(), Chance.IN_TIME, false, NOW);
+    assertTrue(step instanceof Selection.Step.Full);
+  }
+
   @Test
   public void afterTheLastRoundNobodyIsAsked() {
     ServerState old = Servers.told("b", 1, 1, LONG_AGO);
--- a/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
@@ -48,8 +48,7 @@
   private record LateFinder(ServerState first, ServerState second, int[] searches, int fullSearches)
       implements ServerFinder {
     @Override
-    public void search(
-        Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found) {
+    public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
       int search = searches[0]++;
       if (search == 0) {
         found.accept(new Result.Chosen(first));
@@ -66,7 +65,7 @@
     }
 
     @Override
-    public boolean hasRoom(ServerState server, String service, Chance chance) {
+    public boolean suits(ServerState server, Wanted wanted) {
       return false;
     }
   }
--- a/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
@@ -36,8 +36,7 @@
     private final CountDownLatch second = new CountDownLatch(2);
 
     @Override
-    public void search(
-        Route route, String service, Chance chance, Set<String> excluded, Consumer<Result> found) {
+    public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
       searches.add(found);
       second.countDown();
     }
@@ -48,7 +47,7 @@
     }
 
     @Override
-    public boolean hasRoom(ServerState server, String service, Chance chance) {
+    public boolean suits(ServerState server, Wanted wanted) {
       return true;
     }
   }
