Mechanisms of the decisions under load can be switched off one by one

Cause: what a mechanism is worth could only be told by editing code; the load model compared historic combinations, so a later gain could hide a lost one.

--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -47,7 +47,13 @@
     Loop control = Loop.start();
     ServerConnector connector = new ServerConnector(requests, clocks, names);
     ServerDirectory servers =
-        new ServerDirectory(connector, clocks, log, settings.instance(), settings.dataCentre());
+        new ServerDirectory(
+            connector,
+            clocks,
+            log,
+            settings.instance(),
+            settings.dataCentre(),
+            settings.mechanisms());
     AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
     Environment environment =
         new Environment(
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -0,0 +1,42 @@
+package org.magnoliaswitch.front.load;
+
+/**
+ * Parts of the decisions under load that can be switched off one by one, to measure what each is
+ * worth. None of them guards a promise: at most once, whole answers and drains hold without.
+ */
+public enum Mechanism {
+  /** Servers are asked for their load before a request is placed. */
+  ASKING,
+  /** Further servers are asked when the first ones are slow or full. */
+  SECOND_ROUND,
+  /** A server gets no more requests than it can run well. */
+  KNEE_BOUND,
+  /** A request starts only where its answer can be expected in time. */
+  START_IN_TIME,
+  /** An answer's load sample is taken without the request it came with. */
+  EXACT_REPORTS,
+  /** A request waits while all servers are busy. */
+  WAITING,
+  /** Late requests yield while others wait. */
+  YIELDING,
+  /** Waiting requests go by chance, urgency and objective, not by age. */
+  LINE_ORDER,
+  /** An overdue idempotent request is sent to a second server. */
+  HEDGING,
+  /** Refused callers are told different times to come back. */
+  SPREAD_RETURNS,
+  /** Servers that failed lately are passed by. */
+  FAILURE_MEMORY,
+  /** Servers whose own answers were slow lately are passed by. */
+  LATENCY_MEMORY,
+  /** Servers that have just started are passed by. */
+  WARMTH,
+  /** A server of the own data centre goes before one that is as good. */
+  NEAR_FIRST,
+  /** Of a large service an instance sends to a part of the servers. */
+  SUBSET,
+  /** What may run once is written only on connections used a moment ago. */
+  FRESH_CONNECTIONS,
+  /** Requests wait for the first configuration after a start. */
+  FIRST_CONFIGURATION
+}
--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -51,22 +51,6 @@
 
   private Placement() {}
 
-  /**
-   * What a ranking depends on besides the servers.
-   *
-   * @param expectedNanos usual latency of such a request on an undisturbed server
-   * @param allowedNanos time until an answer loses most of the value that it can still have
-   * @param load what is known of the service as a whole
-   * @param dataCentre where this instance runs
-   * @param nowNanos monotonic time
-   */
-  public record Context(
-      double expectedNanos,
-      long allowedNanos,
-      ServiceLoad load,
-      String dataCentre,
-      long nowNanos) {}
-
   /**
    * A server with the cost of sending a request there.
    *
@@ -76,7 +60,7 @@
 
   /** The servers by rising cost. */
   public static List<Ranked> rank(
-      List<ServerState> eligible, Context context, RandomGenerator random) {
+      List<ServerState> eligible, PlacementContext context, RandomGenerator random) {
     List<Ranked> ranked = new ArrayList<>(eligible.size());
     for (ServerState server : eligible) {
       double cost = cost(server, context) + NOISE * random.nextDouble();
@@ -93,31 +77,35 @@
    * slow to its end. Five times slower it is late for certain and keeps a slot that would serve
    * five others, while the neighbour is gone after a moment.
    */
-  public static boolean fits(ServerState server, Context context) {
-    return predictedNanos(server, context) <= context.allowedNanos();
+  public static boolean fits(ServerState server, PlacementContext context) {
+    return !context.on(Mechanism.START_IN_TIME)
+        || predictedNanos(server, context) <= context.allowedNanos();
   }
 
   /** Share of the request's value that is expected to be lost at a server. */
-  public static double cost(ServerState server, Context context) {
+  public static double cost(ServerState server, PlacementContext context) {
     double latency = predictedNanos(server, context);
     double ratio = latency / Math.max(1, context.allowedNanos());
     double late = 1 / (1 + Math.exp(-LATE_STEEPNESS * (ratio - 1)));
-    double failure = server.failureShare(context.nowNanos());
+    double failure =
+        context.on(Mechanism.FAILURE_MEMORY) ? server.failureShare(context.nowNanos()) : 0;
     double inTime = LATE_LOSS * late + LATENCY_LOSS * Math.min(2, ratio);
-    double remote = server.entry().dataCentre().equals(context.dataCentre()) ? 0 : REMOTE_LOSS;
+    boolean near = server.entry().dataCentre().equals(context.dataCentre());
+    double remote = near || !context.on(Mechanism.NEAR_FIRST) ? 0 : REMOTE_LOSS;
     double connect = server.idleConnections() > 0 ? 0 : CONNECT_LOSS;
     return failure + (1 - failure) * inTime + fullness(server, context) + remote + connect;
   }
 
   /** Latency to expect at a server. */
-  public static double predictedNanos(ServerState server, Context context) {
+  public static double predictedNanos(ServerState server, PlacementContext context) {
     double slowness = slowness(server, context.load(), context.nowNanos());
     double slots = server.sample().slots();
     double held = held(server, context.load().meanHeld(), context.nowNanos()) + 1;
     double knee = held > Room.KNEE * slots ? KNEE_FACTOR : 1;
     double waves = Math.max(0, held - slots) / slots;
-    double cold = server.cold(context.nowNanos()) ? COLD_FACTOR : 1;
-    double own = server.latencyRatio(context.nowNanos());
+    boolean starting = server.cold(context.nowNanos()) && context.on(Mechanism.WARMTH);
+    double cold = starting ? COLD_FACTOR : 1;
+    double own = context.on(Mechanism.LATENCY_MEMORY) ? server.latencyRatio(context.nowNanos()) : 1;
     return context.expectedNanos() * slowness * cold * own * (knee + waves);
   }
 
@@ -128,7 +116,7 @@
     return Math.max(server.inFlight(), reported + server.ownSinceSample());
   }
 
-  private static double fullness(ServerState server, Context context) {
+  private static double fullness(ServerState server, PlacementContext context) {
     double room = QUEUE_FACTOR * server.sample().slots();
     return held(server, context.load().meanHeld(), context.nowNanos()) >= room ? FULL_LOSS : 0;
   }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/PlacementContext.java
@@ -0,0 +1,26 @@
+package org.magnoliaswitch.front.load;
+
+/**
+ * What the choice of a server for one request depends on besides the servers.
+ *
+ * @param expectedNanos usual latency of such a request on an undisturbed server
+ * @param allowedNanos time until an answer loses most of the value that it can still have
+ * @param chance whether the request can be in time
+ * @param load what is known of the service as a whole
+ * @param dataCentre where this instance runs
+ * @param mechanisms which parts of the decision are in force
+ * @param nowNanos monotonic time
+ */
+public record PlacementContext(
+    double expectedNanos,
+    long allowedNanos,
+    Chance chance,
+    ServiceLoad load,
+    String dataCentre,
+    Mechanisms mechanisms,
+    long nowNanos) {
+  /** Whether a mechanism is in force. */
+  boolean on(Mechanism mechanism) {
+    return mechanisms.on(mechanism);
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/load/RetryAfter.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RetryAfter.java
@@ -16,11 +16,18 @@
 
   private static final double SPAN_SECONDS = 0.16;
 
+  /** Where all return if they are not spread. */
+  private static final double MIDDLE = 0.5;
+
   private RetryAfter() {}
 
+  private static double place(RandomGenerator random, Mechanisms mechanisms) {
+    return mechanisms.on(Mechanism.SPREAD_RETURNS) ? random.nextDouble() : MIDDLE;
+  }
+
   /** Time after the refusal, in nanoseconds. */
-  public static long nanos(RandomGenerator random) {
-    double seconds = MIN_SECONDS + SPAN_SECONDS * random.nextDouble();
+  public static long nanos(RandomGenerator random, Mechanisms mechanisms) {
+    double seconds = MIN_SECONDS + SPAN_SECONDS * place(random, mechanisms);
     return (long) (seconds * TimeUnit.SECONDS.toNanos(1));
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Room.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Room.java
@@ -24,13 +24,17 @@
 
   private Room() {}
 
-  private static double share(Chance chance, ServiceLoad service) {
-    return switch (chance) {
+  private static double share(PlacementContext context) {
+    return switch (context.chance()) {
       case IN_TIME -> KNEE;
-      case LATE -> service.pressed() ? LATE_SHARE_PRESSED : LATE_SHARE;
+      case LATE -> yields(context) ? LATE_SHARE_PRESSED : LATE_SHARE;
     };
   }
 
+  private static boolean yields(PlacementContext context) {
+    return context.on(Mechanism.YIELDING) && context.load().pressed();
+  }
+
   /**
    * Whether a server should get one more request.
    *
@@ -44,13 +48,16 @@
    * service did not recover (replayed: 0.77 instead of 0.75 in time, 0.63 instead of 0.59 of the
    * value in the two worst seconds).
    */
-  public static boolean hasRoom(
-      ServerState server, ServiceLoad service, Chance chance, long nowNanos) {
+  public static boolean hasRoom(ServerState server, PlacementContext context) {
+    if (!context.on(Mechanism.KNEE_BOUND)) {
+      return true;
+    }
     if (!server.hasSample()) {
       // After a restart of all instances everyone's callers return at once and nothing is known.
-      return !service.reporting() || server.inFlight() == 0;
+      return !context.load().reporting() || server.inFlight() == 0;
     }
-    double limit = Math.max(1, Math.floor(share(chance, service) * server.sample().slots()));
-    return Placement.held(server, service.meanHeld(), nowNanos) + 1 <= limit + ROUNDING;
+    double limit = Math.max(1, Math.floor(share(context) * server.sample().slots()));
+    double held = Placement.held(server, context.load().meanHeld(), context.nowNanos());
+    return held + 1 <= limit + ROUNDING;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
@@ -16,7 +16,7 @@
  */
 public final class Selection {
   /** Rounds of questions for one request; each takes up to ten milliseconds. */
-  public static final int ROUNDS = 2;
+  private static final int ROUNDS = 2;
 
   /** Candidates asked for their load: of three, one is undisturbed nearly always. */
   private static final int ASKED = 3;
@@ -48,17 +48,25 @@
     record None() implements Step {}
   }
 
+  /** How often servers may be asked for one request. */
+  public static int rounds(Mechanisms mechanisms) {
+    if (!mechanisms.on(Mechanism.ASKING)) {
+      return 0;
+    }
+    return mechanisms.on(Mechanism.SECOND_ROUND) ? ROUNDS : 1;
+  }
+
   /**
    * While more servers may be asked.
    *
    * @param ranked servers that may get the request, best first
    * @param askable whether the servers can be asked for their load
    */
-  public static Step next(
-      List<Ranked> ranked, ServiceLoad load, Chance chance, boolean askable, long nowNanos) {
-    Step step = decided(ranked, load, chance, nowNanos);
+  public static Step next(List<Ranked> ranked, PlacementContext context, boolean askable) {
+    long nowNanos = context.nowNanos();
+    Step step = decided(ranked, context);
     boolean sure = step instanceof Step.Send send && confirmed(send.server(), nowNanos);
-    if (ranked.isEmpty() || !askable || !load.reporting() || sure) {
+    if (ranked.isEmpty() || !askable || !context.load().reporting() || sure) {
       return step;
     }
     List<ServerState> unsure =
@@ -71,7 +79,7 @@
   }
 
   /** After the last round, whether the asked servers have answered or were waited for in vain. */
-  private static Step decided(List<Ranked> ranked, ServiceLoad load, Chance chance, long nowNanos) {
+  private static Step decided(List<Ranked> ranked, PlacementContext context) {
     if (ranked.isEmpty()) {
       return new Step.None();
     }
@@ -79,7 +87,7 @@
         ranked.stream()
             .filter(Ranked::fits)
             .map(Ranked::server)
-            .filter(server -> Room.hasRoom(server, load, chance, nowNanos))
+            .filter(server -> Room.hasRoom(server, context))
             .findFirst();
     return best.<Step>map(Step.Send::new).orElseGet(Step.Full::new);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServiceLoad.java
@@ -44,7 +44,10 @@
    * and a service at three quarters of its load refused requests in each second. A sample that
    * counts nothing shows that this service's servers do not.
    */
-  public LoadSample afterAnswer(LoadSample told) {
+  public LoadSample afterAnswer(LoadSample told, Mechanisms mechanisms) {
+    if (!mechanisms.on(Mechanism.EXACT_REPORTS)) {
+      return told;
+    }
     if (told.running() == 0) {
       answersCountThemselves = false;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/load/WaitingLine.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/WaitingLine.java
@@ -28,13 +28,23 @@
     long objectiveEndNanos();
   }
 
-  private final Comparator<T> order =
-      Comparator.<T, Chance>comparing(Entry::chanceInLine)
-          .thenComparingInt(Entry::priority)
-          .thenComparingLong(Entry::objectiveEndNanos);
-
+  private final Comparator<T> order;
   private final Map<String, PriorityQueue<T>> byService = new HashMap<>();
 
+  public WaitingLine(Mechanisms mechanisms) {
+    this.order = mechanisms.on(Mechanism.LINE_ORDER) ? byChance() : byAge();
+  }
+
+  private static <T extends Entry> Comparator<T> byChance() {
+    return Comparator.<T, Chance>comparing(Entry::chanceInLine)
+        .thenComparingInt(Entry::priority)
+        .thenComparingLong(Entry::objectiveEndNanos);
+  }
+
+  private static <T extends Entry> Comparator<T> byAge() {
+    return Comparator.comparingLong(Entry::objectiveEndNanos);
+  }
+
   /** Adds a request. */
   public void add(String service, T request) {
     byService.computeIfAbsent(service, name -> new PriorityQueue<>(order)).add(request);
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -53,7 +53,12 @@
         .bind(metrics);
     callers.bind(environment.settings().callers());
     loop.everyMillis(SWEEP_MILLIS, environment.servers()::sweep);
-    environment.log().belief("start").add("instance", environment.settings().instance()).write();
+    environment
+        .log()
+        .belief("start")
+        .add("instance", settings.instance())
+        .add("disabled_mechanisms", settings.mechanisms().disabled().toString().replace(" ", ""))
+        .write();
   }
 
   /** Address that callers connect to, as bound. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.magnoliaswitch.front.load.Mechanisms;
 import org.magnoliaswitch.front.load.RepeatBudget;
 
 /**
@@ -18,6 +19,7 @@
  * @param graceNanos time between the signal to stop and the kill
  * @param repeats budget of further sends over all instances
  * @param probesPerServer health checks per second that one server may get from all instances
+ * @param mechanisms which parts of the decisions under load are in force
  */
 public record FrontSettings(
     String instance,
@@ -30,7 +32,8 @@
     int metricsPort,
     long graceNanos,
     RepeatBudget.Limits repeats,
-    double probesPerServer) {
+    double probesPerServer,
+    Mechanisms mechanisms) {
   public FrontSettings {
     seeds = List.copyOf(seeds);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -10,6 +10,8 @@
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.load.Mechanism;
+import org.magnoliaswitch.front.load.Mechanisms;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.ServerSubset;
 import org.magnoliaswitch.front.version.ServerEntry;
@@ -25,6 +27,7 @@
   private final EventLog log;
   private final String instance;
   private final String dataCentre;
+  private final Mechanisms mechanisms;
   private final Map<String, ServerPool> byId = new HashMap<>();
   private final Map<String, List<ServerPool>> byService = new HashMap<>();
   private final Map<String, Double> parts = new HashMap<>();
@@ -35,14 +38,21 @@
    *
    * @param instance name of this instance
    * @param dataCentre where it runs
+   * @param mechanisms whether it keeps to a part of a large service's servers
    */
   public ServerDirectory(
-      ServerConnector connector, Clocks clocks, EventLog log, String instance, String dataCentre) {
+      ServerConnector connector,
+      Clocks clocks,
+      EventLog log,
+      String instance,
+      String dataCentre,
+      Mechanisms mechanisms) {
     this.connector = connector;
     this.clocks = clocks;
     this.log = log;
     this.instance = instance;
     this.dataCentre = dataCentre;
+    this.mechanisms = mechanisms;
   }
 
   /** Whether a list has been received. */
@@ -112,7 +122,9 @@
   }
 
   private List<ServerPool> subset(List<ServerPool> pools) {
-    return ServerSubset.of(pools, pool -> pool.state().entry(), instance, dataCentre);
+    return mechanisms.on(Mechanism.SUBSET)
+        ? ServerSubset.of(pools, pool -> pool.state().entry(), instance, dataCentre)
+        : pools;
   }
 
   /** Closes connections that the servers would soon close themselves. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -14,6 +14,7 @@
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.process.Environment;
@@ -69,8 +70,9 @@
 
   void start(boolean idempotent) {
     pool.state().sent();
-    Optional<ServerConnection> kept =
-        pool.takeIdle(idempotent ? MAX_IDLE_NANOS : MAX_IDLE_ONCE_NANOS);
+    boolean anyKept =
+        idempotent || !environment.settings().mechanisms().on(Mechanism.FRESH_CONNECTIONS);
+    Optional<ServerConnection> kept = pool.takeIdle(anyKept ? MAX_IDLE_NANOS : MAX_IDLE_ONCE_NANOS);
     if (kept.isPresent()) {
       write(kept.get());
     } else {
@@ -234,7 +236,7 @@
 
   private void sampled(LoadSample told, int own) {
     ServiceLoad service = serviceLoad();
-    LoadSample sample = service.afterAnswer(told);
+    LoadSample sample = service.afterAnswer(told, environment.settings().mechanisms());
     pool.state().sampled(sample, own, environment.clocks().nanos());
     service.sampled(sample);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -15,6 +15,7 @@
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.HedgeDelay;
+import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.RepeatBudget;
 import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
@@ -89,13 +90,21 @@
     }
     if (environment.routes().get().known() && environment.servers().known()) {
       begin(router.get());
-    } else if (environment.clocks().nanos() - request.readNanos() < CONFIGURATION_WAIT_NANOS) {
+    } else if (environment.clocks().nanos() - request.readNanos() < configurationWaitNanos()) {
       environment.loop().afterMillis(LOOK_AGAIN_MILLIS, () -> start(router));
     } else {
       refuse("no_configuration");
     }
   }
 
+  private long configurationWaitNanos() {
+    return on(Mechanism.FIRST_CONFIGURATION) ? CONFIGURATION_WAIT_NANOS : 0;
+  }
+
+  private boolean on(Mechanism mechanism) {
+    return environment.settings().mechanisms().on(mechanism);
+  }
+
   private void begin(Optional<Route> found) {
     if (found.isEmpty()) {
       finish(Answers.noRoute(), "no_route");
@@ -109,9 +118,19 @@
     service = environment.routeState().pick(chosen);
     environment.routeState().budget(service).request(environment.clocks().nanos());
     Placing places =
-        new Placing(environment.loop(), finder, line, chosen, service, left, report, this);
+        new Placing(
+            environment.loop(),
+            finder,
+            line,
+            environment.settings().mechanisms(),
+            chosen,
+            service,
+            left,
+            report,
+            this);
     placing = places;
-    hedge = chosen.idempotent() ? new Hedge(this, environment.loop(), places, left) : null;
+    boolean hedged = chosen.idempotent() && on(Mechanism.HEDGING);
+    hedge = hedged ? new Hedge(this, environment.loop(), places, left) : null;
     places.place();
   }
 
@@ -288,7 +307,7 @@
   }
 
   private void refuse(String reason) {
-    long retryAfter = RetryAfter.nanos(environment.random());
+    long retryAfter = RetryAfter.nanos(environment.random(), environment.settings().mechanisms());
     long waited = environment.clocks().nanos() - request.readNanos();
     report.refused(service, reason, waited, retryAfter);
     finish(Answers.notRun(reason, retryAfter), reason);
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -14,10 +14,11 @@
 public final class FrontDispatcher implements RequestHandler {
   private final Environment environment;
   private final ServerSearch search;
-  private final WaitingLine<Placing> line = new WaitingLine<>();
+  private final WaitingLine<Placing> line;
 
   public FrontDispatcher(Environment environment) {
     this.environment = environment;
+    this.line = new WaitingLine<>(environment.settings().mechanisms());
     this.search = new ServerSearch(environment, new Probes(environment));
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.Mechanism;
+import org.magnoliaswitch.front.load.Mechanisms;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.WaitLimit;
 import org.magnoliaswitch.front.load.WaitingLine;
@@ -32,6 +34,7 @@
   private final Loop loop;
   private final ServerFinder finder;
   private final WaitingLine<Placing> line;
+  private final Mechanisms mechanisms;
   private final Route route;
   private final String service;
   private final RequestTimes times;
@@ -47,6 +50,7 @@
       Loop loop,
       ServerFinder finder,
       WaitingLine<Placing> line,
+      Mechanisms mechanisms,
       Route route,
       String service,
       RequestTimes times,
@@ -55,6 +59,7 @@
     this.loop = loop;
     this.finder = finder;
     this.line = line;
+    this.mechanisms = mechanisms;
     this.route = route;
     this.service = service;
     this.times = times;
@@ -153,7 +158,7 @@
     double limit =
         WaitLimit.nanos(
             times.chance(), times.usualNanos(), route.objectiveNanos(), times.patienceNanos());
-    if (times.waitedNanos() > limit) {
+    if (times.waitedNanos() > limit || !mechanisms.on(Mechanism.WAITING)) {
       owner.giveUp("no_room");
       return;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -9,10 +9,10 @@
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.Placement.Ranked;
+import org.magnoliaswitch.front.load.PlacementContext;
 import org.magnoliaswitch.front.load.Room;
 import org.magnoliaswitch.front.load.Selection;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.ServicePolicy;
 
@@ -28,7 +28,7 @@
 
   @Override
   public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
-    new Search(wanted, excluded, found).look(Selection.ROUNDS);
+    new Search(wanted, excluded, found).look(Selection.rounds(environment.settings().mechanisms()));
   }
 
   /** One search: it asks servers in rounds until the best one is known well enough. */
@@ -44,12 +44,10 @@
     }
 
     void look(int rounds) {
-      ServiceLoad load = environment.routeState().load(wanted.service());
       Optional<ServicePolicy> policy = environment.routes().get().service(wanted.service());
       List<Ranked> ranked = rank(wanted, excluded);
       boolean askable = rounds > 0 && policy.isPresent();
-      long now = environment.clocks().nanos();
-      Selection.Step step = Selection.next(ranked, load, wanted.chance(), askable, now);
+      Selection.Step step = Selection.next(ranked, context(wanted), askable);
       if (step instanceof Selection.Step.Ask ask && policy.isPresent()) {
         ask(ask.servers(), policy.get(), rounds - 1);
       } else {
@@ -81,10 +79,8 @@
 
   @Override
   public boolean suits(ServerState server, Wanted wanted) {
-    Placement.Context context = context(wanted);
-    return server.acceptsWork()
-        && Placement.fits(server, context)
-        && Room.hasRoom(server, context.load(), wanted.chance(), context.nowNanos());
+    PlacementContext context = context(wanted);
+    return server.acceptsWork() && Placement.fits(server, context) && Room.hasRoom(server, context);
   }
 
   private List<Ranked> rank(Wanted wanted, Set<String> excluded) {
@@ -97,12 +93,14 @@
     return Placement.rank(eligible, context(wanted), environment.random());
   }
 
-  private Placement.Context context(Wanted wanted) {
-    return new Placement.Context(
+  private PlacementContext context(Wanted wanted) {
+    return new PlacementContext(
         environment.routeState().baseline(wanted.route()).nanos(),
         wanted.allowedNanos(),
+        wanted.chance(),
         environment.routeState().load(wanted.service()),
         environment.settings().dataCentre(),
+        environment.settings().mechanisms(),
         environment.clocks().nanos());
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/testing/Servers.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/Servers.java
@@ -1,7 +1,11 @@
 package org.magnoliaswitch.front.testing;
 
+import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.PlacementContext;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.version.ServerEntry;
 
 /** Backend servers for tests of decisions. */
@@ -16,6 +20,18 @@
     return new ServerEntry(id, "s", "127.0.0.1", 1, "here", SLOTS, draining, 0);
   }
 
+  /** The choice for a request of which nothing but this matters. */
+  public static PlacementContext context(Chance chance, ServiceLoad load, long nowNanos) {
+    return context(1, Long.MAX_VALUE, chance, load, nowNanos);
+  }
+
+  /** The choice for a request at an instance in the servers' data centre. */
+  public static PlacementContext context(
+      double expectedNanos, long allowedNanos, Chance chance, ServiceLoad load, long nowNanos) {
+    return new PlacementContext(
+        expectedNanos, allowedNanos, chance, load, "here", Mechanisms.ALL, nowNanos);
+  }
+
   /** A server that has told its load just now. */
   public static ServerState told(String id, int running, double slowness, long nowNanos) {
     ServerState state = new ServerState(entry(id, false), nowNanos);
