One server is asked before a request is placed, more only when it will not do; rejected callers return at once

(2) A caller whose request a server rejected at random (Not-Executed with room left) was told to come back after 80 to 240 ms, which made most of them late although the next try has the same chance at once. Change: rounds of one, two and three questions in place of two of three; Retry-After by cause, as a multiple of the usual latency in place of milliseconds: 0.5 to 1.5 where servers are busy, up to a tenth where one rejected it. The first is now the answer that came back from a single question for two requests in three. Tests: SelectionTest, RetryAfter by load model, LoadModelTest.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -95,15 +95,15 @@
   }
 
   private void search(Consumer<Selection.Step> found) {
-    look(Selection.rounds(mechanisms()), found);
+    look(0, found);
   }
 
-  private void look(int rounds, Consumer<Selection.Step> found) {
+  private void look(int round, Consumer<Selection.Step> found) {
     PlacementContext context = context();
     List<Placement.Ranked> ranked = node.rank(context, request.kind(), tried);
-    Selection.Step step = Selection.next(ranked, context, rounds > 0);
+    Selection.Step step = Selection.next(ranked, context, round, true);
     if (step instanceof Selection.Step.Ask ask) {
-      ask(ask.servers(), () -> look(rounds - 1, found));
+      ask(ask.servers(), () -> look(round + 1, found));
     } else {
       found.accept(step);
     }
@@ -112,7 +112,11 @@
   private void ask(List<ServerState> servers, Runnable then) {
     double longest = 0;
     for (ServerState state : servers) {
-      if (node.mayProbe(state) && !node.model(state).lost()) {
+      boolean asked = node.mayProbe(state);
+      if (asked) {
+        node.world().scoreboard().probed();
+      }
+      if (asked && !node.model(state).lost()) {
         double answer = 2 * node.networkMillis(state) + PROBE_SERVER_MILLIS;
         longest = Math.max(longest, answer);
         node.world().time().afterMillis(answer, () -> node.sampled(state));
@@ -136,7 +140,7 @@
       }
       case Selection.Step.Ask ask -> waitForRoom();
       case Selection.Step.Full full -> waitForRoom();
-      case Selection.Step.None none -> refuse();
+      case Selection.Step.None none -> refuse(RetryAfter.Cause.BUSY);
     }
   }
 
@@ -146,7 +150,7 @@
     long patience = request.deadlineNanos() - arrivedNanos;
     double limit = node.rules().waiting().nanos(chance(), usual, objective, patience);
     if (now() - arrivedNanos > limit || !mechanisms().on(Mechanism.WAITING)) {
-      refuse();
+      refuse(RetryAfter.Cause.BUSY);
       return;
     }
     if (!inLine) {
@@ -166,11 +170,12 @@
             });
   }
 
-  private void refuse() {
+  private void refuse(RetryAfter.Cause cause) {
     if (!done) {
       done = true;
       leaveLine();
-      callers.refused(request, RetryAfter.nanos(node.world().random(), mechanisms()));
+      double usual = node.routes().baseline(request.kind().route()).nanos();
+      callers.refused(request, RetryAfter.nanos(cause, usual, node.world().random(), mechanisms()));
     }
   }
 
@@ -186,6 +191,7 @@
     sends++;
     tried.add(state);
     state.sent();
+    node.world().scoreboard().sent(node.near(state));
     long sentNanos = now();
     double network = node.networkMillis(state);
     Send send =
@@ -250,7 +256,7 @@
     if (repeat()) {
       place();
     } else {
-      refuse();
+      refuse(RetryAfter.Cause.REJECTED);
     }
   }
 
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -79,6 +79,10 @@
     return models.get(state);
   }
 
+  boolean near(ServerState state) {
+    return state.entry().dataCentre().equals(World.dataCentre(index));
+  }
+
   double networkMillis(ServerState state) {
     return World.networkMillis(index, model(state));
   }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/LoadModelMain.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/LoadModelMain.java
@@ -38,19 +38,26 @@
                 "way", "ways to play beside the current and the ideal one, all where none is named")
             .withRequiredArg()
             .withValuesSeparatedBy(',');
+    OptionSpec<Integer> seeds =
+        parser
+            .accepts("seeds", "plays of each pattern and way")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(Replay.SEEDS);
     OptionSpec<Void> help = parser.accepts("help", "print this text").forHelp();
     try {
       OptionSet options = parser.parse(arguments);
       if (options.has(help)) {
         System.out.println(
-            "magnolia-load-model [--dir DIR] [--pattern NAME,...] [--way WAY,...]\n");
+            "magnolia-load-model [--dir DIR] [--pattern NAME,...] [--way WAY,...] [--seeds N]\n");
         parser.printHelpOn(System.out);
         return;
       }
       run(
           Path.of(options.valueOf(directory)),
           chosen(options.valuesOf(patterns)),
-          ways(options.valuesOf(ways)));
+          ways(options.valuesOf(ways)),
+          options.valueOf(seeds));
     } catch (OptionException e) {
       System.err.println("magnolia-load-model: " + e.getMessage() + "; see --help");
       System.exit(USAGE);
@@ -73,23 +80,25 @@
         .toList();
   }
 
-  private static void run(Path directory, List<Pattern> patterns, List<Way> played)
+  private static void run(Path directory, List<Pattern> patterns, List<Way> played, int seeds)
       throws IOException {
     Map<Pattern, Map<Way, Result>> results = new LinkedHashMap<>();
     System.out.printf(
         Locale.ROOT,
-        "%-13s %-26s %7s %9s %7s %12s %14s%n",
+        "%-13s %-26s %7s %9s %7s %12s %14s %7s %5s%n",
         "pattern",
         "way",
         "served",
         "objective",
         "credit",
         "worst_second",
-        "refused_twice");
+        "refused_twice",
+        "probes",
+        "near");
     for (Pattern pattern : patterns) {
       Map<Way, Result> ways = new LinkedHashMap<>();
       for (Way way : played) {
-        Result result = Replay.run(pattern, way);
+        Result result = Replay.run(pattern, way, seeds);
         ways.put(way, result);
         print(pattern, way, result);
       }
@@ -112,14 +121,16 @@
   private static void print(Pattern pattern, Way way, Result result) {
     System.out.printf(
         Locale.ROOT,
-        "%-13s %-26s %7.3f %9.3f %7.3f %12.3f %14.3f%n",
+        "%-13s %-26s %7.3f %9.3f %7.3f %12.3f %14.3f %7.2f %5.2f%n",
         pattern.name(),
         way.name(),
         result.served(),
         result.inTime(),
         result.credit(),
         result.worstSecond(),
-        result.refusedTwice());
+        result.refusedTwice(),
+        result.probes(),
+        result.near());
   }
 
   private static double mean(
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
@@ -35,8 +35,8 @@
   }
 
   private final ServerEntry entry;
+  private final Pattern pattern;
   private final ServerTraits traits;
-  private final double noiseShare;
   private final VirtualTime time;
   private final RandomGenerator random;
   private final List<Job> running = new ArrayList<>();
@@ -44,15 +44,10 @@
   private double slowness = 1;
   private boolean lost;
 
-  ModelServer(
-      ServerEntry entry,
-      ServerTraits traits,
-      double noiseShare,
-      VirtualTime time,
-      RandomGenerator random) {
+  ModelServer(ServerEntry entry, Pattern pattern, VirtualTime time, RandomGenerator random) {
     this.entry = entry;
-    this.traits = traits;
-    this.noiseShare = noiseShare;
+    this.pattern = pattern;
+    this.traits = pattern.deployment().traits();
     this.time = time;
     this.random = random;
     time.afterMillis(
@@ -61,7 +56,7 @@
   }
 
   private void shiftNoise() {
-    slowness = random.nextDouble() < noiseShare ? traits.noiseFactor() : 1;
+    slowness = random.nextDouble() < pattern.noiseShare() ? traits.noiseFactor() : 1;
   }
 
   ServerEntry entry() {
@@ -79,6 +74,9 @@
       // Nobody answers; the job never ends.
       return true;
     }
+    if (random.nextDouble() < pattern.rejectedAt(entry.service(), time.millis())) {
+      return false;
+    }
     if (running.size() < traits.slots()) {
       start(job);
       return true;
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
@@ -14,6 +14,8 @@
  * @param lostInstances share of the instances whose callers turn to the others
  * @param outage whether all instances are away for a moment, so that everyone returns together
  * @param noiseShare share of the time that a server's neighbours are busy
+ * @param rejected share of the requests that all servers of the first service reject while the
+ *     burst lasts, whatever their load
  */
 record Pattern(
     String name,
@@ -24,7 +26,8 @@
     double lostServers,
     double lostInstances,
     boolean outage,
-    double noiseShare) {
+    double noiseShare,
+    double rejected) {
   static final double LENGTH_MILLIS = 20_000;
   static final double BURST_FROM_MILLIS = 6_000;
   static final double BURST_UNTIL_MILLIS = 11_000;
@@ -35,24 +38,34 @@
 
   static final List<Pattern> ALL =
       List.of(
-          new Pattern("calm", Deployment.SMALL, 0.7, 1, 0, 0, 0, false, NOISE),
-          new Pattern("noise", Deployment.SMALL, 1, 1, 0, 0, 0, false, 0.4),
-          new Pattern("burst-1.7", Deployment.SMALL, 1.3, 1.7, 0, 0, 0, false, NOISE),
-          new Pattern("burst-3", Deployment.SMALL, 1, 3, 0, 0, 0, false, NOISE),
-          new Pattern("overload", Deployment.SMALL, 1.4, 1.7, 0, 1 / 6.0, 0, false, NOISE),
-          new Pattern("abuse", Deployment.SMALL, 1.3, 1.4, 0.3, 0, 0, false, NOISE),
-          new Pattern("servers-lost", Deployment.SMALL, 1.3, 1, 0, 1 / 6.0, 0, false, NOISE),
-          new Pattern("outage", Deployment.SMALL, 1.2, 1, 0, 0, 0, true, NOISE),
-          new Pattern("aftermath", Deployment.PATIENT, 1.35, 1.7, 0, 0, 0, false, 0.35),
-          new Pattern("grown", Deployment.GROWN, 1.2, 1.5, 0, 0, 0, false, 0.3),
-          new Pattern("few-slots", Deployment.FEW_SLOTS, 1.2, 1.6, 0, 0, 0, false, NOISE),
-          new Pattern("few-slots-3", Deployment.FEW_SLOTS, 1.3, 2.4, 0, 0, 0, false, NOISE),
-          new Pattern("zone-lost", Deployment.SMALL, 1.2, 1.4, 0, 0, 1 / 3.0, false, NOISE));
+          new Pattern("calm", Deployment.SMALL, 0.7, 1, 0, 0, 0, false, NOISE, 0),
+          new Pattern("noise", Deployment.SMALL, 1, 1, 0, 0, 0, false, 0.4, 0),
+          new Pattern("burst-1.7", Deployment.SMALL, 1.3, 1.7, 0, 0, 0, false, NOISE, 0),
+          new Pattern("burst-3", Deployment.SMALL, 1, 3, 0, 0, 0, false, NOISE, 0),
+          new Pattern("overload", Deployment.SMALL, 1.4, 1.7, 0, 1 / 6.0, 0, false, NOISE, 0),
+          new Pattern("abuse", Deployment.SMALL, 1.3, 1.4, 0.3, 0, 0, false, NOISE, 0),
+          new Pattern("servers-lost", Deployment.SMALL, 1.3, 1, 0, 1 / 6.0, 0, false, NOISE, 0),
+          new Pattern("outage", Deployment.SMALL, 1.2, 1, 0, 0, 0, true, NOISE, 0),
+          new Pattern("aftermath", Deployment.PATIENT, 1.35, 1.7, 0, 0, 0, false, 0.35, 0),
+          new Pattern("grown", Deployment.GROWN, 1.2, 1.5, 0, 0, 0, false, 0.3, 0),
+          new Pattern("few-slots", Deployment.FEW_SLOTS, 1.2, 1.6, 0, 0, 0, false, NOISE, 0),
+          new Pattern("few-slots-3", Deployment.FEW_SLOTS, 1.3, 2.4, 0, 0, 0, false, NOISE, 0),
+          new Pattern("rejecting", Deployment.FEW_SLOTS, 1.25, 1, 0, 0, 0, false, NOISE, 0.55),
+          new Pattern("zone-lost", Deployment.SMALL, 1.2, 1.4, 0, 0, 1 / 3.0, false, NOISE, 0));
+
+  /** Share of the requests that the servers of a service reject at a moment. */
+  double rejectedAt(String service, double millis) {
+    boolean first = deployment.servers().getFirst().getKey().equals(service);
+    return first && bursting(millis) ? rejected : 0;
+  }
+
+  private static boolean bursting(double millis) {
+    return millis >= BURST_FROM_MILLIS && millis < BURST_UNTIL_MILLIS;
+  }
 
   /** Requests at a moment relative to an ordinary day. */
   double loadAt(double millis) {
-    boolean bursting = millis >= BURST_FROM_MILLIS && millis < BURST_UNTIL_MILLIS;
-    return load * (bursting ? burst : 1);
+    return load * (bursting(millis) ? burst : 1);
   }
 
   boolean awayAt(double millis) {
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
@@ -1,21 +1,27 @@
 package org.magnoliaswitch.bench.model;
 
-import java.util.Arrays;
 import java.util.List;
+import java.util.stream.LongStream;
 
 /** Plays one pattern under one policy, several times with fixed seeds. */
 final class Replay {
   /** The two worst seconds of one play vary by 0.05; the mean over these seeds by 0.02. */
-  private static final long[] SEEDS = {20_611, 20_612, 20_613, 20_614, 20_615, 20_616};
+  static final int SEEDS = 6;
+
+  private static final long FIRST_SEED = 20_611;
 
   private Replay() {}
 
-  static Scoreboard.Result run(Pattern pattern, Way way) {
+  /** Mean over the given number of seeds. */
+  static Scoreboard.Result run(Pattern pattern, Way way, int seeds) {
     return Scoreboard.Result.mean(
-        Arrays.stream(SEEDS).parallel().mapToObj(seed -> run(pattern, way, seed)).toList());
+        LongStream.range(FIRST_SEED, FIRST_SEED + seeds)
+            .parallel()
+            .mapToObj(seed -> play(pattern, way, seed))
+            .toList());
   }
 
-  private static Scoreboard.Result run(Pattern pattern, Way way, long seed) {
+  private static Scoreboard.Result play(Pattern pattern, Way way, long seed) {
     World world = new World(pattern, seed);
     Callers callers = new Callers(world, pattern);
     Policy policy = policy(way, world, callers);
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Scoreboard.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Scoreboard.java
@@ -18,6 +18,9 @@
   private int served;
   private int inTime;
   private int refusedTwice;
+  private int probes;
+  private int sends;
+  private int nearSends;
 
   /**
    * Figures of one replay.
@@ -27,16 +30,26 @@
    * @param credit share of the value that callers got
    * @param worstSecond share of the value in the two worst seconds
    * @param refusedTwice share that came back after a refusal and were refused again
+   * @param probes questions for a server's load, a request
+   * @param near share of the sends that went to the own data centre
    */
   record Result(
-      double served, double inTime, double credit, double worstSecond, double refusedTwice) {
+      double served,
+      double inTime,
+      double credit,
+      double worstSecond,
+      double refusedTwice,
+      double probes,
+      double near) {
     static Result mean(List<Result> results) {
       return new Result(
           mean(results, Result::served),
           mean(results, Result::inTime),
           mean(results, Result::credit),
           mean(results, Result::worstSecond),
-          mean(results, Result::refusedTwice));
+          mean(results, Result::refusedTwice),
+          mean(results, Result::probes),
+          mean(results, Result::near));
     }
 
     private static double mean(List<Result> results, ToDoubleFunction<Result> figure) {
@@ -63,6 +76,17 @@
     earned[second] += early ? request.kind().worth() : request.kind().lateWorth();
   }
 
+  /** A server is asked for its load. */
+  void probed() {
+    probes++;
+  }
+
+  /** A request is sent to a server. */
+  void sent(boolean near) {
+    sends++;
+    nearSends += near ? 1 : 0;
+  }
+
   void refusedAgain(ModelRequest request) {
     refusedTwice += second(request) >= LEARNING_SECONDS ? 1 : 0;
   }
@@ -82,7 +106,9 @@
         inTime / (double) asked,
         credit / total,
         (shares[0] + shares[1]) / 2,
-        refusedTwice / (double) asked);
+        refusedTwice / (double) asked,
+        probes / (double) asked,
+        nearSends / (double) Math.max(1, sends));
   }
 
   private static int second(ModelRequest request) {
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/World.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/World.java
@@ -40,7 +40,7 @@
               deployment.traits().slots(),
               false,
               0);
-      list.add(new ModelServer(entry, deployment.traits(), pattern.noiseShare(), time, random));
+      list.add(new ModelServer(entry, pattern, time, random));
     }
     return list;
   }
--- a/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
@@ -30,7 +30,7 @@
   }
 
   private static Result play(String pattern, Way way) {
-    Result result = Replay.run(pattern(pattern), way);
+    Result result = Replay.run(pattern(pattern), way, Replay.SEEDS);
     System.out.printf(
         "load-model: pattern=%s way=%s served=%.3f objective=%.3f credit=%.3f worst_second=%.3f%n",
         pattern,
@@ -85,7 +85,7 @@
    */
   @Test
   public void aSecondRoundOfQuestionsHelpsBesideNoisyNeighbours() {
-    double before = replay("noise", Way.without(Mechanism.SECOND_ROUND)).inTime();
+    double before = replay("noise", Way.without(Mechanism.FURTHER_ROUNDS)).inTime();
     double after = replay("noise", Way.CURRENT).inTime();
     assertTrue(after > before + 0.01, before + " to " + after);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -7,8 +7,8 @@
 public enum Mechanism {
   /** Servers are asked for their load before a request is placed. */
   ASKING,
-  /** Further servers are asked when the first ones are slow or full. */
-  SECOND_ROUND,
+  /** One server is asked first, and further ones when it is slow or full. */
+  FURTHER_ROUNDS,
   /** A server gets no more requests than it can run well. */
   KNEE_BOUND,
   /** A request starts only where its answer can be expected in time. */
@@ -23,6 +23,8 @@
   LINE_ORDER,
   /** An overdue idempotent request is sent to a second server. */
   HEDGING,
+  /** Callers whose request a server rejected may return at once. */
+  PROMPT_RETURNS,
   /** Refused callers are told different times to come back. */
   SPREAD_RETURNS,
   /** Servers that failed lately are passed by. */
--- a/front/src/main/java/org/magnoliaswitch/front/load/RetryAfter.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RetryAfter.java
@@ -1,6 +1,5 @@
 package org.magnoliaswitch.front.load;
 
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -8,26 +7,46 @@
  *
  * <p>Load pattern: many callers are refused within the same moment of a burst. Sent back after the
  * same time they would meet again and be refused together, so their returns are spread over about
- * the time in which the servers finish what they hold.
+ * the time in which the servers finish what they hold. Where servers reject a share of all requests
+ * at random, waiting changes nothing: the next try has the same chance, and the sooner it comes the
+ * likelier it is in time.
  */
 public final class RetryAfter {
-  /** A slot of the usual services becomes free after this time. */
-  private static final double MIN_SECONDS = 0.08;
+  /** Why a request is refused. */
+  public enum Cause {
+    /** All servers are busy. */
+    BUSY,
 
-  private static final double SPAN_SECONDS = 0.16;
+    /** Servers with room rejected it or could not be reached. */
+    REJECTED
+  }
+
+  /** Part of the usual latency after which the first of those refused by busy servers return. */
+  private static final double BUSY_LEAST = 0.5;
+
+  /** Part of it over which they return. */
+  private static final double BUSY_SPAN = 1;
+
+  /** The same for rejected ones: only so much that they do not all come in one moment. */
+  private static final double REJECTED_SPAN = 0.1;
 
   /** Where all return if they are not spread. */
   private static final double MIDDLE = 0.5;
 
   private RetryAfter() {}
 
-  private static double place(RandomGenerator random, Mechanisms mechanisms) {
-    return mechanisms.on(Mechanism.SPREAD_RETURNS) ? random.nextDouble() : MIDDLE;
-  }
-
-  /** Time after the refusal, in nanoseconds. */
-  public static long nanos(RandomGenerator random, Mechanisms mechanisms) {
-    double seconds = MIN_SECONDS + SPAN_SECONDS * place(random, mechanisms);
-    return (long) (seconds * TimeUnit.SECONDS.toNanos(1));
+  /**
+   * Time after the refusal, in nanoseconds.
+   *
+   * @param usualNanos usual latency of such a request
+   */
+  public static long nanos(
+      Cause cause, double usualNanos, RandomGenerator random, Mechanisms mechanisms) {
+    double place = mechanisms.on(Mechanism.SPREAD_RETURNS) ? random.nextDouble() : MIDDLE;
+    boolean prompt = cause == Cause.REJECTED && mechanisms.on(Mechanism.PROMPT_RETURNS);
+    return switch (prompt ? Cause.REJECTED : Cause.BUSY) {
+      case BUSY -> (long) (usualNanos * (BUSY_LEAST + BUSY_SPAN * place));
+      case REJECTED -> (long) (usualNanos * REJECTED_SPAN * place);
+    };
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
@@ -15,11 +15,15 @@
  * 0.847 of the answers within their objective.
  */
 public final class Selection {
-  /** Rounds of questions for one request; each takes up to ten milliseconds. */
-  private static final int ROUNDS = 2;
+  /**
+   * Candidates asked in each round; a round takes a few milliseconds, twelve where one is silent.
+   * The first one asked is undisturbed and has room for two requests in three, so a round of three
+   * at once asked two servers for nothing.
+   */
+  private static final List<Integer> ROUNDS = List.of(1, 2, 3);
 
-  /** Candidates asked for their load: of three, one is undisturbed nearly always. */
-  private static final int ASKED = 3;
+  /** The same with a single round: of three, one is undisturbed nearly always. */
+  private static final List<Integer> SINGLE_ROUND = List.of(3);
 
   /** A load sample this young needs no confirmation. */
   private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
@@ -48,32 +52,35 @@
     record None() implements Step {}
   }
 
-  /** How often servers may be asked for one request. */
-  public static int rounds(Mechanisms mechanisms) {
-    if (!mechanisms.on(Mechanism.ASKING)) {
-      return 0;
+  private static List<Integer> rounds(PlacementContext context) {
+    if (!context.on(Mechanism.ASKING)) {
+      return List.of();
     }
-    return mechanisms.on(Mechanism.SECOND_ROUND) ? ROUNDS : 1;
+    return context.on(Mechanism.FURTHER_ROUNDS) ? ROUNDS : SINGLE_ROUND;
   }
 
   /**
-   * While more servers may be asked.
+   * The next step of a search.
    *
    * @param ranked servers that may get the request, best first
+   * @param round how often servers were asked in this search
    * @param askable whether the servers can be asked for their load
    */
-  public static Step next(List<Ranked> ranked, PlacementContext context, boolean askable) {
+  public static Step next(
+      List<Ranked> ranked, PlacementContext context, int round, boolean askable) {
     long nowNanos = context.nowNanos();
     Step step = decided(ranked, context);
     boolean sure = step instanceof Step.Send send && confirmed(send.server(), nowNanos);
-    if (ranked.isEmpty() || !askable || !context.load().reporting() || sure) {
+    List<Integer> rounds = rounds(context);
+    boolean done = round >= rounds.size() || !askable || !context.load().reporting();
+    if (ranked.isEmpty() || done || sure) {
       return step;
     }
     List<ServerState> unsure =
         ranked.stream()
             .map(Ranked::server)
             .filter(server -> !fresh(server, nowNanos))
-            .limit(ASKED)
+            .limit(rounds.get(round))
             .toList();
     return unsure.isEmpty() ? step : new Step.Ask(unsure);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -183,11 +183,16 @@
         .addDecimal("slowness", pool.state().sample().slowness())
         .add("sample_age_ms", TimeUnit.NANOSECONDS.toMillis(pool.state().sampleAgeNanos(sentNanos)))
         .add("in_flight", pool.state().inFlight())
+        .add("near", String.valueOf(near()))
         .write();
     Optional<String> echoed = Optional.of(requestId).filter(id -> !id.isEmpty());
     target.send(message, echoed, this::replied);
   }
 
+  private boolean near() {
+    return pool.state().entry().dataCentre().equals(environment.settings().dataCentre());
+  }
+
   private void replied(ServerReply reply) {
     if (ended) {
       return;
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -43,6 +43,9 @@
    */
   private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Stands for the usual latency while there is no configuration: a start takes about as long. */
+  private static final double UNKNOWN_LATENCY_NANOS = TimeUnit.MILLISECONDS.toNanos(160);
+
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
@@ -93,7 +96,7 @@
     } else if (environment.clocks().nanos() - request.readNanos() < configurationWaitNanos()) {
       environment.loop().afterMillis(LOOK_AGAIN_MILLIS, () -> start(router));
     } else {
-      refuse("no_configuration");
+      refuse("no_configuration", RetryAfter.Cause.BUSY);
     }
   }
 
@@ -200,7 +203,7 @@
       return;
     }
     if (unreachable >= MAX_UNREACHABLE) {
-      giveUp("unreachable");
+      giveUp("unreachable", RetryAfter.Cause.REJECTED);
     } else {
       requirePlacing().place();
     }
@@ -215,7 +218,7 @@
     if (maySendAgain()) {
       requirePlacing().place();
     } else {
-      giveUp("rejected");
+      giveUp("rejected", RetryAfter.Cause.REJECTED);
     }
   }
 
@@ -229,7 +232,7 @@
     if (requireRoute().idempotent() && maySendAgain()) {
       requirePlacing().place();
     } else {
-      giveUp("broken");
+      giveUp("broken", RetryAfter.Cause.REJECTED);
     }
   }
 
@@ -295,19 +298,21 @@
   }
 
   @Override
-  public void giveUp(String reason) {
+  public void giveUp(String reason, RetryAfter.Cause cause) {
     if (serverFailure != null) {
       // Made by a server that ran the request: it tells the caller more than an answer of our own.
       finish(serverFailure, SERVER_FAILED);
     } else if (perhapsRun) {
       finish(Answers.unknown(HttpResponseStatus.BAD_GATEWAY, reason), reason);
     } else {
-      refuse(reason);
+      refuse(reason, cause);
     }
   }
 
-  private void refuse(String reason) {
-    long retryAfter = RetryAfter.nanos(environment.random(), environment.settings().mechanisms());
+  private void refuse(String reason, RetryAfter.Cause cause) {
+    double usual = times == null ? UNKNOWN_LATENCY_NANOS : times.usualNanos();
+    long retryAfter =
+        RetryAfter.nanos(cause, usual, environment.random(), environment.settings().mechanisms());
     long waited = environment.clocks().nanos() - request.readNanos();
     report.refused(service, reason, waited, retryAfter);
     finish(Answers.notRun(reason, retryAfter), reason);
@@ -325,7 +330,7 @@
     } else if (mayRun) {
       finish(Answers.unknown(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout"), "timeout");
     } else {
-      refuse("timeout_before_send");
+      refuse("timeout_before_send", RetryAfter.Cause.BUSY);
     }
     cancelled.forEach(attempt -> attempt.timedOut(idempotent));
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -8,6 +8,7 @@
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.WaitLimit;
 import org.magnoliaswitch.front.load.WaitingLine;
@@ -28,7 +29,7 @@
     void send(ServerState server);
 
     /** No server will get it. */
-    void giveUp(String reason);
+    void giveUp(String reason, RetryAfter.Cause cause);
   }
 
   private final Loop loop;
@@ -150,7 +151,7 @@
     switch (result) {
       case ServerFinder.Result.Chosen chosen -> take(chosen.server());
       case ServerFinder.Result.Full full -> waitForRoom();
-      case ServerFinder.Result.None none -> owner.giveUp("no_server");
+      case ServerFinder.Result.None none -> owner.giveUp("no_server", RetryAfter.Cause.BUSY);
     }
   }
 
@@ -159,7 +160,7 @@
         WaitLimit.nanos(
             times.chance(), times.usualNanos(), route.objectiveNanos(), times.patienceNanos());
     if (times.waitedNanos() > limit || !mechanisms.on(Mechanism.WAITING)) {
-      owner.giveUp("no_room");
+      owner.giveUp("no_room", RetryAfter.Cause.BUSY);
       return;
     }
     if (!inLine) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -28,7 +28,7 @@
 
   @Override
   public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
-    new Search(wanted, excluded, found).look(Selection.rounds(environment.settings().mechanisms()));
+    new Search(wanted, excluded, found).look(0);
   }
 
   /** One search: it asks servers in rounds until the best one is known well enough. */
@@ -43,21 +43,21 @@
       this.found = found;
     }
 
-    void look(int rounds) {
+    void look(int round) {
       Optional<ServicePolicy> policy = environment.routes().get().service(wanted.service());
       List<Ranked> ranked = rank(wanted, excluded);
-      boolean askable = rounds > 0 && policy.isPresent();
-      Selection.Step step = Selection.next(ranked, context(wanted), askable);
+      boolean askable = policy.isPresent();
+      Selection.Step step = Selection.next(ranked, context(wanted), round, askable);
       if (step instanceof Selection.Step.Ask ask && policy.isPresent()) {
-        ask(ask.servers(), policy.get(), rounds - 1);
+        ask(ask.servers(), policy.get(), round + 1);
       } else {
         found.accept(result(step));
       }
     }
 
-    private void ask(List<ServerState> servers, ServicePolicy policy, int rounds) {
+    private void ask(List<ServerState> servers, ServicePolicy policy, int next) {
       List<ServerPool> pools = servers.stream().map(environment.servers()::poolOf).toList();
-      probes.ask(pools, policy.healthPath(), () -> look(rounds));
+      probes.ask(pools, policy.healthPath(), () -> look(next));
     }
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
@@ -20,7 +20,7 @@
 
   private static Selection.Step next(boolean askable, ServerState... servers) {
     List<Ranked> ranked = Stream.of(servers).map(server -> new Ranked(server, 0, true)).toList();
-    return Selection.next(ranked, CONTEXT, askable);
+    return Selection.next(ranked, CONTEXT, 1, askable);
   }
 
   @Test
@@ -42,6 +42,23 @@
     assertEquals(next(true, slow, old, other), new Selection.Step.Ask(List.of(old, other)));
   }
 
+  /**
+   * Most first choices are undisturbed and have room. Asking three servers at once before each
+   * request spent twice the health checks for the same choice.
+   */
+  @Test
+  public void oneServerIsAskedFirstAndMoreOnlyAfterwards() {
+    List<Ranked> ranked =
+        Stream.of("a", "b", "c", "d")
+            .map(id -> new Ranked(Servers.told(id, 1, 1, LONG_AGO), 0, true))
+            .toList();
+    for (int round = 0; round < 3; round++) {
+      Selection.Step step = Selection.next(ranked, CONTEXT, round, true);
+      assertTrue(step instanceof Selection.Step.Ask ask && ask.servers().size() == round + 1);
+    }
+    assertTrue(Selection.next(ranked, CONTEXT, 3, true) instanceof Selection.Step.Send);
+  }
+
   @Test
   public void aSlowServerIsTakenWhenAllHaveJustSaidSo() {
     ServerState slow = Servers.told("a", 1, 4, NOW);
@@ -56,7 +73,7 @@
   @Test
   public void aRequestDoesNotStartWhereItsAnswerWouldBeLate() {
     ServerState slow = Servers.told("a", 1, 5, NOW);
-    Selection.Step step = Selection.next(List.of(new Ranked(slow, 0, false)), CONTEXT, false);
+    Selection.Step step = Selection.next(List.of(new Ranked(slow, 0, false)), CONTEXT, 0, false);
     assertTrue(step instanceof Selection.Step.Full);
   }
 
