--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -91,9 +91,16 @@
     if (next.version() <= current.version()) {
       return;
     }
+    boolean first = !current.known();
     current = next;
     long now = clocks.nanos();
-    next.servers().values().forEach(entry -> learn(entry, now));
+    next.servers().values().forEach(entry -> learn(entry, first, now));
+    if (first) {
+      log.belief("servers_known")
+          .add("count", next.servers().size())
+          .add("list", next.version())
+          .write();
+    }
     dropMissing();
     group();
   }
@@ -161,11 +168,17 @@
     }
   }
 
-  private void learn(ServerEntry entry, long now) {
+  /**
+   * Takes one entry; those of the first list are told together. After a loss of all instances each
+   * instance wrote a line a server, 43 of them before its first send, while callers returned.
+   */
+  private void learn(ServerEntry entry, boolean first, long now) {
     ServerPool known = byId.get(entry.id());
     if (known == null) {
       byId.put(entry.id(), new ServerPool(new ServerState(entry, now), connector, clocks));
-      told("server_learnt", entry);
+      if (!first) {
+        told("server_learnt", entry);
+      }
       return;
     }
     if (entry.draining() && !known.state().entry().draining()) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -362,7 +362,8 @@
     String name = route == null ? "-" : route.name();
     long took = environment.clocks().nanos() - request.readNanos();
     Collection<String> tried = placing == null ? List.of() : placing.tried();
-    report.end(name, service, outcome, status, sends, tried, took);
+    long objectiveLeft = times == null ? 0 : times.objectiveLeftNanos();
+    report.end(name, service, outcome, status, sends, tried, took, objectiveLeft);
   }
 
   private Route requireRoute() {
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -105,6 +105,7 @@
    * @param status status that the caller got; 0 when it had left
    * @param servers ids of the servers that it was sent to
    * @param tookNanos time since its last byte was read
+   * @param objectiveLeftNanos time until its answer would be late; negative when it is
    */
   void end(
       String route,
@@ -113,7 +114,8 @@
       int status,
       int sends,
       Collection<String> servers,
-      long tookNanos) {
+      long tookNanos,
+      long objectiveLeftNanos) {
     environment.metrics().count("requests", service, outcome);
     EventLog log = environment.log();
     EventLog.Line line = outcome.equals(ANSWERED) ? log.routine("end") : log.trouble("end");
@@ -125,6 +127,7 @@
         .add("sends", sends)
         .add("servers", String.join("/", servers))
         .add("took_ms", millis(tookNanos))
+        .add("objective_left_ms", millis(objectiveLeftNanos))
         .add("version", environment.routes().get().version())
         .write();
   }
--- a/operator/src/main/java/org/magnoliaswitch/operator/TimelineMain.java
+++ b/operator/src/main/java/org/magnoliaswitch/operator/TimelineMain.java
@@ -53,6 +53,8 @@
           .withRequiredArg()
           .ofType(Long.class)
           .defaultsTo(Long.MAX_VALUE);
+  private final OptionSpec<Void> summary =
+      parser.accepts("summary", "requests and slot time per service and second, of --logs");
   private final OptionSpec<Void> help = parser.accepts("help", "print this text").forHelp();
   private final OptionSpec<Void> version = parser.accepts("version", "print the version").forHelp();
 
@@ -104,6 +106,11 @@
         new ArrayList<>(options.has(logs) ? read(options) : gather(options));
     events.removeIf(event -> !filter.selects(event));
     events.sort(Comparator.comparingLong(TimelineEntry::micros));
+    if (options.has(summary)) {
+      LoadSummary load = LoadSummary.of(events);
+      System.out.print(options.valueOf(format).equals("html") ? load.html() : load.text());
+      return;
+    }
     switch (options.valueOf(format)) {
       case "html" -> System.out.print(TimelinePage.of(events));
       case "json" -> {
--- /dev/null
+++ b/operator/src/test/java/org/magnoliaswitch/operator/LoadSummaryTest.java
@@ -0,0 +1,59 @@
+package org.magnoliaswitch.operator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Where requests and slot time went, from logs. */
+public final class LoadSummaryTest {
+  private static final String AT = "time=2026-03-02T10:00:00Z level=INFO ";
+
+  private static List<TimelineEntry> events(String... lines) {
+    return Stream.of(lines).map(line -> LogReader.parse(line, "x").orElseThrow()).toList();
+  }
+
+  /**
+   * One read is answered in time, one late after a disturbed start, one after a second send, and
+   * one is refused. The slot time of the first send of the third is unused.
+   */
+  @Test
+  public void requestsAndSlotTimeAreCountedPerServiceAndSecond() {
+    List<TimelineEntry> events =
+        events(
+            "1.0000 a " + AT + "event=send request=r1 server=s1 slowness=1.00",
+            "1.0000 a " + AT + "event=send request=r2 server=s2 slowness=5.00",
+            "1.1000 a "
+                + AT
+                + "event=end request=r1 service=s outcome=answered objective_left_ms=9",
+            "1.1000 b " + AT + "event=send request=r3 server=s1 slowness=1.00",
+            "1.2000 b " + AT + "event=send request=r3 server=s2 slowness=1.00",
+            "1.3000 b "
+                + AT
+                + "event=end request=r3 service=s outcome=answered objective_left_ms=1",
+            "1.4000 a "
+                + AT
+                + "event=end request=r2 service=s outcome=answered objective_left_ms=-4",
+            "1.5000 a "
+                + AT
+                + "event=end request=r4 service=s outcome=no_room objective_left_ms=0");
+    String[] lines = LoadSummary.of(events).text().split("\n", -1);
+    assertEquals(
+        lines[0],
+        "service=s second=1 requests=4 in_time=2 late=1 left=0 further_sends=1 slot_ms=267"
+            + " undisturbed_ms=100 unused=0.25 unserved={no_room=1}");
+    assertTrue(lines[1].startsWith("service=s second=all requests=4"));
+  }
+
+  @Test
+  public void thePageHasABarForEachSecond() {
+    List<TimelineEntry> events =
+        events(
+            "1.0000 a " + AT + "event=end request=r service=s outcome=caller_left",
+            "2.0000 a " + AT + "event=end request=q service=s outcome=answered");
+    String page = LoadSummary.of(events).html();
+    assertEquals(page.split("<g>", -1).length - 1, 2);
+  }
+}
