--- a/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
@@ -20,6 +20,9 @@
     return Pattern.ALL.stream().filter(p -> p.name().equals(name)).findFirst().orElseThrow();
   }
 
+  /** Tells a gain of 0.02 of the worst seconds from luck: six seeds vary by as much. */
+  private static final int MANY_SEEDS = 24;
+
   /** One pattern played under one way; several tests compare the same ones. */
   private record Played(String pattern, Way way) {}
 
@@ -56,8 +59,8 @@
    */
   @Test(dataProvider = "overloads")
   public void waitingWhileInTimeHelpsTheWorstSeconds(String name, double gain) {
-    Result before = replay(name, Way.SHORT_WAIT);
-    Result after = replay(name, Way.CURRENT);
+    Result before = Replay.run(pattern(name), Way.SHORT_WAIT, MANY_SEEDS);
+    Result after = Replay.run(pattern(name), Way.CURRENT, MANY_SEEDS);
     assertTrue(after.worstSecond() > before.worstSecond() + gain);
     assertTrue(after.inTime() > before.inTime());
     assertTrue(after.refusedTwice() < before.refusedTwice());
@@ -65,7 +68,7 @@
 
   @DataProvider
   public Object[][] overloads() {
-    return new Object[][] {{"burst-3", 0.01}, {"few-slots-3", 0.03}, {"overload", 0.03}};
+    return new Object[][] {{"burst-3", 0.02}, {"overload", 0.02}, {"few-slots-3", 0.03}};
   }
 
   /**
