A broken send tells what its request is, beside the id of the try

Cause: servers of one service ended in rows, and no line told whether the requests under successive ends were one: ids are new with each try. Before and after: a line named a try, and now also the request. No decision changed.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -44,7 +45,7 @@
   private static final long LINGER_MILLIS = 500;
 
   private static final CallerRequest UNREADABLE =
-      new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
+      new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false, "");
 
   private static final HttpResponseStatus BAD_REQUEST = HttpResponseStatus.BAD_REQUEST;
 
@@ -213,11 +214,23 @@
       carriedRequests = true;
       enqueue(
           new CallerRequest(
-              request.method(), request.uri(), request.headers(), bytes, clocks.nanos(), used),
+              request.method(),
+              request.uri(),
+              request.headers(),
+              bytes,
+              clocks.nanos(),
+              used,
+              caller()),
           HttpUtil.isKeepAlive(request));
     }
   }
 
+  private String caller() {
+    return channel.remoteAddress() instanceof InetSocketAddress address
+        ? address.getAddress().getHostAddress()
+        : "";
+  }
+
   private void enqueue(CallerRequest request, boolean keepAlive) {
     slots.addLast(new Slot(request, keepAlive));
     if (slots.size() >= MAX_PIPELINED) {
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerRequest.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerRequest.java
@@ -1,7 +1,9 @@
 package org.magnoliaswitch.front.connection;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.magnoliaswitch.front.crash.RequestIdentity;
 
 /**
  * A request that was read whole.
@@ -12,6 +14,7 @@
  * @param body whole body
  * @param readNanos when its last byte was read
  * @param usedConnection whether its connection carried other requests before
+ * @param caller address of the caller, without its port
  */
 public record CallerRequest(
     HttpMethod method,
@@ -19,4 +22,11 @@
     HttpHeaders headers,
     byte[] body,
     long readNanos,
-    boolean usedConnection) {}
+    boolean usedConnection,
+    String caller) {
+  /** What the request is, whichever try or connection brings it. */
+  public RequestIdentity identity() {
+    String host = headers.get(HttpHeaderNames.HOST, "");
+    return RequestIdentity.of(method.name(), host, target, caller, body);
+  }
+}
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/crash/RequestIdentity.java
@@ -0,0 +1,70 @@
+package org.magnoliaswitch.front.crash;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * What a request is, whichever try, connection or instance brings it: the first 128 bits of a
+ * SHA-256 over its parts. The caller is one of them, so that nobody can bring another's requests
+ * into disrepute.
+ *
+ * @param high first 64 bits
+ * @param low next 64 bits
+ */
+public record RequestIdentity(long high, long low) {
+  /**
+   * Bytes of a body that count, besides its length. Hashing 64 KB takes about 0.2 ms; a body of
+   * many megabytes would stop all other requests for as long as it is hashed.
+   */
+  private static final int MAX_BODY_BYTES = 64 << 10;
+
+  private static final int HEX_DIGITS = 32;
+  private static final HexFormat HEX = HexFormat.of();
+
+  /**
+   * Identifies a request.
+   *
+   * @param target path and query as the caller wrote them
+   * @param caller address of the caller without its port, which is new with each connection
+   */
+  public static RequestIdentity of(
+      String method, String host, String target, String caller, byte[] body) {
+    MessageDigest digest = sha256();
+    for (String part : new String[] {method, host, target, caller}) {
+      byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+      digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
+      digest.update(bytes);
+    }
+    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(body.length).flip());
+    digest.update(body, 0, Math.min(body.length, MAX_BODY_BYTES));
+    ByteBuffer hash = ByteBuffer.wrap(digest.digest());
+    return new RequestIdentity(hash.getLong(), hash.getLong());
+  }
+
+  /**
+   * Reads what {@link #toString} wrote; {@link IllegalArgumentException} if it is anything else.
+   */
+  public static RequestIdentity parse(String hex) {
+    if (hex.length() != HEX_DIGITS) {
+      throw new IllegalArgumentException("an identity has " + HEX_DIGITS + " digits");
+    }
+    ByteBuffer bytes = ByteBuffer.wrap(HEX.parseHex(hex));
+    return new RequestIdentity(bytes.getLong(), bytes.getLong());
+  }
+
+  @Override
+  public String toString() {
+    return HEX.toHexDigits(high) + HEX.toHexDigits(low);
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -220,7 +220,7 @@
   void broken(Attempt attempt, String reason) {
     open.remove(attempt);
     perhapsRun = true;
-    report.attempt("broken", service, attempt.serverId(), "reason", reason);
+    report.broken(service, attempt.serverId(), reason, request.identity());
     if (othersOpen()) {
       return;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.crash.RequestIdentity;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
 
@@ -34,6 +35,23 @@
         .write();
   }
 
+  /**
+   * A send whose connection ended before an answer. The line tells what the request is: its id is
+   * new with each try, so it cannot show that one request was under the ends of many servers.
+   */
+  void broken(String service, String server, String reason, RequestIdentity identity) {
+    environment.metrics().count("attempts", service, "broken");
+    environment
+        .log()
+        .trouble("broken")
+        .add("request", requestId)
+        .add("service", service)
+        .add("server", server)
+        .add("reason", reason)
+        .add("identity", identity.toString())
+        .write();
+  }
+
   /** No server has room for the request, so it waits for some. */
   void waits(String service, RequestTimes times, double limitNanos, int inLine) {
     environment
--- a/front/src/test/java/org/magnoliaswitch/front/request/FirstConfigurationTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/FirstConfigurationTest.java
@@ -32,7 +32,8 @@
         new DefaultHttpHeaders().set("Request-Id", "1").set("Host", "h"),
         new byte[0],
         environment.clocks().nanos(),
-        false);
+        false,
+        "127.0.0.1");
   }
 
   private static BlockingQueue<CallerAnswer> start(Environment environment) {
--- a/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
@@ -138,7 +138,8 @@
         new DefaultHttpHeaders().set("Request-Id", "1"),
         new byte[0],
         environment.clocks().nanos(),
-        false);
+        false,
+        "127.0.0.1");
   }
 
   private static ServerState state(Environment environment, String id) {
--- a/front/src/test/java/org/magnoliaswitch/front/request/RestartedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/RestartedServerTest.java
@@ -47,7 +47,8 @@
             new DefaultHttpHeaders().set("Host", "h").set("Request-Id", "1"),
             new byte[0],
             environment.clocks().nanos(),
-            false);
+            false,
+            "127.0.0.1");
     environment
         .loop()
         .execute(() -> new FrontDispatcher(environment).start(request, answer::complete));
--- a/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
@@ -73,7 +73,8 @@
               new DefaultHttpHeaders().set("Request-Id", "1"),
               new byte[0],
               environment.clocks().nanos(),
-              false);
+              false,
+              "127.0.0.1");
       Consumer<CallerAnswer> answer = given -> answered.countDown();
       WaitingLine<Placing> line = new WaitingLine<>(Mechanisms.ALL);
       Exchange exchange = new Exchange(environment, finder, line, request, answer);
