--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -4,8 +4,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +44,28 @@
    * @param timeoutMillis timeout of both routes
    */
   public RunningFront(long timeoutMillis, ScriptedServer... servers) throws IOException {
+    this(timeoutMillis, 0, List.of(), servers);
+  }
+
+  /**
+   * Starts several instances that tell each other their news; the first one is their seed.
+   *
+   * @param timeoutMillis timeout of both routes
+   */
+  public static List<RunningFront> group(int count, long timeoutMillis, ScriptedServer... servers)
+      throws IOException {
+    int seedPort = freePort();
+    List<InetSocketAddress> seeds = List.of(new InetSocketAddress("127.0.0.1", seedPort));
+    List<RunningFront> fronts = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      fronts.add(new RunningFront(timeoutMillis, i == 0 ? seedPort : freePort(), seeds, servers));
+    }
+    return fronts;
+  }
+
+  private RunningFront(
+      long timeoutMillis, int peersPort, List<InetSocketAddress> seeds, ScriptedServer... servers)
+      throws IOException {
     long timeout = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     RouteTable routes =
         new RouteTable(
@@ -60,8 +84,8 @@
             "here",
             any,
             any,
-            any,
-            List.of(),
+            new InetSocketAddress("127.0.0.1", peersPort),
+            seeds,
             false,
             0,
             TimeUnit.SECONDS.toNanos(2),
@@ -82,6 +106,12 @@
     front.stop(stopped);
   }
 
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
   private static Route route(String name, boolean idempotent, long timeout) {
     List<WeightedService> parts = List.of(new WeightedService("s", 1));
     return new Route(name, "h", "/" + name + "/", idempotent, timeout, timeout / 3, 0, 2, parts);
