--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -7,6 +7,7 @@
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Beliefs;
+import org.magnoliaswitch.front.process.CrashWatch;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
 import org.magnoliaswitch.front.process.Front;
@@ -66,7 +67,8 @@
             new RouteState(random, settings.repeats()),
             new AtomicInteger(ASSUMED_INSTANCES),
             log,
-            metrics);
+            metrics,
+            new CrashWatch(clocks, log, metrics));
     Beliefs beliefs = new Beliefs(routes, servers, requests, log);
     News news = new News(environment, beliefs, control, source.create(control, log, metrics));
     news.start();
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
@@ -75,6 +77,16 @@
             });
   }
 
+  /** Whether a connection failed because nobody listens at the address. */
+  static boolean refused(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
+  /** Runs a task on the thread of all connections after a while. */
+  void afterMillis(long millis, Runnable task) {
+    loop.afterMillis(millis, task);
+  }
+
   private ServerConnection attach(Channel channel, ServerConnection.Owner owner) {
     ServerConnection connection = new ServerConnection(channel, owner, clocks, names);
     channel.pipeline().get(AnswerDecoder.class).connection = connection;
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -12,11 +14,18 @@
 
 /** The kept connections to one incarnation of a backend server; used by one thread only. */
 public final class ServerPool {
+  /** Time after which a connection that a process took while it ended is closed with it. */
+  private static final long SETTLE_MILLIS = 30;
+
+  private static final int FIRST_LOOK = 1;
+  private static final int LAST_LOOK = 2;
+
   private final ServerState state;
   private final ServerConnector connector;
   private final Clocks clocks;
   private final Deque<ServerConnection> idle = new ArrayDeque<>();
   private final Set<ServerConnection> all = new HashSet<>();
+  private final List<Consumer<Boolean>> askingWhetherEnded = new ArrayList<>();
 
   public ServerPool(ServerState state, ServerConnector connector, Clocks clocks) {
     this.state = state;
@@ -62,6 +71,43 @@
         failed);
   }
 
+  /**
+   * Finds out whether the server's process has ended, after a connection to it did: one that lives
+   * takes another connection and keeps it. A machine that does not answer at all is not told from a
+   * cut path, and counts as living. Callers that ask at the same time share the answer.
+   */
+  public void findWhetherEnded(Consumer<Boolean> told) {
+    askingWhetherEnded.add(told);
+    if (askingWhetherEnded.size() == 1) {
+      findWhetherEnded(FIRST_LOOK);
+    }
+  }
+
+  private void findWhetherEnded(int look) {
+    connect(
+        connection -> connector.afterMillis(SETTLE_MILLIS, () -> settled(connection, look)),
+        cause -> tellWhetherEnded(ServerConnector.refused(cause)));
+  }
+
+  /** A process on its way out may still take a connection, which then ends like the others. */
+  private void settled(ServerConnection connection, int look) {
+    boolean keeps = connection.usable(clocks.nanos(), Long.MAX_VALUE);
+    if (keeps) {
+      giveBack(connection);
+    }
+    if (keeps || look == LAST_LOOK) {
+      tellWhetherEnded(false);
+    } else {
+      findWhetherEnded(look + 1);
+    }
+  }
+
+  private void tellWhetherEnded(boolean ended) {
+    List<Consumer<Boolean>> asking = List.copyOf(askingWhetherEnded);
+    askingWhetherEnded.clear();
+    asking.forEach(told -> told.accept(ended));
+  }
+
   /** Gives back a connection that was taken but not used. */
   public void giveBack(ServerConnection connection) {
     new Members().released(connection);
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/crash/CrashTable.java
@@ -0,0 +1,164 @@
+package org.magnoliaswitch.front.crash;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The requests under which servers ended, swapped as a whole.
+ *
+ * <p>Bounded: when it is full, the case with the fewest ends goes first, and of those the oldest.
+ * Somebody who wants to push a real cause out must end two servers for each place.
+ */
+public final class CrashTable {
+  /** Cases kept; one takes about a kilobyte at most. */
+  static final int MAX_CASES = 1024;
+
+  /** Knows of nothing. */
+  public static final CrashTable EMPTY = new CrashTable(Map.of());
+
+  private static final Comparator<Map.Entry<RequestIdentity, CrashCase>> LEAST_WORTH_FIRST =
+      Comparator.<Map.Entry<RequestIdentity, CrashCase>>comparingInt(
+              entry -> entry.getValue().ends().size())
+          .thenComparingLong(entry -> entry.getValue().changedNanos());
+
+  private final Map<RequestIdentity, CrashCase> cases;
+  private final Set<String> ended;
+
+  private CrashTable(Map<RequestIdentity, CrashCase> cases) {
+    this.cases = cases;
+    this.ended = new HashSet<>();
+    cases.values().forEach(known -> ended.addAll(known.ends().keySet()));
+  }
+
+  /**
+   * A table with reports added.
+   *
+   * @param table the table
+   * @param news those of the reports that changed it
+   */
+  public record Update(CrashTable table, List<CrashReport> news) {}
+
+  /** Adds reports. */
+  public Update with(List<CrashReport> reports, long nowNanos) {
+    Map<RequestIdentity, CrashCase> next = new HashMap<>(cases);
+    List<CrashReport> news = new ArrayList<>();
+    for (CrashReport report : reports) {
+      CrashCase before = next.getOrDefault(report.request(), CrashCase.NONE);
+      CrashCase after = before.with(report, nowNanos);
+      if (!after.equals(before)) {
+        news.add(report);
+        next.put(report.request(), after);
+        dropLeastWorth(next);
+      }
+    }
+    return news.isEmpty() ? new Update(this, news) : new Update(new CrashTable(next), news);
+  }
+
+  private static void dropLeastWorth(Map<RequestIdentity, CrashCase> cases) {
+    if (cases.size() > MAX_CASES) {
+      cases.entrySet().stream()
+          .min(LEAST_WORTH_FIRST)
+          .map(Map.Entry::getKey)
+          .ifPresent(cases::remove);
+    }
+  }
+
+  /** This table without cases that have been quiet for long. */
+  public CrashTable withoutOutdated(long nowNanos) {
+    Map<RequestIdentity, CrashCase> kept = new HashMap<>(cases);
+    kept.values().removeIf(known -> known.outdated(nowNanos));
+    return kept.size() == cases.size() ? this : new CrashTable(kept);
+  }
+
+  /** Whether nothing is known of any request. */
+  public boolean isEmpty() {
+    return cases.isEmpty();
+  }
+
+  /** What may be done with a request now. */
+  public Verdict verdict(RequestIdentity request, long nowNanos) {
+    return of(request).verdict(nowNanos);
+  }
+
+  /** How far a request is under suspicion. */
+  public Standing standing(RequestIdentity request) {
+    return of(request).standing();
+  }
+
+  /** Time until a request is let through again; zero or less when it may be. */
+  public long pausedNanos(RequestIdentity request, long nowNanos) {
+    return of(request).pausedNanos(nowNanos);
+  }
+
+  /** Whether a request is confirmed to end servers. */
+  public boolean confirmed(RequestIdentity request) {
+    return of(request).confirmed();
+  }
+
+  /** How often a request was let through as a suspect. */
+  public int trials(RequestIdentity request) {
+    return of(request).trials();
+  }
+
+  /** Incarnations that ended under a request. */
+  public Set<String> endsUnder(RequestIdentity request) {
+    return of(request).ends().keySet();
+  }
+
+  /** A report that clears a request of all that is held against it. */
+  public CrashReport clearanceOf(RequestIdentity request) {
+    return new CrashReport.Cleared(request, of(request).ends().keySet(), of(request).trials());
+  }
+
+  /** An end under a request, if it counts. */
+  public Optional<CrashReport.Ended> end(RequestIdentity request, String server) {
+    return Optional.ofNullable(of(request).ends().get(server))
+        .map(warned -> new CrashReport.Ended(request, server, warned));
+  }
+
+  /** Whether an end under a request was reported and has been cleared since. */
+  public boolean cleared(RequestIdentity request, String server) {
+    return of(request).cleared().contains(server);
+  }
+
+  /** Whether a server is believed to have ended. */
+  public boolean believedEnded(String server) {
+    return ended.contains(server);
+  }
+
+  /**
+   * Reports that clear all ends of a server that lives, if it was believed to have ended before.
+   */
+  public List<CrashReport> clearancesOf(String server, long believedBeforeNanos) {
+    List<CrashReport> clearances = new ArrayList<>();
+    cases.forEach(
+        (request, known) -> {
+          if (known.ends().containsKey(server) && known.changedNanos() < believedBeforeNanos) {
+            clearances.add(new CrashReport.Cleared(request, Set.of(server), 0));
+          }
+        });
+    return clearances;
+  }
+
+  /** Everything that is known, for somebody who knows nothing yet. */
+  public List<CrashReport> reports() {
+    List<CrashReport> reports = new ArrayList<>();
+    cases.forEach((request, known) -> reports.addAll(known.reports(request)));
+    return reports;
+  }
+
+  /** Requests of a standing. */
+  public long count(Standing standing) {
+    return cases.values().stream().filter(known -> known.standing() == standing).count();
+  }
+
+  private CrashCase of(RequestIdentity request) {
+    return cases.getOrDefault(request, CrashCase.NONE);
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -1,23 +1,29 @@
 package org.magnoliaswitch.front.peer;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.front.crash.CrashReport;
+import org.magnoliaswitch.front.crash.CrashTable;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -28,28 +34,43 @@
  * that they know how fresh it is. Runs on the control loop.
  */
 public final class PeerHub {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Listeners that hear nothing for a few of these look elsewhere. */
   private static final long HEARTBEAT_MILLIS = 400;
 
   private static final int LENGTH_BYTES = 4;
 
+  /** Longest message of a listener: reports of a full table of cases. */
+  private static final int MAX_REPORTS_BYTES = 1 << 20;
+
   /**
    * What this instance knows now.
    *
    * @param ageMillis how long ago it was confirmed
    * @param routes configuration in force
    * @param servers servers in force
+   * @param crashes requests under which servers end
    */
-  public record Knowledge(long ageMillis, RouteTable routes, ServerList servers) {}
+  public record Knowledge(
+      long ageMillis, RouteTable routes, ServerList servers, CrashTable crashes) {}
 
   private final Loop loop;
   private final Supplier<Knowledge> knowledge;
+  private final Consumer<List<CrashReport>> reported;
   private final Set<Listener> listeners = new HashSet<>();
   private @Nullable Encoded last;
 
-  public PeerHub(Loop loop, Supplier<Knowledge> knowledge) {
+  /**
+   * Creates one that nobody listens to yet.
+   *
+   * @param knowledge what listeners are told
+   * @param reported takes what they report
+   */
+  public PeerHub(Loop loop, Supplier<Knowledge> knowledge, Consumer<List<CrashReport>> reported) {
     this.loop = loop;
     this.knowledge = knowledge;
+    this.reported = reported;
   }
 
   /** Binds the address that others listen at. */
@@ -72,8 +93,13 @@
 
   /** Tells everyone now. */
   public void tellAll() {
+    tell(List.of());
+  }
+
+  /** Tells everyone now, and what is new about requests under which servers end. */
+  public void tell(List<CrashReport> crashes) {
     Knowledge now = knowledge.get();
-    List.copyOf(listeners).forEach(listener -> listener.tell(now));
+    List.copyOf(listeners).forEach(listener -> listener.tell(now, crashes));
   }
 
   /**
@@ -81,7 +107,8 @@
    * told the same, so the last message is kept: a seed of a large system would spend most of its
    * processor time on comparing the same two lists for each of them.
    */
-  private byte[] message(Knowledge now, ServerList toldServers, long toldRoutes) {
+  private byte[] message(
+      Knowledge now, ServerList toldServers, long toldRoutes, List<CrashReport> crashes) {
     Told told =
         new Told(
             now.ageMillis(),
@@ -89,12 +116,13 @@
             now.servers().version(),
             toldRoutes,
             now.routes().version(),
-            instances());
+            instances(),
+            crashes);
     if (last == null || !last.told().equals(told)) {
       boolean news = now.routes().version() > toldRoutes;
       Optional<RouteTable> routes = news ? Optional.of(now.routes()) : Optional.empty();
       ServerChanges changes = ServerChanges.between(toldServers, now.servers());
-      PeerNews message = new PeerNews(now.ageMillis(), instances(), routes, changes);
+      PeerNews message = new PeerNews(now.ageMillis(), instances(), routes, changes, crashes);
       last = new Encoded(told, PeerNewsCodec.encode(message));
     }
     return last.bytes();
@@ -107,7 +135,8 @@
       long serversNow,
       long routesBefore,
       long routesNow,
-      int instances) {}
+      int instances,
+      List<CrashReport> crashes) {}
 
   /** A message and what it was made from. */
   private record Encoded(Told told, byte[] bytes) {}
@@ -115,12 +144,17 @@
   private final class Pipeline extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
-      channel.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new Listener(channel));
+      channel
+          .pipeline()
+          .addLast(
+              new LengthFieldPrepender(LENGTH_BYTES),
+              new LengthFieldBasedFrameDecoder(MAX_REPORTS_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+              new Listener(channel));
     }
   }
 
   /** An instance that listens, and what it has been told. */
-  private final class Listener extends ChannelInboundHandlerAdapter {
+  private final class Listener extends SimpleChannelInboundHandler<ByteBuf> {
     private final Channel channel;
     private ServerList toldServers = ServerList.EMPTY;
     private long toldRoutes;
@@ -132,12 +166,21 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
       listeners.add(this);
-      tell(knowledge.get());
+      Knowledge now = knowledge.get();
+      tell(now, now.crashes().reports());
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      ReferenceCountUtil.release(message);
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
+      byte[] bytes = new byte[message.readableBytes()];
+      message.readBytes(bytes);
+      try {
+        reported.accept(CrashReportCodec.decode(bytes));
+      } catch (IOException e) {
+        logger.atWarning().withCause(e).log(
+            "event=peer_report_malformed peer=%s", channel.remoteAddress());
+        Channels.close(context);
+      }
     }
 
     @Override
@@ -150,13 +193,13 @@
       Channels.close(context);
     }
 
-    void tell(Knowledge now) {
+    void tell(Knowledge now, List<CrashReport> crashes) {
       if (!channel.isWritable()) {
         // It does not read: holding ever more news for it would fill the memory.
         Channels.close(channel);
         return;
       }
-      byte[] message = message(now, toldServers, toldRoutes);
+      byte[] message = message(now, toldServers, toldRoutes, crashes);
       toldRoutes = Math.max(toldRoutes, now.routes().version());
       toldServers = now.servers();
       Channels.write(channel, Unpooled.wrappedBuffer(message));
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
@@ -1,6 +1,8 @@
 package org.magnoliaswitch.front.peer;
 
+import java.util.List;
 import java.util.Optional;
+import org.magnoliaswitch.front.crash.CrashReport;
 import org.magnoliaswitch.front.version.RouteTable;
 
 /**
@@ -11,6 +13,15 @@
  * @param instances how many instances the sender knows of, itself included
  * @param routes the sender's configuration, when it changed since its last message
  * @param servers what changed in the sender's list since its last message
+ * @param crashes what is new about requests under which servers end
  */
 public record PeerNews(
-    long ageMillis, int instances, Optional<RouteTable> routes, ServerChanges servers) {}
+    long ageMillis,
+    int instances,
+    Optional<RouteTable> routes,
+    ServerChanges servers,
+    List<CrashReport> crashes) {
+  public PeerNews {
+    crashes = List.copyOf(crashes);
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.magnoliaswitch.front.crash.CrashReport;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -34,6 +35,7 @@
         writeRoutes(out, news.routes().get());
       }
       writeServers(out, news.servers());
+      CrashReportCodec.write(out, news.crashes());
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory does not fail", e);
@@ -51,7 +53,10 @@
       int instances = in.unpackInt();
       Optional<RouteTable> routes =
           in.unpackBoolean() ? Optional.of(readRoutes(in)) : Optional.empty();
-      return new PeerNews(age, instances, routes, readServers(in));
+      ServerChanges servers = readServers(in);
+      // Instances of an earlier release write nothing more, and pass over what they do not know.
+      List<CrashReport> crashes = in.hasNext() ? CrashReportCodec.read(in) : List.of();
+      return new PeerNews(age, instances, routes, servers, crashes);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed news", e);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -2,17 +2,22 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.crash.CrashReport;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.ServerList;
@@ -48,13 +53,25 @@
   private final Clocks clocks;
   private final InetSocketAddress peer;
   private final Listener listener;
+  private final Supplier<List<CrashReport>> known;
   private @Nullable Channel channel;
   private ServerList servers = ServerList.EMPTY;
   private boolean connecting;
   private boolean hearing;
   private long lastHeardNanos;
 
-  public PeerSubscription(Loop loop, Clocks clocks, InetSocketAddress peer, Listener listener) {
+  /**
+   * Creates one that does not listen yet.
+   *
+   * @param known what the peer is told of requests under which servers end, once it is connected
+   */
+  public PeerSubscription(
+      Loop loop,
+      Clocks clocks,
+      InetSocketAddress peer,
+      Listener listener,
+      Supplier<List<CrashReport>> known) {
+    this.known = known;
     this.loop = loop;
     this.clocks = clocks;
     this.peer = peer;
@@ -72,6 +89,21 @@
     return hearing;
   }
 
+  /**
+   * Reports to the peer, which tells all that listen to it. A peer that does not read loses the
+   * connection, and gets everything once it is back.
+   */
+  public void report(List<CrashReport> crashes) {
+    if (channel == null || crashes.isEmpty()) {
+      return;
+    }
+    if (channel.isWritable()) {
+      Channels.write(channel, Unpooled.wrappedBuffer(CrashReportCodec.encode(crashes)));
+    } else {
+      Channels.close(channel);
+    }
+  }
+
   private void check() {
     boolean silent = clocks.nanos() - lastHeardNanos > SILENT_NANOS;
     if (channel != null && (silent || !channel.isActive())) {
@@ -98,6 +130,7 @@
                 channel = future.channel();
                 servers = ServerList.EMPTY;
                 lastHeardNanos = clocks.nanos();
+                report(known.get());
               }
             });
   }
@@ -126,8 +159,8 @@
       opened
           .pipeline()
           .addLast(
-              new LengthFieldBasedFrameDecoder(
-                  MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+              new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+              new LengthFieldPrepender(LENGTH_BYTES));
       opened.pipeline().addLast(new Reader());
     }
   }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/CrashStore.java
@@ -0,0 +1,48 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.crash.CrashReport;
+
+/**
+ * Where ends of servers under requests outlast the instances that saw them; callbacks run on the
+ * control event loop.
+ */
+public interface CrashStore {
+  /** Keeps nothing; for a platform without a place for it. */
+  CrashStore NONE =
+      new CrashStore() {
+        @Override
+        public void read(Consumer<NewsSource.Read<List<Kept>>> listener) {
+          listener.accept(new NewsSource.Read.Unchanged<>());
+        }
+
+        @Override
+        public void change(
+            Collection<CrashReport.Ended> puts,
+            Collection<CrashReport.Ended> removals,
+            Consumer<Boolean> done) {
+          done.accept(true);
+        }
+      };
+
+  /**
+   * An end as it is kept.
+   *
+   * @param epochMillis when it was written, by the writer's time of day
+   */
+  record Kept(CrashReport.Ended ended, long epochMillis) {}
+
+  /** Reads all that is kept. */
+  void read(Consumer<NewsSource.Read<List<Kept>>> listener);
+
+  /**
+   * Adds and removes ends; the listener is told whether the store confirmed it. What was not
+   * confirmed may have been done, and may be asked for again.
+   */
+  void change(
+      Collection<CrashReport.Ended> puts,
+      Collection<CrashReport.Ended> removals,
+      Consumer<Boolean> done);
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -17,6 +17,7 @@
  * @param servers backend servers
  * @param routeState what outlives a configuration version
  * @param instances how many instances serve, as far as known
+ * @param crashes requests under which servers end
  */
 public record Environment(
     FrontSettings settings,
@@ -29,4 +30,5 @@
     RouteState routeState,
     AtomicInteger instances,
     EventLog log,
-    FrontMetrics metrics) {}
+    FrontMetrics metrics,
+    CrashWatch crashes) {}
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.magnoliaswitch.front.crash.CrashReport;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.PeerHub;
 import org.magnoliaswitch.front.peer.PeerNews;
@@ -13,12 +14,16 @@
 
 /** Everything by which this instance learns and passes on configuration and discovery. */
 public final class News {
+  /** Time between two looks for what may be forgotten; the shortest memory is a minute. */
+  private static final long FORGET_MILLIS = 10_000;
+
   private final Environment environment;
   private final Beliefs beliefs;
   private final Loop loop;
   private final PeerHub hub;
   private final NewsReader reader;
   private final Map<InetSocketAddress, Integer> instancesByPeer = new HashMap<>();
+  private final CrashArchive archive;
   private final List<PeerSubscription> subscriptions = new ArrayList<>();
 
   public News(Environment environment, Beliefs beliefs, Loop control, NewsSource source) {
@@ -32,14 +37,20 @@
             settings.seeds(),
             settings.firstStart(),
             environment.random().nextInt(ReadingPlan.JITTER_SPAN_MILLIS));
+    this.archive = new CrashArchive(source.crashes(), environment, control, this::hearsPeers);
     this.reader =
-        new NewsReader(source, beliefs, plan, control, environment, this::tell, this::hearsPeers);
+        new NewsReader(
+            source, beliefs, plan, control, environment, this::tell, this::hearsPeers, archive);
     this.hub =
         new PeerHub(
             control,
             () ->
                 new PeerHub.Knowledge(
-                    reader.ageMillis(), environment.routes().get(), beliefs.servers()));
+                    reader.ageMillis(),
+                    environment.routes().get(),
+                    beliefs.servers(),
+                    environment.crashes().table()),
+            reports -> environment.crashes().heard(reports, CrashWatch.Source.LISTENER));
   }
 
   /** Binds the peers' address, listens to the seeds and begins to read. */
@@ -50,11 +61,18 @@
       if (!seed.equals(settings.peers())) {
         PeerSubscription subscription =
             new PeerSubscription(
-                loop, environment.clocks(), seed, (news, servers) -> heard(seed, news, servers));
+                loop,
+                environment.clocks(),
+                seed,
+                (news, servers) -> heard(seed, news, servers),
+                () -> environment.crashes().table().reports());
         subscriptions.add(subscription);
         subscription.start();
       }
     }
+    environment.crashes().listen((news, from) -> loop.execute(() -> share(news, from)));
+    environment.crashes().coordinateTrials(this::heardByOthers);
+    loop.everyMillis(FORGET_MILLIS, environment.crashes()::forgetOutdated);
     reader.start();
     environment.metrics().gauge("configuration.version", beliefs::routesVersion);
     environment.metrics().gauge("knowledge.age.milliseconds", reader::ageMillis);
@@ -62,6 +80,24 @@
     environment.metrics().gauge("servers", () -> beliefs.servers().servers().size());
   }
 
+  /**
+   * Passes on what is new about requests under which servers end. What an instance sees it reports
+   * to its seeds, and they tell all that listen to them; so it reaches each once from each seed,
+   * and none passes it back.
+   */
+  private void share(List<CrashReport> news, CrashWatch.Source from) {
+    if (from == CrashWatch.Source.OWN) {
+      subscriptions.forEach(subscription -> subscription.report(news));
+      archive.own(news);
+    }
+    hub.tell(news);
+  }
+
+  /** Whether others hear of what happens here, or there are none. */
+  private boolean heardByOthers() {
+    return subscriptions.isEmpty() || hearsPeers() || hub.instances() > 1;
+  }
+
   private boolean hearsPeers() {
     return subscriptions.stream().anyMatch(PeerSubscription::hearing);
   }
@@ -70,6 +106,7 @@
     instancesByPeer.put(seed, news.instances());
     countInstances();
     reader.heard(news, servers);
+    environment.crashes().heard(news.crashes(), CrashWatch.Source.PEER);
   }
 
   private void tell() {
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -33,6 +33,7 @@
   private final EventLog log;
   private final Runnable changed;
   private final BooleanSupplier hearsPeers;
+  private final CrashArchive archive;
   private final DiscoveryKeeper keeper = new DiscoveryKeeper();
   private final Freshness freshness = new Freshness();
   private final long startedNanos;
@@ -44,6 +45,7 @@
    *
    * @param changed called when something newer than before is believed
    * @param hearsPeers whether other instances tell their news
+   * @param archive is read whenever the platform is
    */
   public NewsReader(
       NewsSource source,
@@ -52,7 +54,8 @@
       Loop loop,
       Environment environment,
       Runnable changed,
-      BooleanSupplier hearsPeers) {
+      BooleanSupplier hearsPeers,
+      CrashArchive archive) {
     this.source = source;
     this.beliefs = beliefs;
     this.plan = plan;
@@ -63,6 +66,7 @@
     this.log = environment.log();
     this.changed = changed;
     this.hearsPeers = hearsPeers;
+    this.archive = archive;
     this.startedNanos = environment.clocks().nanos();
   }
 
@@ -156,6 +160,7 @@
         beliefs.offer(keeper.read(known.value(), clocks.nanos()));
         freshness.confirmed(asOf);
         changed.run();
+        archive.read();
         check();
       }
       case NewsSource.Read.Unchanged<ServerList> unchanged -> {
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsSource.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsSource.java
@@ -50,6 +50,11 @@
    */
   void nextConfiguration(Consumer<Read<RouteTable>> listener);
 
+  /** Where ends of servers under requests are kept. */
+  default CrashStore crashes() {
+    return CrashStore.NONE;
+  }
+
   /** Reads the backend servers. */
   void servers(Consumer<Read<ServerList>> listener);
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -13,6 +13,7 @@
 import org.magnoliaswitch.front.connection.ServerConnection;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
+import org.magnoliaswitch.front.crash.Verdict;
 import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Placement;
@@ -44,6 +45,7 @@
   private @Nullable ServerConnection connection;
   private long sentNanos;
   private double slownessAtStart = 1;
+  private boolean warned;
   private boolean ended;
 
   Attempt(
@@ -68,6 +70,11 @@
     return connection != null;
   }
 
+  /** Whether the request was known for suspect when it was sent, so that this is its trial. */
+  boolean warned() {
+    return warned;
+  }
+
   void start(boolean idempotent) {
     pool.state().sent();
     boolean anyKept =
@@ -155,6 +162,14 @@
       exchange.unreachable(this, "deadline");
       return;
     }
+    Verdict verdict = exchange.crashes().admit();
+    if (verdict == Verdict.REFUSED || verdict == Verdict.WAIT) {
+      pool.giveBack(target);
+      end();
+      exchange.heldBack(this);
+      return;
+    }
+    warned = verdict == Verdict.TRIAL;
     connection = target;
     sentNanos = environment.clocks().nanos();
     slownessAtStart = Placement.slowness(pool.state(), serviceLoad(), sentNanos);
@@ -202,6 +217,7 @@
       case ServerReply.Whole whole -> whole(whole);
       case ServerReply.Broken broken -> {
         environment.servers().failed(pool.state(), "broken");
+        exchange.crashes().broke(pool, warned);
         exchange.broken(this, broken.reason());
       }
     }
@@ -218,6 +234,7 @@
       environment.servers().failed(pool.state(), "rejected");
       exchange.rejected(this, status);
     } else {
+      exchange.crashes().answered(pool, sentNanos);
       judge(status);
       exchange.answered(this, whole);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.connection.CallerAnswer;
@@ -14,6 +15,7 @@
 import org.magnoliaswitch.front.connection.RequestHandler;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.connection.ServerReply;
+import org.magnoliaswitch.front.crash.Verdict;
 import org.magnoliaswitch.front.load.HedgeDelay;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.RetryAfter;
@@ -32,23 +34,14 @@
  * unknown, and the answer says so: 502 or 504, never 503.
  */
 final class Exchange implements RequestHandler.Call, Placing.Owner {
-  /** Time between two looks for a configuration. */
-  private static final long LOOK_AGAIN_MILLIS = 10;
-
-  /**
-   * How long a request waits for the first configuration. After a loss of all instances everyone's
-   * callers return at once; a started instance knows its servers 0.2 s after it listens, and a
-   * refusal would cost each of them a try.
-   */
-  private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
   /** Stands for the usual latency while there is no configuration: a start takes about as long. */
   private static final double UNKNOWN_LATENCY_NANOS = TimeUnit.MILLISECONDS.toNanos(160);
 
   /** Servers tried in vain, without a byte written, before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
-  private static final String SERVER_FAILED = "server_failed";
+  /** Why a request under which servers end gets no send. */
+  static final String ENDS_SERVERS = "ends_servers";
 
   private final Environment environment;
   private final ServerFinder finder;
@@ -57,6 +50,7 @@
   private final Consumer<CallerAnswer> answer;
   private final String requestId;
   private final RequestReport report;
+  private final CrashGuard crashes;
   private final List<Attempt> open = new ArrayList<>();
   private @Nullable Route route;
   private @Nullable RequestTimes times;
@@ -65,9 +59,8 @@
   private Loop.@Nullable Timer timer;
   private @Nullable FurtherSends sends;
   private int unreachable;
-  private boolean perhapsRun;
+  private final KnownFate fate = new KnownFate();
   private @Nullable Hedge hedge;
-  private @Nullable CallerAnswer serverFailure;
   private boolean done;
 
   Exchange(
@@ -83,24 +76,16 @@
     this.answer = answer;
     this.requestId = request.headers().get(environment.names().requestId(), "");
     this.report = new RequestReport(environment, requestId);
+    this.crashes = new CrashGuard(environment, request);
   }
 
   /** Begins; the route is looked up once there is a configuration. */
   void start(Supplier<Optional<Route>> router) {
-    if (done) {
-      return;
-    }
-    if (environment.routes().get().known() && environment.servers().known()) {
-      begin(router.get());
-    } else if (environment.clocks().nanos() - request.readNanos() < configurationWaitNanos()) {
-      environment.loop().afterMillis(LOOK_AGAIN_MILLIS, () -> start(router));
-    } else {
-      refuse("no_configuration", RetryAfter.Cause.BUSY);
-    }
-  }
-
-  private long configurationWaitNanos() {
-    return on(Mechanism.FIRST_CONFIGURATION) ? CONFIGURATION_WAIT_NANOS : 0;
+    new FirstConfiguration(environment, request.readNanos())
+        .await(
+            this::waiting,
+            () -> begin(router.get()),
+            () -> refuse("no_configuration", RetryAfter.Cause.BUSY));
   }
 
   private boolean on(Mechanism mechanism) {
@@ -119,7 +104,7 @@
     timer = environment.loop().after(left.leftNanos(), this::timedOut);
     service = environment.routeState().pick(chosen);
     environment.routeState().budget(service).request(environment.clocks().nanos());
-    sends = new FurtherSends(environment, chosen, service, left, report);
+    sends = new FurtherSends(environment, chosen, service, left, report, crashes);
     Placing places =
         new Placing(
             environment.loop(),
@@ -157,9 +142,9 @@
     ServerPool pool = environment.servers().poolOf(server);
     Attempt attempt = new Attempt(this, environment, pool, request, requestId);
     open.add(attempt);
-    attempt.start(requireRoute().idempotent());
-    double usual = requireTimes().usualNanos();
-    long delay = HedgeDelay.nanos(usual, requireTimes().objectiveLeftNanos());
+    attempt.start(known(route).idempotent());
+    double usual = known(times).usualNanos();
+    long delay = HedgeDelay.nanos(usual, known(times).objectiveLeftNanos());
     environment.loop().after(delay, () -> overdue(attempt, usual));
   }
 
@@ -182,7 +167,7 @@
 
   /** Time that the caller still waits. */
   long leftNanos() {
-    return requireTimes().leftNanos();
+    return known(times).leftNanos();
   }
 
   @Override
@@ -190,6 +175,54 @@
     return !done;
   }
 
+  /** What is known of servers that ended under the request. */
+  CrashGuard crashes() {
+    return crashes;
+  }
+
+  /** The request was to be written when it became known that servers end under it. */
+  void heldBack(Attempt attempt) {
+    open.remove(attempt);
+    if (!othersOpen()) {
+      known(placing).place();
+    }
+  }
+
+  /**
+   * Something new is known of requests under which servers end. If this is one of them, its sends
+   * are cancelled: a server drops work whose connection closes, and so is spared. What may run only
+   * once is left to end, since half of a run may do harm.
+   */
+  void crashesChanged() {
+    boolean trial = open.stream().anyMatch(Attempt::warned);
+    if (done || route == null || !crashes.stopsSends(trial)) {
+      return;
+    }
+    if (open.isEmpty()) {
+      if (crashes.verdict() == Verdict.REFUSED) {
+        turnAway();
+      }
+    } else if (route.idempotent()) {
+      if (open.stream().anyMatch(Attempt::written)) {
+        fate.perhapsRun();
+      }
+      open.forEach(Attempt::abandon);
+      open.clear();
+      turnAway();
+    }
+  }
+
+  @Override
+  public Verdict verdict() {
+    return crashes.verdict();
+  }
+
+  /** Servers end under the request, so it goes to none; at once, since waiting would not help. */
+  @Override
+  public void turnAway() {
+    giveUp(ENDS_SERVERS, crashes::retryAfterNanos);
+  }
+
   void unreachable(Attempt attempt, String reason) {
     open.remove(attempt);
     unreachable++;
@@ -200,7 +233,7 @@
     if (unreachable >= MAX_UNREACHABLE) {
       giveUp("unreachable", RetryAfter.Cause.REJECTED);
     } else {
-      requirePlacing().place();
+      known(placing).place();
     }
   }
 
@@ -211,7 +244,7 @@
       return;
     }
     if (sends().mayFollowRejection()) {
-      requirePlacing().place();
+      known(placing).place();
     } else {
       giveUp("rejected", RetryAfter.Cause.REJECTED);
     }
@@ -219,13 +252,13 @@
 
   void broken(Attempt attempt, String reason) {
     open.remove(attempt);
-    perhapsRun = true;
-    report.broken(service, attempt.serverId(), reason, request.identity());
+    fate.perhapsRun();
+    report.broken(service, attempt.serverId(), reason, crashes.identity());
     if (othersOpen()) {
       return;
     }
-    if (requireRoute().idempotent() && sends().mayFollow()) {
-      requirePlacing().place();
+    if (known(route).idempotent() && sends().mayFollow()) {
+      known(placing).place();
     } else {
       giveUp("broken", RetryAfter.Cause.REJECTED);
     }
@@ -239,18 +272,17 @@
     boolean failed = whole.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
     CallerAnswer result = Answers.passedOn(whole);
     if (failed) {
-      perhapsRun = true;
-      serverFailure = result;
+      fate.serverFailed(result);
     }
     if (failed && !open.isEmpty()) {
       return;
     }
     open.forEach(Attempt::outrun);
-    if (failed && requireRoute().idempotent() && leftNanos() > 0 && sends().mayFollow()) {
-      requirePlacing().place();
+    if (failed && known(route).idempotent() && leftNanos() > 0 && sends().mayFollow()) {
+      known(placing).place();
       return;
     }
-    finish(result, failed ? SERVER_FAILED : RequestReport.ANSWERED);
+    finish(result, failed ? RequestReport.SERVER_FAILED : RequestReport.ANSWERED);
   }
 
   /**
@@ -260,8 +292,8 @@
    *     answer leaves says nothing, and taken for it the usual latency came out a fifth too short
    */
   void learnLatency(long tookNanos, double slowness, ServerState server) {
-    LatencyBaseline baseline = environment.routeState().baseline(requireRoute());
-    requirePlacing().offerRoom(server);
+    LatencyBaseline baseline = environment.routeState().baseline(known(route));
+    known(placing).offerRoom(server);
     environment.metrics().latency(service, tookNanos);
     environment.servers().succeeded(server, tookNanos / (baseline.nanos() * slowness));
     baseline.learn(tookNanos / slowness);
@@ -274,47 +306,48 @@
 
   /** How often the request was sent, and whether it may be sent again. */
   FurtherSends sends() {
-    if (sends == null) {
-      throw new IllegalStateException("no route yet");
-    }
-    return sends;
+    return known(sends);
   }
 
   @Override
   public void giveUp(String reason, RetryAfter.Cause cause) {
-    if (serverFailure != null) {
-      // Made by a server that ran the request: it tells the caller more than an answer of our own.
-      finish(serverFailure, SERVER_FAILED);
-    } else if (perhapsRun) {
-      finish(Answers.unknown(HttpResponseStatus.BAD_GATEWAY, reason), reason);
-    } else {
-      refuse(reason, cause);
-    }
+    giveUp(reason, () -> retryAfterNanos(cause));
+  }
+
+  private void giveUp(String reason, LongSupplier retryAfterNanos) {
+    fate.end(HttpResponseStatus.BAD_GATEWAY, reason, false)
+        .ifPresentOrElse(
+            end -> finish(end.answer(), end.outcome()),
+            () -> refuse(reason, retryAfterNanos.getAsLong()));
   }
 
   private void refuse(String reason, RetryAfter.Cause cause) {
-    double usual = times == null ? UNKNOWN_LATENCY_NANOS : times.usualNanos();
-    long retryAfter =
-        RetryAfter.nanos(cause, usual, environment.random(), environment.settings().mechanisms());
+    refuse(reason, retryAfterNanos(cause));
+  }
+
+  private void refuse(String reason, long retryAfter) {
     long waited = environment.clocks().nanos() - request.readNanos();
     report.refused(service, reason, waited, retryAfter);
     finish(Answers.notRun(reason, retryAfter), reason);
   }
 
+  private long retryAfterNanos(RetryAfter.Cause cause) {
+    double usual = times == null ? UNKNOWN_LATENCY_NANOS : times.usualNanos();
+    return RetryAfter.nanos(
+        cause, usual, environment.random(), environment.settings().mechanisms());
+  }
+
   private void timedOut() {
     if (done) {
       return;
     }
-    boolean mayRun = perhapsRun || open.stream().anyMatch(Attempt::written);
-    boolean idempotent = requireRoute().idempotent();
+    boolean written = open.stream().anyMatch(Attempt::written);
+    boolean idempotent = known(route).idempotent();
     List<Attempt> cancelled = List.copyOf(open);
-    if (serverFailure != null) {
-      finish(serverFailure, SERVER_FAILED);
-    } else if (mayRun) {
-      finish(Answers.unknown(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout"), "timeout");
-    } else {
-      refuse("timeout_before_send", RetryAfter.Cause.BUSY);
-    }
+    fate.end(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", written)
+        .ifPresentOrElse(
+            end -> finish(end.answer(), end.outcome()),
+            () -> refuse("timeout_before_send", RetryAfter.Cause.BUSY));
     cancelled.forEach(attempt -> attempt.timedOut(idempotent));
   }
 
@@ -350,24 +383,10 @@
     report.end(name, service, outcome, status, sent, tried, took, objectiveLeft);
   }
 
-  private Route requireRoute() {
-    if (route == null) {
-      throw new IllegalStateException("no route yet");
-    }
-    return route;
-  }
-
-  private RequestTimes requireTimes() {
-    if (times == null) {
-      throw new IllegalStateException("no route yet");
-    }
-    return times;
-  }
-
-  private Placing requirePlacing() {
-    if (placing == null) {
+  private static <T> T known(@Nullable T value) {
+    if (value == null) {
       throw new IllegalStateException("no route yet");
     }
-    return placing;
+    return value;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -1,7 +1,10 @@
 package org.magnoliaswitch.front.request;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.connection.CallerAnswer;
 import org.magnoliaswitch.front.connection.CallerRequest;
@@ -15,11 +18,19 @@
   private final Environment environment;
   private final ServerSearch search;
   private final WaitingLine<Placing> line;
+  private final Set<Exchange> underWay = new HashSet<>();
 
   public FrontDispatcher(Environment environment) {
     this.environment = environment;
     this.line = new WaitingLine<>(environment.settings().mechanisms());
     this.search = new ServerSearch(environment, new Probes(environment));
+    environment
+        .crashes()
+        .listen((news, source) -> environment.loop().execute(this::crashesChanged));
+  }
+
+  private void crashesChanged() {
+    List.copyOf(underWay).forEach(Exchange::crashesChanged);
   }
 
   @Override
@@ -30,9 +41,38 @@
 
   @Override
   public Call start(CallerRequest request, Consumer<CallerAnswer> answer) {
-    Exchange exchange = new Exchange(environment, search, line, request, answer);
-    exchange.start(() -> route(request));
-    return exchange;
+    UnderWay call = new UnderWay(request, answer);
+    underWay.add(call.exchange);
+    call.exchange.start(() -> route(request));
+    return call;
+  }
+
+  /** A request until its answer is given or its caller has left. */
+  private final class UnderWay implements Call {
+    private final Exchange exchange;
+
+    UnderWay(CallerRequest request, Consumer<CallerAnswer> answer) {
+      this.exchange =
+          new Exchange(
+              environment,
+              search,
+              line,
+              request,
+              given -> {
+                ended();
+                answer.accept(given);
+              });
+    }
+
+    @Override
+    public void callerLeft() {
+      ended();
+      exchange.callerLeft();
+    }
+
+    private void ended() {
+      underWay.remove(exchange);
+    }
   }
 
   private Optional<Route> route(CallerRequest request) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
@@ -14,6 +14,7 @@
   private final String service;
   private final RequestTimes times;
   private final RequestReport report;
+  private final CrashGuard crashes;
   private int sends;
 
   FurtherSends(
@@ -21,12 +22,14 @@
       Route route,
       String service,
       RequestTimes times,
-      RequestReport report) {
+      RequestReport report,
+      CrashGuard crashes) {
     this.environment = environment;
     this.route = route;
     this.service = service;
     this.times = times;
     this.report = report;
+    this.crashes = crashes;
   }
 
   /** Notes that the request's first byte is about to be written. */
@@ -50,6 +53,15 @@
     return mayFollow(Fallback.NONE);
   }
 
+  /** Whether one may go out beside a send that is late; taken from the budget. */
+  boolean mayHedge() {
+    if (!crashes.mayHedge()) {
+      report.notRepeated(service, Exchange.ENDS_SERVERS, times.leftNanos());
+      return false;
+    }
+    return mayFollow();
+  }
+
   private boolean mayFollow(Fallback fallback) {
     Optional<String> obstacle = obstacle(fallback);
     obstacle.ifPresent(reason -> report.notRepeated(service, reason, times.leftNanos()));
@@ -60,6 +72,9 @@
     if (sends >= route.maxServers()) {
       return Optional.of("most_servers");
     }
+    if (!crashes.mayRepeat()) {
+      return Optional.of(Exchange.ENDS_SERVERS);
+    }
     if (times.leftNanos() <= 0) {
       return Optional.of("no_time");
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Hedge.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Hedge.java
@@ -40,7 +40,7 @@
     if (!exchange.waitsOnlyFor(late)) {
       return;
     }
-    if (exchange.sends().mayFollow()) {
+    if (exchange.sends().mayHedge()) {
       placing.take(server);
     } else {
       forbidden = true;
--- a/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.magnoliaswitch.front.crash.Verdict;
 import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Mechanisms;
@@ -25,6 +26,12 @@
     /** Whether it still wants an answer. */
     boolean waiting();
 
+    /** What may be done with it, as far as servers end under it. */
+    Verdict verdict();
+
+    /** Servers end under it, so none will get it. */
+    void turnAway();
+
     /** Sends it to a server. */
     void send(ServerState server);
 
@@ -75,8 +82,13 @@
 
   /** Looks for a server, and waits for one while all are busy. */
   void place() {
-    if (owner.waiting()) {
-      search(this::found);
+    if (!owner.waiting()) {
+      return;
+    }
+    switch (owner.verdict()) {
+      case ALLOWED, TRIAL -> search(this::found);
+      case WAIT -> loop.afterMillis(LOOK_AGAIN_MILLIS, this::place);
+      case REFUSED -> owner.turnAway();
     }
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -12,6 +12,9 @@
   /** Outcome of a request that got the answer of a server that ran it. */
   static final String ANSWERED = "answered";
 
+  /** Outcome of a request whose server ran it and failed. */
+  static final String SERVER_FAILED = "server_failed";
+
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final Environment environment;
--- a/front/src/main/java/org/magnoliaswitch/front/version/ServerEntry.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/ServerEntry.java
@@ -41,6 +41,11 @@
     }
   }
 
+  /** Names this incarnation; the id alone names also those before and after it. */
+  public String incarnation() {
+    return id + "@" + startedMillis;
+  }
+
   /**
    * Whether this is a later incarnation of the same server. It has forgotten all that the earlier
    * one did, so nothing that was learnt there holds.
--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
@@ -9,6 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import org.magnoliaswitch.front.crash.CrashReport;
+import org.magnoliaswitch.front.crash.RequestIdentity;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Route;
@@ -21,6 +24,12 @@
 
 /** News on the wire between instances. */
 public final class PeerNewsCodecTest {
+  private static final RequestIdentity REQUEST = new RequestIdentity(1, -2);
+  private static final List<CrashReport> REPORTS =
+      List.of(
+          new CrashReport.Ended(REQUEST, "i@7", true),
+          new CrashReport.Cleared(REQUEST, Set.of("i@7", "j@0"), 2),
+          new CrashReport.Tried(REQUEST, 3));
   private static final PeerNews NEWS =
       new PeerNews(
           17,
@@ -41,7 +50,8 @@
                           List.of(new WeightedService("s", 0.9), new WeightedService("t", 0.1)))),
                   List.of(new ServicePolicy("s", "/health", 260)),
                   CallerLimits.DEFAULT)),
-          new ServerChanges(9, List.of(Servers.entry("i", true)), List.of("j")));
+          new ServerChanges(9, List.of(Servers.entry("i", true)), List.of("j")),
+          REPORTS);
 
   @Test
   public void whatIsWrittenIsRead() throws IOException {
@@ -52,6 +62,40 @@
     assertEquals(read.routes().orElseThrow().version(), 7);
     assertEquals(read.routes().get().routes(), NEWS.routes().orElseThrow().routes());
     assertEquals(read.routes().get().limits(), CallerLimits.DEFAULT);
+    assertEquals(read.crashes(), REPORTS);
+  }
+
+  /**
+   * Instances are replaced one by one, so releases listen to each other: news that end before the
+   * reports are those of an earlier one, and a kind that nobody here knows is one of a later.
+   */
+  @Test
+  public void reportsOfOtherReleasesArePassedOver() throws IOException {
+    byte[] all = PeerNewsCodec.encode(NEWS);
+    int reports = CrashReportCodec.encode(REPORTS).length;
+    byte[] earlier = Arrays.copyOf(all, all.length - reports);
+    assertEquals(PeerNewsCodec.decode(earlier).crashes(), List.of());
+    byte[] later = CrashReportCodec.encode(List.of(new CrashReport.Tried(REQUEST, 3)));
+    int kind = 3;
+    assertEquals(later[kind], 3);
+    later[kind] = 99;
+    assertEquals(CrashReportCodec.decode(later), List.of());
+  }
+
+  /** A listener is no more to be trusted than a seed: whatever it sends is read or refused. */
+  @Test
+  public void damagedReportsAreRefusedOrRead() {
+    byte[] good = CrashReportCodec.encode(REPORTS);
+    Random random = new Random(6);
+    for (int i = 0; i < 5_000; i++) {
+      byte[] bad = Arrays.copyOf(good, 1 + random.nextInt(good.length));
+      bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+      try {
+        CrashReportCodec.decode(bad);
+      } catch (IOException e) {
+        assertEquals(e.getClass(), IOException.class);
+      }
+    }
   }
 
   /** A peer of another release, or a stranger, sends anything; the reader must only refuse it. */
@@ -85,7 +129,8 @@
     ServerList after = new ServerList(2, Map.of("a", Servers.restarted(entry)));
     ServerChanges changes = ServerChanges.between(before, after);
     PeerNews read =
-        PeerNewsCodec.decode(PeerNewsCodec.encode(new PeerNews(0, 1, Optional.empty(), changes)));
+        PeerNewsCodec.decode(
+            PeerNewsCodec.encode(new PeerNews(0, 1, Optional.empty(), changes, List.of())));
     assertEquals(read.servers().applyTo(before), after);
   }
 
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
@@ -0,0 +1,171 @@
+package org.magnoliaswitch.front.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.magnoliaswitch.front.crash.CrashReport;
+import org.magnoliaswitch.front.crash.RequestIdentity;
+import org.magnoliaswitch.front.crash.Standing;
+import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Ends of servers under requests in a store that forgets, stays silent or is changed by others. */
+public final class CrashArchiveTest {
+  private static final RequestIdentity REQUEST = new RequestIdentity(1, 2);
+
+  private Environment environment = TestEnvironment.unknowing();
+  private Store store = new Store();
+  private CrashArchive archive = archive();
+
+  /** A store that a test fills and looks into. */
+  private static final class Store implements CrashStore {
+    private final List<Kept> rows = new ArrayList<>();
+    private final BlockingQueue<List<CrashReport.Ended>> puts = new LinkedBlockingQueue<>();
+    private final BlockingQueue<List<CrashReport.Ended>> removals = new LinkedBlockingQueue<>();
+    private final AtomicBoolean confirms = new AtomicBoolean(true);
+
+    @Override
+    public void read(Consumer<NewsSource.Read<List<Kept>>> listener) {
+      listener.accept(new NewsSource.Read.Known<>(List.copyOf(rows)));
+    }
+
+    @Override
+    public void change(
+        Collection<CrashReport.Ended> added,
+        Collection<CrashReport.Ended> removed,
+        Consumer<Boolean> done) {
+      if (!added.isEmpty()) {
+        puts.add(List.copyOf(added));
+      }
+      if (!removed.isEmpty()) {
+        removals.add(List.copyOf(removed));
+      }
+      done.accept(confirms.get());
+    }
+  }
+
+  private CrashArchive archive() {
+    return new CrashArchive(store, environment, environment.loop(), () -> false);
+  }
+
+  @BeforeMethod
+  public void forget() {
+    environment.loop().stop();
+    environment = TestEnvironment.unknowing();
+    store = new Store();
+    archive = archive();
+  }
+
+  @AfterClass
+  public void stop() {
+    environment.loop().stop();
+  }
+
+  private static CrashReport.Ended ended(String server) {
+    return new CrashReport.Ended(REQUEST, server, false);
+  }
+
+  private void onLoop(Runnable task) throws InterruptedException {
+    CountDownLatch done = new CountDownLatch(1);
+    environment.loop().execute(task);
+    environment.loop().execute(done::countDown);
+    done.await();
+  }
+
+  private void sees(CrashReport.Ended... reports) throws InterruptedException {
+    onLoop(
+        () -> {
+          environment.crashes().heard(List.of(reports), CrashWatch.Source.OWN);
+          archive.own(List.of(reports));
+        });
+  }
+
+  private CrashStore.Kept now(CrashReport.Ended ended) {
+    return new CrashStore.Kept(ended, environment.clocks().millis());
+  }
+
+  @Test
+  public void twoEndsAreWrittenAtOnce() throws InterruptedException {
+    sees(ended("a"), ended("b"));
+    assertEquals(Set.copyOf(store.puts.take()), Set.of(ended("a"), ended("b")));
+  }
+
+  /** A server crashes under a bystander, which a second one answers: the store hears nothing. */
+  @Test
+  public void whatIsClearedInTimeIsNotWritten() throws InterruptedException {
+    sees(ended("a"));
+    environment.crashes().answered(REQUEST, "b", environment.clocks().nanos());
+    RequestIdentity other = new RequestIdentity(3, 4);
+    CrashReport.Ended later = new CrashReport.Ended(other, "c", false);
+    sees(later);
+    assertEquals(store.puts.take(), List.of(later));
+  }
+
+  /** The store answers nothing for a while: the end is written once it does again. */
+  @Test
+  public void whatWasNotConfirmedIsWrittenAgain() throws InterruptedException {
+    store.confirms.set(false);
+    sees(ended("a"), ended("b"));
+    List<CrashReport.Ended> first = store.puts.take();
+    store.confirms.set(true);
+    assertEquals(store.puts.take(), first);
+  }
+
+  /** All instances were lost: the first read tells those that started what was known before. */
+  @Test
+  public void aStartedInstanceLearnsFromTheStore() throws InterruptedException {
+    store.rows.add(now(ended("a")));
+    store.rows.add(now(ended("b")));
+    store.rows.add(now(new CrashReport.Ended(REQUEST, "c", true)));
+    onLoop(() -> archive.read());
+    assertEquals(environment.crashes().table().standing(REQUEST), Standing.CONFIRMED);
+  }
+
+  /** An operator removes the rows of a request, since its servers are mended. */
+  @Test
+  public void rowsThatAreTakenAwayLiftTheSuspicion() throws InterruptedException {
+    store.rows.add(now(ended("a")));
+    store.rows.add(now(ended("b")));
+    onLoop(() -> archive.read());
+    store.rows.clear();
+    onLoop(() -> archive.read());
+    assertEquals(environment.crashes().table().endsUnder(REQUEST), Set.of());
+  }
+
+  /**
+   * An instance writes an end while another's read is under way, and reads it again only later. A
+   * row that no read has shown yet was not taken away.
+   */
+  @Test
+  public void aReadThatMissesAnOwnWriteLiftsNothing() throws InterruptedException {
+    sees(ended("a"), ended("b"));
+    assertTrue(store.puts.take().size() > 0);
+    onLoop(() -> archive.read());
+    assertEquals(environment.crashes().table().endsUnder(REQUEST), Set.of("a", "b"));
+  }
+
+  @Test
+  public void clearedAndOldRowsAreRemoved() throws InterruptedException {
+    sees(ended("a"), ended("b"));
+    environment.crashes().answered(REQUEST, "c", environment.clocks().nanos());
+    CrashReport.Ended old = new CrashReport.Ended(new RequestIdentity(5, 6), "d", false);
+    long yesterday = environment.clocks().millis() - TimeUnit.DAYS.toMillis(1) - 1;
+    store.rows.add(now(ended("a")));
+    store.rows.add(new CrashStore.Kept(old, yesterday));
+    onLoop(() -> archive.read());
+    assertEquals(store.removals.take(), List.of(ended("a"), old));
+    assertEquals(environment.crashes().table().endsUnder(old.request()), Set.of());
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -93,6 +93,7 @@
               "t",
               "here",
               Mechanisms.ALL);
+      FrontMetrics metrics = new FrontMetrics();
       environment =
           new Environment(
               settings,
@@ -105,7 +106,8 @@
               new RouteState(random, repeats),
               new AtomicInteger(1),
               log,
-              new FrontMetrics());
+              metrics,
+              new CrashWatch(clocks, log, metrics));
       beliefs = new Beliefs(environment.routes(), servers, requests, log);
       new News(environment, beliefs, control, source).start();
     }
--- a/front/src/test/java/org/magnoliaswitch/front/request/CrashingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/CrashingRequestTest.java
@@ -1,13 +1,30 @@
 package org.magnoliaswitch.front.request;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.connection.RequestHandler;
+import org.magnoliaswitch.front.crash.CrashReport;
+import org.magnoliaswitch.front.crash.RequestIdentity;
+import org.magnoliaswitch.front.process.CrashWatch;
+import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.testing.RunningFront;
 import org.magnoliaswitch.front.testing.ScriptedServer;
+import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.WeightedService;
 import org.testng.annotations.Test;
 
 /**
@@ -53,7 +70,7 @@
     }
 
     private boolean run(int number, ScriptedServer.Received request) throws IOException {
-      if (!request.line().contains(DEADLY)) {
+      if (!request.line().contains("/deadly")) {
         return request.answer(200, "well");
       }
       ended.incrementAndGet();
@@ -88,4 +105,181 @@
       }
     }
   }
+
+  /**
+   * A booking under which servers end may run once a try, so each try ends one. Callers are told
+   * 502 while it may have run; once it is turned away they are told 503, and no server has it.
+   */
+  @Test
+  public void whatMayRunOnceIsToldTruthfully() throws IOException {
+    try (Servers servers = new Servers(SERVERS)) {
+      ScriptedServer[] all = servers.all.toArray(new ScriptedServer[0]);
+      List<RunningFront> fronts = RunningFront.group(INSTANCES, TIMEOUT_MILLIS, all);
+      List<String> statuses = new ArrayList<>();
+      for (int i = 0; i < TRIES; i++) {
+        int before = servers.ended.get();
+        String answer = fronts.get(i % INSTANCES).ask("POST", "/once/deadly", TIMEOUT_MILLIS);
+        String status = answer.substring("HTTP/1.1 ".length()).substring(0, 3);
+        statuses.add(status);
+        assertEquals(status, servers.ended.get() > before ? "502" : "503");
+      }
+      assertTrue(statuses.contains("503"), statuses.toString());
+      assertTrue(servers.ended.get() <= ENDS_THAT_TELL + ALLOWED_AFTER, statuses.toString());
+      assertTrue(fronts.getFirst().ask("GET", "/safe/well", TIMEOUT_MILLIS).contains("200"));
+      for (RunningFront front : fronts) {
+        front.stop(() -> {});
+      }
+    }
+  }
+
+  /** Requests that are under way when it becomes known what they do. */
+  public static final class UnderWay {
+    private static final Route READ = route(true);
+    private static final Route ONCE = route(false);
+    private static final RequestIdentity IDENTITY = request(0).identity();
+    private static final List<CrashReport> TWO_ENDS =
+        List.of(
+            new CrashReport.Ended(IDENTITY, "x@0", false),
+            new CrashReport.Ended(IDENTITY, "y@0", false));
+    private static final List<CrashReport> TRIAL_ENDED =
+        List.of(new CrashReport.Tried(IDENTITY, 1), new CrashReport.Ended(IDENTITY, "z@0", true));
+
+    private static Route route(boolean idempotent) {
+      long minute = TimeUnit.MINUTES.toNanos(1);
+      List<WeightedService> parts = List.of(new WeightedService("s", 1));
+      return new Route("r", "h", "/", idempotent, minute, minute, 0, 2, parts);
+    }
+
+    private static CallerRequest request(long readNanos) {
+      return new CallerRequest(
+          HttpMethod.GET,
+          "/x",
+          new DefaultHttpHeaders().set("Host", "h").set("Request-Id", "1"),
+          new byte[0],
+          readNanos,
+          false,
+          "127.0.0.1");
+    }
+
+    /** A server that holds each request until the test lets it go, and counts them. */
+    private static final class Holding {
+      private final Semaphore arrived = new Semaphore(0);
+      private final CountDownLatch released = new CountDownLatch(1);
+
+      boolean run(ScriptedServer.Received request) throws IOException, InterruptedException {
+        if (request.line().contains("/health")) {
+          return request.answer(200, "");
+        }
+        arrived.release();
+        released.await();
+        return request.answer(200, "well");
+      }
+    }
+
+    private static CompletableFuture<CallerAnswer> ask(
+        Environment environment, RequestHandler handler) {
+      CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+      CallerRequest request = request(environment.clocks().nanos());
+      environment.loop().execute(() -> handler.start(request, answer::complete));
+      return answer;
+    }
+
+    /**
+     * A copy is on a server when others learn what it does. Cancelled, the server drops it and is
+     * spared; its caller is told that it may have run.
+     */
+    @Test
+    public void copiesOnServersAreCancelled() throws IOException, InterruptedException {
+      Holding holding = new Holding();
+      try (ScriptedServer server = new ScriptedServer("a", holding::run)) {
+        Environment environment = TestEnvironment.with(READ, server);
+        CompletableFuture<CallerAnswer> answer = ask(environment, new FrontDispatcher(environment));
+        holding.arrived.acquire();
+        environment.crashes().heard(TWO_ENDS, CrashWatch.Source.PEER);
+        assertEquals(answer.join().status().code(), 502);
+        holding.released.countDown();
+        environment.loop().stop();
+      }
+    }
+
+    /** Half of a booking may do harm, so one that is on a server is left to end. */
+    @Test
+    public void whatMayRunOnceIsLeftToEnd() throws IOException, InterruptedException {
+      Holding holding = new Holding();
+      try (ScriptedServer server = new ScriptedServer("a", holding::run)) {
+        Environment environment = TestEnvironment.with(ONCE, server);
+        CompletableFuture<CallerAnswer> answer = ask(environment, new FrontDispatcher(environment));
+        holding.arrived.acquire();
+        environment.crashes().heard(TWO_ENDS, CrashWatch.Source.PEER);
+        environment.crashes().heard(TRIAL_ENDED, CrashWatch.Source.PEER);
+        holding.released.countDown();
+        assertEquals(answer.join().status().code(), 200);
+        environment.loop().stop();
+      }
+    }
+
+    /**
+     * Two servers ended under a request that did nothing. One copy goes out to show it, and the
+     * others wait for its answer, which clears them: all callers are served.
+     */
+    @Test
+    public void copiesWaitForTheTrialAndAreServedAfterIt()
+        throws IOException, InterruptedException {
+      Holding holding = new Holding();
+      try (ScriptedServer a = new ScriptedServer("a", holding::run);
+          ScriptedServer b = new ScriptedServer("b", holding::run)) {
+        Environment environment = TestEnvironment.with(READ, a, b);
+        environment.crashes().heard(TWO_ENDS, CrashWatch.Source.PEER);
+        FrontDispatcher handler = new FrontDispatcher(environment);
+        CompletableFuture<CallerAnswer> first = ask(environment, handler);
+        holding.arrived.acquire();
+        CompletableFuture<CallerAnswer> second = ask(environment, handler);
+        holding.released.countDown();
+        assertEquals(first.join().status().code(), 200);
+        assertEquals(second.join().status().code(), 200);
+        assertEquals(a.received().size() + b.received().size(), 2);
+        environment.loop().stop();
+      }
+    }
+
+    /** The trial ended its server: who waited for it is turned away at once, and has not run. */
+    @Test
+    public void copiesThatWaitedAreTurnedAwayWhenTheTrialEndsItsServer()
+        throws IOException, InterruptedException {
+      Holding holding = new Holding();
+      try (ScriptedServer server = new ScriptedServer("a", holding::run)) {
+        Environment environment = TestEnvironment.with(READ, server);
+        environment.crashes().heard(TWO_ENDS, CrashWatch.Source.PEER);
+        environment
+            .crashes()
+            .heard(List.of(new CrashReport.Tried(IDENTITY, 1)), CrashWatch.Source.PEER);
+        CompletableFuture<CallerAnswer> answer = ask(environment, new FrontDispatcher(environment));
+        environment.crashes().heard(TRIAL_ENDED, CrashWatch.Source.PEER);
+        assertEquals(answer.join().status().code(), 503);
+        assertTrue(Double.parseDouble(answer.join().headers().get("retry-after")) > 3_000);
+        assertEquals(server.received().size(), 0);
+        environment.loop().stop();
+      }
+    }
+
+    /**
+     * A connection breaks while its server lives, as one of many that a network device has lost
+     * track of. Nothing may be held against the request, however often it happens.
+     */
+    @Test
+    public void aResetIsNoEnd() throws IOException {
+      ScriptedServer.Script resets =
+          request -> request.line().contains("/health") ? request.answer(200, "") : request.reset();
+      try (ScriptedServer server = new ScriptedServer("a", resets)) {
+        Environment environment = TestEnvironment.with(READ, server);
+        FrontDispatcher handler = new FrontDispatcher(environment);
+        for (int i = 0; i < 5; i++) {
+          assertEquals(ask(environment, handler).join().status().code(), 502);
+        }
+        assertEquals(server.received().size(), 5);
+        assertTrue(environment.crashes().quiet());
+        environment.loop().stop();
+      }
+    }
+  }
 }
