--- a/front/src/test/java/org/magnoliaswitch/front/request/CrashingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/CrashingRequestTest.java
@@ -106,6 +106,29 @@
     }
   }
 
+  /**
+   * The request comes from another address each time, as one does that is passed on through several
+   * gateways. On the played day its tries reached instances of two data centres within 0.1 s, and
+   * callers' addresses belong to a data centre: {@code 8.858} at {@code front-zk-hall-1} and {@code
+   * 8.881} at {@code front-teika-hall-3}. What it asks for is the same, and that must be enough.
+   */
+  @Test
+  public void isRecognisedFromWhateverAddressItComes() throws IOException {
+    try (Servers servers = new Servers(SERVERS)) {
+      ScriptedServer[] all = servers.all.toArray(new ScriptedServer[0]);
+      List<RunningFront> fronts = RunningFront.group(INSTANCES, TIMEOUT_MILLIS, all);
+      for (int i = 0; i < TRIES; i++) {
+        String address = "127.0.0." + (10 + i);
+        fronts.get(i % INSTANCES).askFrom(address, "GET", DEADLY, TIMEOUT_MILLIS);
+      }
+      int ended = servers.ended.get();
+      assertTrue(ended <= ENDS_THAT_TELL + ALLOWED_AFTER, ended + " servers ended");
+      for (RunningFront front : fronts) {
+        front.stop(() -> {});
+      }
+    }
+  }
+
   /**
    * A booking under which servers end may run once a try, so each try ends one. Callers are told
    * 502 while it may have run; once it is turned away they are told 503, and no server has it.
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -125,6 +126,16 @@
     }
   }
 
+  /** The same, as a caller at another address of the loopback range. */
+  public String askFrom(String address, String method, String path, long deadlineMillis)
+      throws IOException {
+    InetAddress local = InetAddress.getByName(address);
+    try (Socket socket = new Socket("127.0.0.1", front.callerAddress().getPort(), local, 0)) {
+      send(socket, method, path, deadlineMillis, "Connection: close\r\n");
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
   /** Opens a caller's connection. */
   public Socket connect() throws IOException {
     return new Socket("127.0.0.1", front.callerAddress().getPort());
