--- a/core/src/main/java/org/magnoliaswitch/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.core.connection;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -64,6 +65,21 @@
     }
   }
 
+  /**
+   * Whether nobody listens at the server's address, as after the end of its process. No answer at
+   * all is not told from a cut path, and counts as a server that lives.
+   */
+  public boolean refusesConnections(int timeoutMillis) {
+    try {
+      BackendConnection.open(address, timeoutMillis, clocks.nanos()).abort();
+      return false;
+    } catch (ConnectException e) {
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Gives back a connection whose exchange ended with a whole answer. */
   public void giveBack(BackendConnection connection) {
     connection.succeeded(clocks.nanos());
--- a/front/src/main/java/org/magnoliaswitch/front/peer/CrashReportCodec.java
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/CrashReportCodec.java
@@ -1,4 +1,4 @@
-package org.magnoliaswitch.front.peer;
+package org.magnoliaswitch.core.peer;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -18,7 +18,7 @@
  * Writes and reads reports of requests under which servers end, as MessagePack. Each report is
  * framed by itself, so that one of a kind that a later release adds is passed over.
  */
-final class CrashReportCodec {
+public final class CrashReportCodec {
   private static final int ENDED = 1;
   private static final int CLEARED = 2;
   private static final int TRIED = 3;
@@ -38,7 +38,7 @@
   private CrashReportCodec() {}
 
   /** Encodes reports as a message of their own. */
-  static byte[] encode(List<CrashReport> reports) {
+  public static byte[] encode(List<CrashReport> reports) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       write(out, reports);
       return out.toByteArray();
@@ -48,7 +48,7 @@
   }
 
   /** Decodes a message of reports; anything malformed is an {@link IOException}. */
-  static List<CrashReport> decode(byte[] bytes) throws IOException {
+  public static List<CrashReport> decode(byte[] bytes) throws IOException {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       return read(in);
     } catch (MessagePackException | IllegalArgumentException e) {
@@ -56,7 +56,8 @@
     }
   }
 
-  static void write(MessagePacker out, List<CrashReport> reports) throws IOException {
+  /** Writes reports as a part of a message. */
+  public static void write(MessagePacker out, List<CrashReport> reports) throws IOException {
     out.packArrayHeader(reports.size());
     for (CrashReport report : reports) {
       byte[] framed = framed(report);
@@ -65,7 +66,8 @@
     }
   }
 
-  static List<CrashReport> read(MessageUnpacker in) throws IOException {
+  /** Reads reports as a part of a message. */
+  public static List<CrashReport> read(MessageUnpacker in) throws IOException {
     int count = in.unpackArrayHeader();
     if (count > MAX_REPORTS) {
       throw new IOException(count + " reports are too many");
--- a/core/src/main/java/org/magnoliaswitch/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/PeerMessage.java
@@ -14,6 +14,7 @@
   @JsonSubTypes.Type(value = PeerMessage.Content.class, name = "c"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimKeys.class, name = "k"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimResults.class, name = "r"),
+  @JsonSubTypes.Type(value = PeerMessage.Crashes.class, name = "s"),
   @JsonSubTypes.Type(value = PeerMessage.Unsupported.class, name = "u")
 })
 public sealed interface PeerMessage {
@@ -37,6 +38,14 @@
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record ClaimResults(List<ClaimResult> results) implements PeerMessage {}
 
+  /**
+   * Tells of requests under which servers end; the reply tells what the receiver knows besides.
+   *
+   * @param reports as {@link CrashReportCodec} writes them
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Crashes(byte[] reports) implements PeerMessage {}
+
   /** The receiver does not serve this request. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Unsupported(String reason) implements PeerMessage {}
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
@@ -54,6 +54,7 @@
   private final ConfigurationStore store;
   private final ConfigurationFollower follower;
   private final Gossip gossip;
+  private final CrashGossip crashGossip;
   private final ServiceRegistry registry;
   private final Prober prober;
   private final PeerTraffic traffic = new PeerTraffic();
@@ -81,12 +82,15 @@
     this.cache = new ContentCache();
     CurrentVersion version = new CurrentVersion(cache, timeline);
     Membership membership = new Membership(self, clocks);
-    this.state = new ControlState(membership, new LeavingServers(clocks), version, timeline);
+    CrashWatch crashes = new CrashWatch(clocks);
+    this.state =
+        new ControlState(membership, new LeavingServers(clocks), version, timeline, crashes);
     this.store = new ConfigurationStore(platform.table(), platform.objects());
     this.client = new PeerClient(setup.secret(), traffic);
     this.follower = new ConfigurationFollower(version, cache, store, client);
     this.gossip =
         new Gossip(setup.gossip(), setup.seeds(), state, follower, client, random, executor);
+    this.crashGossip = new CrashGossip(crashes, gossip, client, timeline, executor);
     this.registry = new ServiceRegistry(membership, clocks);
     version.listen(registry::apply);
     this.prober = new Prober(registry, state, clocks, gossip::pushNews);
@@ -108,6 +112,7 @@
   public void start() {
     executor.execute(this::catchUp);
     repeat(gossip::meetOne, gossip::nextMeetingMillis);
+    repeat(crashGossip::repair, gossip::nextMeetingMillis);
     repeat(this::pollStore, gossip::nextStorePollMillis);
     repeat(this::maintain, () -> MAINTENANCE_MILLIS);
     repeat(this::record, () -> RECORD_MILLIS);
@@ -161,6 +166,7 @@
   private PeerMessage answer(PeerMessage request) {
     return switch (request) {
       case PeerMessage.Gossip message -> new PeerMessage.Gossip(gossip.answer(message.digest()));
+      case PeerMessage.Crashes crashes -> crashGossip.answer(crashes);
       case PeerMessage.FetchContent fetch -> new PeerMessage.Content(cache.select(fetch.digests()));
       case PeerMessage.ClaimKeys keys ->
           new PeerMessage.ClaimResults(
@@ -215,6 +221,7 @@
 
   private void maintain() {
     state.membership().expire();
+    state.crashes().forgetOutdated();
     ledger.expire();
     int instances = state.membership().size();
     if (instances != sharedAmong) {
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
@@ -7,6 +7,11 @@
  * @param leaving backend servers noticed to leave
  * @param version configuration in force
  * @param timeline recent events
+ * @param crashes requests under which servers end
  */
 public record ControlState(
-    Membership membership, LeavingServers leaving, CurrentVersion version, Timeline timeline) {}
+    Membership membership,
+    LeavingServers leaving,
+    CurrentVersion version,
+    Timeline timeline,
+    CrashWatch crashes) {}
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/CrashGossip.java
@@ -0,0 +1,99 @@
+package org.magnoliaswitch.core.process;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import org.magnoliaswitch.core.crash.CrashReport;
+import org.magnoliaswitch.core.peer.Address;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
+import org.magnoliaswitch.core.peer.PeerClient;
+import org.magnoliaswitch.core.peer.PeerMessage;
+
+/**
+ * Spreads what is known of requests under which servers end, like other news: pushed to a few peers
+ * at once, who push on what was new to them, and compared with peers now and then. While nothing is
+ * known, nothing is sent.
+ */
+final class CrashGossip {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int CALL_TIMEOUT_MILLIS = 1_000;
+  private static final PeerMessage.Crashes NOTHING =
+      new PeerMessage.Crashes(CrashReportCodec.encode(List.of()));
+
+  private final CrashWatch crashes;
+  private final Gossip gossip;
+  private final PeerClient client;
+  private final Timeline timeline;
+  private final Executor executor;
+
+  CrashGossip(
+      CrashWatch crashes, Gossip gossip, PeerClient client, Timeline timeline, Executor executor) {
+    this.crashes = crashes;
+    this.gossip = gossip;
+    this.client = client;
+    this.timeline = timeline;
+    this.executor = executor;
+    crashes.listen(this::learnt);
+  }
+
+  /** Takes what a peer tells, and tells it what is known here. */
+  PeerMessage answer(PeerMessage.Crashes told) {
+    try {
+      crashes.heard(CrashReportCodec.decode(told.reports()), CrashWatch.Source.PEER);
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("event=crash_reports_malformed");
+      return new PeerMessage.Unsupported("malformed reports");
+    }
+    return crashes.quiet() ? NOTHING : all();
+  }
+
+  /** Compares with a few peers, which repairs what a push has missed; called now and then. */
+  void repair() {
+    if (!crashes.quiet()) {
+      gossip.fewPeers().forEach(peer -> send(peer, all()));
+    }
+  }
+
+  private PeerMessage.Crashes all() {
+    return new PeerMessage.Crashes(CrashReportCodec.encode(crashes.table().reports()));
+  }
+
+  private void learnt(CrashWatch.Lesson lesson) {
+    lesson.changes().forEach(change -> tell(change, lesson.source()));
+    push(lesson.news());
+  }
+
+  private void tell(CrashWatch.Change change, CrashWatch.Source source) {
+    timeline.record(
+        EventKind.CRASH_STANDING,
+        "identity=%s standing=%s ends=%d source=%s"
+            .formatted(
+                change.request(),
+                change.standing().name().toLowerCase(Locale.ROOT),
+                change.ends().size(),
+                source.name().toLowerCase(Locale.ROOT)));
+  }
+
+  private void push(List<CrashReport> news) {
+    PeerMessage.Crashes message = new PeerMessage.Crashes(CrashReportCodec.encode(news));
+    try {
+      gossip.fewPeers().forEach(peer -> executor.execute(() -> send(peer, message)));
+    } catch (RejectedExecutionException e) {
+      logger.atFine().log("event=crash_gossip_stopped");
+    }
+  }
+
+  private void send(Address peer, PeerMessage.Crashes message) {
+    try {
+      PeerMessage reply = client.call(peer, message, CALL_TIMEOUT_MILLIS);
+      if (reply instanceof PeerMessage.Crashes known) {
+        crashes.heard(CrashReportCodec.decode(known.reports()), CrashWatch.Source.PEER);
+      }
+    } catch (IOException e) {
+      logger.atFine().log("event=crash_gossip_failed peer=%s cause=%s", peer, e);
+    }
+  }
+}
--- a/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
@@ -112,6 +112,11 @@
         leaving.recent());
   }
 
+  /** A few peers, chosen as for news. */
+  List<Address> fewPeers() {
+    return pick(settings.eagerPeers());
+  }
+
   private void push(Address peer) {
     if (!pushes.tryAcquire()) {
       return;
--- /dev/null
+++ b/core/src/main/java/org/magnoliaswitch/core/process/RequestCrashes.java
@@ -0,0 +1,173 @@
+package org.magnoliaswitch.core.process;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.crash.CrashTable;
+import org.magnoliaswitch.core.crash.RequestIdentity;
+import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.Verdict;
+
+/**
+ * What one request may do while servers end under requests, and what it did to them; safe for
+ * several threads.
+ *
+ * <p>It is judged twice: by what it asks for, since the same request may come from several
+ * addresses, and by that together with its caller, since others may ask for the same and be
+ * answered. Whichever is worse holds. While nothing is known of any request, nothing is hashed or
+ * looked up.
+ */
+public final class RequestCrashes {
+  /** Ends from which a request gets no further send of the same try. */
+  private static final int ENDS_WITHOUT_REPEAT = 2;
+
+  private final CrashWatch watch;
+  private final Clocks clocks;
+  private final Supplier<Identities> identify;
+  private final Set<String> perhapsEnded = ConcurrentHashMap.newKeySet();
+  private volatile @Nullable Identities identities;
+
+  /**
+   * What a request is.
+   *
+   * @param content what it asks for
+   * @param ofCaller the same, of this caller
+   */
+  public record Identities(RequestIdentity content, RequestIdentity ofCaller) {
+    /** What it asks for, by itself and of one caller. */
+    public static Identities of(RequestIdentity content, String caller) {
+      return new Identities(content, content.by(caller));
+    }
+
+    List<RequestIdentity> both() {
+      return List.of(content, ofCaller);
+    }
+  }
+
+  /**
+   * Creates one for a request.
+   *
+   * @param identify tells what the request is; called when that matters, perhaps never
+   */
+  public RequestCrashes(CrashWatch watch, Clocks clocks, Supplier<Identities> identify) {
+    this.watch = watch;
+    this.clocks = clocks;
+    this.identify = identify;
+  }
+
+  /** What the request is. */
+  public Identities identities() {
+    Identities known = identities;
+    if (known == null) {
+      known = identify.get();
+      identities = known;
+    }
+    return known;
+  }
+
+  /** What may be done with the request now. */
+  public Verdict verdict() {
+    if (watch.quiet()) {
+      return Verdict.ALLOWED;
+    }
+    return identities().both().stream()
+        .map(watch::verdict)
+        .max(Comparator.naturalOrder())
+        .orElse(Verdict.ALLOWED);
+  }
+
+  /** Asked right before the request is written; a trial that is granted is told to all. */
+  public Verdict admit() {
+    Verdict verdict = verdict();
+    if (verdict == Verdict.TRIAL) {
+      identities().both().stream()
+          .filter(identity -> watch.verdict(identity) == Verdict.TRIAL)
+          .forEach(watch::tried);
+    }
+    return verdict;
+  }
+
+  /**
+   * Whether sends of the request that are under way should be stopped. Many callers may ask for the
+   * same at a time, and an answer to one of them clears it; so what is only suspect is stopped for
+   * one caller alone.
+   *
+   * @param trial whether one of them is the trial that shows whether it is the cause
+   */
+  public boolean stopsSends(boolean trial) {
+    if (watch.quiet()) {
+      return false;
+    }
+    CrashTable table = watch.table();
+    boolean confirmed = identities().both().stream().anyMatch(table::confirmed);
+    boolean suspect = table.standing(identities().ofCaller()) == Standing.SUSPECT;
+    return confirmed || (suspect && !trial);
+  }
+
+  /** Time after which a caller that is turned away may find the request let through. */
+  public long retryAfterNanos() {
+    CrashTable table = watch.table();
+    long now = clocks.nanos();
+    return identities().both().stream()
+        .filter(identity -> watch.verdict(identity) != Verdict.ALLOWED)
+        .mapToLong(identity -> table.pausedNanos(identity, now))
+        .reduce(0, Math::max);
+  }
+
+  /**
+   * A connection to a server ended under the request; whether the server did is being looked at.
+   */
+  public void perhapsEnded(String server) {
+    perhapsEnded.add(server);
+  }
+
+  /**
+   * It has been looked at.
+   *
+   * @param warned whether the request was known for suspect when it was sent
+   */
+  public void lookedAt(String server, boolean ended, boolean warned) {
+    perhapsEnded.remove(server);
+    if (ended) {
+      watch.ended(identities().both(), server, warned);
+    }
+  }
+
+  /**
+   * A server has run the request and answered.
+   *
+   * @param sentNanos when it was sent there
+   */
+  public void answered(String server, long sentNanos) {
+    if (!watch.quiet()) {
+      watch.answered(identities().both(), server, sentNanos);
+    }
+  }
+
+  /** Whether a further send of this try may follow one that broke or brought a failure. */
+  public boolean mayRepeat() {
+    return suspectedEnds() < ENDS_WITHOUT_REPEAT;
+  }
+
+  /**
+   * Whether a second server may get the request while a first one has it. Once a server has ended
+   * under it, that would put two at risk at a time.
+   */
+  public boolean mayHedge() {
+    return suspectedEnds() == 0;
+  }
+
+  /** Servers that ended under the request, and those of this try that perhaps did. */
+  private int suspectedEnds() {
+    Set<String> all = new HashSet<>(perhapsEnded);
+    if (!watch.quiet()) {
+      identities().both().forEach(identity -> all.addAll(watch.table().endsUnder(identity)));
+    }
+    return all.size();
+  }
+}
--- a/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
@@ -8,11 +8,13 @@
 import org.apache.hc.core5.http.HttpException;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.crash.Verdict;
 import org.magnoliaswitch.core.peer.LeavingMark;
 import org.magnoliaswitch.core.process.EjectionPolicy;
 import org.magnoliaswitch.core.process.EventKind;
 import org.magnoliaswitch.core.process.LeavingServers;
 import org.magnoliaswitch.core.process.LoadReport;
+import org.magnoliaswitch.core.process.RequestCrashes;
 import org.magnoliaswitch.core.process.ServerHandle;
 import org.magnoliaswitch.core.process.Timeline;
 
@@ -34,6 +36,12 @@
 
   private static final long ANY_IDLE_NANOS = Long.MAX_VALUE;
 
+  /**
+   * Servers are declared with an id that they keep over a restart, so an answer does not show that
+   * the process lives which was believed to have ended.
+   */
+  private static final String ANY_INCARNATION = "";
+
   private final Clocks clocks;
   private final Timeline timeline;
   private final LeavingServers leaving;
@@ -59,9 +67,12 @@
     private final InboundRequest request;
     private final ServerHandle server;
     private final int number;
+    private final RequestCrashes crashes;
     private final Exchange exchange;
+    private boolean warned;
 
-    Attempt(InboundRequest request, ServerHandle server, int number) {
+    Attempt(InboundRequest request, ServerHandle server, int number, RequestCrashes crashes) {
+      this.crashes = crashes;
       this.request = request;
       this.server = server;
       this.number = number;
@@ -97,6 +108,12 @@
       try {
         exchange.connect(
             request.idempotent() ? ANY_IDLE_NANOS : FRESH_CONNECTION_NANOS, CONNECT_TIMEOUT_MILLIS);
+        Verdict verdict = crashes.admit();
+        if (verdict == Verdict.REFUSED || verdict == Verdict.WAIT) {
+          exchange.fail();
+          return new AttemptResult.NotSent(Dispatcher.ENDS_SERVERS);
+        }
+        warned = verdict == Verdict.TRIAL;
         exchange.send(Exchange.outbound(request, passedOn()));
         Exchange.Head head = awaitHead(slowAfterNanos, listener);
         if (head == null) {
@@ -163,6 +180,7 @@
       switch (result) {
         case AttemptResult.Answered answered -> {
           server.load().answered(now - started, now);
+          crashes.answered(ANY_INCARNATION, started);
           request.service().counters().latency().add(now - started);
         }
         case AttemptResult.Refused refused -> {
@@ -193,6 +211,20 @@
       } else {
         server.load().failed();
         ejectIfNeeded(now);
+        lookWhetherEnded();
+      }
+    }
+
+    /**
+     * Whether the server's process is gone shows by the next connection: one that lives takes it.
+     */
+    private void lookWhetherEnded() {
+      crashes.perhapsEnded(server.id());
+      boolean ended = server.pool().refusesConnections(CONNECT_TIMEOUT_MILLIS);
+      crashes.lookedAt(server.id(), ended, warned);
+      if (ended) {
+        String identity = crashes.identities().content().toString();
+        event(EventKind.SERVER_ENDED, "identity=" + identity + " warned=" + warned);
       }
     }
 
@@ -229,8 +261,9 @@
   }
 
   /** Prepares an attempt. */
-  public Attempt prepare(InboundRequest request, ServerHandle server, int number) {
-    return new Attempt(request, server, number);
+  public Attempt prepare(
+      InboundRequest request, ServerHandle server, int number, RequestCrashes crashes) {
+    return new Attempt(request, server, number, crashes);
   }
 
   private static String describe(AttemptResult result) {
--- a/core/src/main/java/org/magnoliaswitch/core/request/Dispatcher.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Dispatcher.java
@@ -14,8 +14,11 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.crash.Verdict;
+import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.core.process.EventKind;
 import org.magnoliaswitch.core.process.LeavingServers;
+import org.magnoliaswitch.core.process.RequestCrashes;
 import org.magnoliaswitch.core.process.RetryBudget;
 import org.magnoliaswitch.core.process.ServerHandle;
 import org.magnoliaswitch.core.process.ServiceAdmission;
@@ -31,6 +34,9 @@
  * executing it twice does no harm.
  */
 public final class Dispatcher {
+  /** Why a request under which servers end is not sent. */
+  static final String ENDS_SERVERS = "servers end under this request";
+
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
   private static final int BAD_GATEWAY = 502;
@@ -44,6 +50,7 @@
   private final Timeline timeline;
   private final LeavingServers leaving;
   private final AttemptRunner runner;
+  private final CrashWatch crashWatch;
   private final String localDataCentre;
   private final Supplier<RandomGenerator> random;
 
@@ -52,18 +59,25 @@
       Timeline timeline,
       LeavingServers leaving,
       AttemptRunner runner,
+      CrashWatch crashWatch,
       String localDataCentre,
       Supplier<RandomGenerator> random) {
     this.clocks = clocks;
     this.timeline = timeline;
     this.leaving = leaving;
     this.runner = runner;
+    this.crashWatch = crashWatch;
     this.localDataCentre = localDataCentre;
     this.random = random;
   }
 
   /** Serves a request that may be sent now. */
   public Reply dispatch(InboundRequest request) {
+    RequestCrashes crashes = crashes(request);
+    Verdict allowed = crashes.verdict();
+    if (allowed == Verdict.REFUSED || allowed == Verdict.WAIT) {
+      return turnedAway(request, crashes);
+    }
     ServiceAdmission admission = request.service().admission();
     long now = clocks.nanos();
     long usual = request.service().counters().latency().quantile(USUAL_QUANTILE, now, 0);
@@ -81,7 +95,7 @@
     }
     boolean streaming = false;
     try {
-      Reply reply = attemptAll(request);
+      Reply reply = attemptAll(request, crashes);
       streaming = reply.body() instanceof Reply.Body.Streaming;
       return streaming ? releasing(reply, admission) : reply;
     } finally {
@@ -91,6 +105,22 @@
     }
   }
 
+  private RequestCrashes crashes(InboundRequest request) {
+    return new RequestCrashes(
+        crashWatch,
+        clocks,
+        () -> RequestCrashes.Identities.of(request.identity(), request.caller()));
+  }
+
+  /** Told at once, since waiting would not help; nothing of this try has been sent. */
+  private Reply turnedAway(InboundRequest request, RequestCrashes crashes) {
+    String service = request.service().service().name();
+    timeline.record(EventKind.REQUEST_SHED, request.id(), service, "", "verdict=ENDS_SERVERS");
+    long seconds = TimeUnit.NANOSECONDS.toSeconds(crashes.retryAfterNanos());
+    int retryAfter = (int) Math.max(1, seconds);
+    return Reply.own(SERVICE_UNAVAILABLE, Outcome.NOT_EXECUTED, ENDS_SERVERS, retryAfter);
+  }
+
   private static Reply releasing(Reply reply, ServiceAdmission admission) {
     Reply.Body.Streaming body = (Reply.Body.Streaming) reply.body();
     Reply.End end =
@@ -105,7 +135,7 @@
         reply.outcome());
   }
 
-  private Reply attemptAll(InboundRequest request) {
+  private Reply attemptAll(InboundRequest request, RequestCrashes crashes) {
     ServiceState service = request.service();
     RetryPolicy policy = service.profile().retry();
     RetryBudget budget = service.counters().budget(request.attempt().callerGroup());
@@ -116,7 +146,7 @@
     Set<String> tried = new HashSet<>();
     AttemptResult last = new AttemptResult.NotSent("no server can take it");
     for (int number = 1; number <= policy.maxAttempts(); number++) {
-      if (number > 1 && !(mayRepeat(request, last, outerRetry) && budget.spend())) {
+      if (number > 1 && !(mayRepeat(request, last, outerRetry, crashes) && budget.spend())) {
         break;
       }
       Optional<ServerHandle> server = choose(service, tried);
@@ -124,7 +154,7 @@
         break;
       }
       tried.add(server.get().id());
-      last = worse(last, attempt(request, server.get(), number, tried, budget));
+      last = worse(last, attempt(request, server.get(), number, tried, budget, crashes));
       if (last instanceof AttemptResult.Answered answered) {
         return answered.reply();
       }
@@ -138,13 +168,14 @@
    * <p>A server's refusal is not repeated within a request that an outer layer retries already:
    * with calls seven deep, retries at each layer would multiply.
    */
-  private static boolean mayRepeat(InboundRequest request, AttemptResult last, boolean outerRetry) {
+  private static boolean mayRepeat(
+      InboundRequest request, AttemptResult last, boolean outerRetry, RequestCrashes crashes) {
     return switch (last) {
       case AttemptResult.Answered answered -> false;
-      case AttemptResult.NotSent notSent -> true;
+      case AttemptResult.NotSent notSent -> crashes.mayRepeat();
       case AttemptResult.Refused refused -> !outerRetry && request.repeatable();
       case AttemptResult.Broken broken ->
-          !outerRetry && request.idempotent() && request.repeatable();
+          !outerRetry && request.idempotent() && request.repeatable() && crashes.mayRepeat();
       case AttemptResult.TimedOut timedOut -> false;
     };
   }
@@ -168,14 +199,16 @@
       ServerHandle server,
       int number,
       Set<String> tried,
-      RetryBudget budget) {
-    AttemptRunner.Attempt first = runner.prepare(request, server, number);
+      RetryBudget budget,
+      RequestCrashes crashes) {
+    AttemptRunner.Attempt first = runner.prepare(request, server, number, crashes);
     RetryPolicy policy = request.service().profile().retry();
     boolean hedged =
         policy.hedging()
             && request.idempotent()
             && request.repeatable()
-            && request.attempt().number() == 1;
+            && request.attempt().number() == 1
+            && crashes.mayHedge();
     if (!hedged) {
       return first.run(NEVER, () -> {});
     }
@@ -183,7 +216,7 @@
     AttemptResult result =
         first.run(
             hedgeDelay(request, policy),
-            () -> hedge.set(startHedge(request, first, number, tried, budget)));
+            () -> hedge.set(startHedge(request, first, number, tried, budget, crashes)));
     Hedge second = hedge.get();
     return second == null ? result : firstAnswer(request, result, second);
   }
@@ -206,7 +239,8 @@
       AttemptRunner.Attempt first,
       int number,
       Set<String> tried,
-      RetryBudget budget) {
+      RetryBudget budget,
+      RequestCrashes crashes) {
     Optional<ServerHandle> other = choose(request.service(), tried);
     ServiceAdmission admission = request.service().admission();
     if (other.isEmpty() || !admission.takeSpareRoom()) {
@@ -218,7 +252,7 @@
     }
     first.server().load().slow(hedgeDelay(request, request.service().profile().retry()));
     tried.add(other.get().id());
-    AttemptRunner.Attempt attempt = runner.prepare(request, other.get(), number + 1);
+    AttemptRunner.Attempt attempt = runner.prepare(request, other.get(), number + 1, crashes);
     CompletableFuture<AttemptResult> future = new CompletableFuture<>();
     Thread.ofVirtual()
         .name("hedge")
--- a/core/src/main/java/org/magnoliaswitch/core/request/InboundRequest.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/InboundRequest.java
@@ -3,6 +3,7 @@
 import java.io.InputStream;
 import java.util.List;
 import java.util.Optional;
+import org.magnoliaswitch.core.crash.RequestIdentity;
 import org.magnoliaswitch.core.process.ServiceState;
 import org.magnoliaswitch.core.version.Execution;
 import org.magnoliaswitch.core.version.RequestKind;
@@ -20,6 +21,7 @@
  * @param deadline when the caller needs the answer
  * @param attempt 1 for a first attempt; more when the caller or an outer layer retries
  * @param key idempotency key, if it brought one
+ * @param caller address of the caller, without its port
  */
 public record InboundRequest(
     String id,
@@ -31,7 +33,8 @@
     RequestKind kind,
     Deadline deadline,
     Attempt attempt,
-    Optional<String> key) {
+    Optional<String> key,
+    String caller) {
   /** The body of a request. */
   public sealed interface Body {
     /** A body held whole, which can be sent again. */
@@ -65,6 +68,22 @@
     return body instanceof Body.Whole;
   }
 
+  /**
+   * What it asks for, whoever brings it and however often. Of a body that is read while it is sent
+   * only the length counts.
+   */
+  public RequestIdentity identity() {
+    return switch (body) {
+      case Body.Whole whole -> RequestIdentity.ofContent(method, host(), target, whole.content());
+      case Body.Streaming streaming ->
+          RequestIdentity.ofContent(method, host(), target + ' ' + streaming.length(), new byte[0]);
+    };
+  }
+
+  private String host() {
+    return service.service().name();
+  }
+
   /** The first value of a header field. */
   public Optional<String> field(String name) {
     return fields.stream().filter(f -> f.named(name)).map(Field::value).findFirst();
--- a/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
@@ -25,6 +25,7 @@
             timeline,
             state.leaving(),
             runner,
+            state.crashes(),
             dataCentre,
             ThreadLocalRandom::current);
     this.forwarder = new HolderForwarder(control.clocks());
--- a/core/src/test/java/org/magnoliaswitch/core/operator/SpreadTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/operator/SpreadTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.crash.RequestIdentity;
 import org.magnoliaswitch.core.peer.Address;
 import org.magnoliaswitch.core.peer.LeavingMark;
 import org.magnoliaswitch.core.peer.PeerSecret;
@@ -99,6 +100,28 @@
     await(() -> instances.stream().allMatch(i -> i.state().leaving().leaving("server-1")));
   }
 
+  /**
+   * Each of three instances sees one server end under a request, the last in the knowledge of the
+   * others. All four must know what that makes, without the store; one that starts later too.
+   */
+  @Test
+  public void endsOfServersAreKnownEverywhere() throws Exception {
+    RequestIdentity request = new RequestIdentity(1, 2);
+    start(4);
+    platform.down(true);
+    await(() -> instances.stream().allMatch(i -> i.state().membership().size() == 4));
+    for (int i = 0; i < 3; i++) {
+      instances.get(i).state().crashes().ended(List.of(request), "server-" + i, i == 2);
+    }
+    await(() -> instances.stream().allMatch(i -> confirmed(i, request)));
+    start(1);
+    await(() -> confirmed(instances.getLast(), request));
+  }
+
+  private static boolean confirmed(ControlPlane instance, RequestIdentity request) {
+    return instance.state().crashes().table().confirmed(request);
+  }
+
   @Test
   public void aChangeMadeFromAnOldVersionIsRefused() throws Exception {
     start(1);
--- a/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
@@ -17,6 +17,7 @@
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.clock.HybridClock;
 import org.magnoliaswitch.core.peer.MemberState;
+import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.core.process.LeavingServers;
 import org.magnoliaswitch.core.process.Membership;
 import org.magnoliaswitch.core.process.ServiceRegistry;
@@ -48,6 +49,43 @@
   private static final Answer CLOSED = new Answer.SendAndClose("");
   private static final Answer GARBAGE = new Answer.SendAndClose("\0\0 nonsense\r\n\r\n");
 
+  /** Servers that end under a request. */
+  public static final class ServersThatEnd {
+    private static final int TRIES = 8;
+
+    /** Two before anything is known, one at risk, and three more as the users allow. */
+    private static final int MOST_ENDS = 6;
+
+    /**
+     * A read ends every server that begins to run it, and its caller comes back at once. After the
+     * first servers it is turned away, and told so only where nothing was sent.
+     */
+    @Test
+    public void aReadIsTurnedAwayAfterTheFirst() throws Exception {
+      assertTurnedAway(Declarations.READ);
+    }
+
+    /** The same of a booking, of which each try ends one server. */
+    @Test
+    public void aBookingIsTurnedAwayAfterTheFirst() throws Exception {
+      assertTurnedAway(Declarations.BOOK);
+    }
+
+    private static void assertTurnedAway(RequestKind kind) throws Exception {
+      try (Bench bench = new Bench(TRIES + 2, n -> new Answer.End())) {
+        Outcome last = Outcome.UNKNOWN;
+        for (int i = 0; i < TRIES; i++) {
+          int before = bench.requests();
+          last = bench.send(kind, 5_000).outcome();
+          boolean sent = bench.requests() > before;
+          assertEquals(last, sent ? Outcome.UNKNOWN : Outcome.NOT_EXECUTED);
+        }
+        assertEquals(last, Outcome.NOT_EXECUTED);
+        assertTrue(bench.requests() <= MOST_ENDS, bench.requests() + " servers ended");
+      }
+    }
+  }
+
   /** One server that answers every request alike; a fault of the first try has no other server. */
   public static final class OneServer {
     @DataProvider
@@ -272,7 +310,8 @@
       LeavingServers leaving = new LeavingServers(clocks);
       AttemptRunner runner = new AttemptRunner(clocks, timeline, leaving, () -> {});
       SplittableRandom random = new SplittableRandom(1);
-      return new Dispatcher(clocks, timeline, leaving, runner, "dc-1", () -> random);
+      return new Dispatcher(
+          clocks, timeline, leaving, runner, new CrashWatch(clocks), "dc-1", () -> random);
     }
 
     Reply send(RequestKind kind, long deadlineMillis) {
@@ -291,7 +330,8 @@
               kind,
               Deadline.after(clocks.nanos(), deadlineMillis),
               new InboundRequest.Attempt(attempt, true, ""),
-              Optional.empty()));
+              Optional.empty(),
+              "10.0.0.1"));
     }
 
     int requests() {
--- a/core/src/test/java/org/magnoliaswitch/core/request/OnceGateModelTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/OnceGateModelTest.java
@@ -341,7 +341,8 @@
           Declarations.BOOK,
           new Deadline(Long.MAX_VALUE / 2),
           new InboundRequest.Attempt(attempt, true, ""),
-          Optional.of(key));
+          Optional.of(key),
+          "10.0.0.1");
     }
 
     private static InboundRequest withFields(InboundRequest request, List<Field> fields) {
@@ -355,7 +356,8 @@
           request.kind(),
           request.deadline(),
           request.attempt(),
-          request.key());
+          request.key(),
+          request.caller());
     }
 
     void check(String where) {
--- a/core/src/test/java/org/magnoliaswitch/core/testing/RawServer.java
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/RawServer.java
@@ -21,6 +21,9 @@
     /** Sends bytes and closes. */
     record SendAndClose(String bytes) implements Answer {}
 
+    /** The whole server ends: its connections close and nobody listens any more. */
+    record End() implements Answer {}
+
     /** Never answers. */
     record Silence() implements Answer {}
   }
@@ -85,6 +88,10 @@
             write(socket, send.bytes());
             return;
           }
+          case Answer.End end -> {
+            close();
+            return;
+          }
           case Answer.Silence silence -> {
             int unused = in.read();
             return;
--- a/entry/src/main/java/org/magnoliaswitch/entry/KeyEndpoints.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/KeyEndpoints.java
@@ -93,7 +93,8 @@
             state.profile().kinds().getFirst(),
             Deadline.after(now, QUERY_MILLIS),
             new InboundRequest.Attempt(1, false, ""),
-            Optional.empty());
+            Optional.empty(),
+            Request.getRemoteAddr(request));
     AttemptResult result = requests.forwarder().forward(query, ask.holder());
     return result instanceof AttemptResult.Answered answered
         ? answered.reply()
--- a/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
@@ -104,7 +104,8 @@
             kind.get(),
             deadline(request, kind.get(), now),
             attempt(request),
-            Optional.ofNullable(key)));
+            Optional.ofNullable(key),
+            Request.getRemoteAddr(request)));
   }
 
   private static long limit(RequestKind kind) {
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -24,6 +24,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.CrashTable;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.RouteTable;
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.magnoliaswitch.core.crash.CrashReport;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -18,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.CrashReport;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.ServerList;
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -162,7 +162,7 @@
       exchange.unreachable(this, "deadline");
       return;
     }
-    Verdict verdict = exchange.crashes().admit();
+    Verdict verdict = exchange.guard().crashes().admit();
     if (verdict == Verdict.REFUSED || verdict == Verdict.WAIT) {
       pool.giveBack(target);
       end();
@@ -217,7 +217,7 @@
       case ServerReply.Whole whole -> whole(whole);
       case ServerReply.Broken broken -> {
         environment.servers().failed(pool.state(), "broken");
-        exchange.crashes().broke(pool, warned);
+        exchange.guard().broke(pool, warned);
         exchange.broken(this, broken.reason());
       }
     }
@@ -234,7 +234,7 @@
       environment.servers().failed(pool.state(), "rejected");
       exchange.rejected(this, status);
     } else {
-      exchange.crashes().answered(pool, sentNanos);
+      exchange.guard().answered(pool, sentNanos);
       judge(status);
       exchange.answered(this, whole);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -50,7 +50,7 @@
   private final Consumer<CallerAnswer> answer;
   private final String requestId;
   private final RequestReport report;
-  private final CrashGuard crashes;
+  private final CrashGuard guard;
   private final List<Attempt> open = new ArrayList<>();
   private @Nullable Route route;
   private @Nullable RequestTimes times;
@@ -76,7 +76,7 @@
     this.answer = answer;
     this.requestId = request.headers().get(environment.names().requestId(), "");
     this.report = new RequestReport(environment, requestId);
-    this.crashes = new CrashGuard(environment, request);
+    this.guard = new CrashGuard(environment, request);
   }
 
   /** Begins; the route is looked up once there is a configuration. */
@@ -104,7 +104,7 @@
     timer = environment.loop().after(left.leftNanos(), this::timedOut);
     service = environment.routeState().pick(chosen);
     environment.routeState().budget(service).request(environment.clocks().nanos());
-    sends = new FurtherSends(environment, chosen, service, left, report, crashes);
+    sends = new FurtherSends(environment, chosen, service, left, report, guard.crashes());
     Placing places =
         new Placing(
             environment.loop(),
@@ -176,8 +176,8 @@
   }
 
   /** What is known of servers that ended under the request. */
-  CrashGuard crashes() {
-    return crashes;
+  CrashGuard guard() {
+    return guard;
   }
 
   /** The request was to be written when it became known that servers end under it. */
@@ -195,11 +195,11 @@
    */
   void crashesChanged() {
     boolean trial = open.stream().anyMatch(Attempt::warned);
-    if (done || route == null || !crashes.stopsSends(trial)) {
+    if (done || route == null || !guard.crashes().stopsSends(trial)) {
       return;
     }
     if (open.isEmpty()) {
-      if (crashes.verdict() == Verdict.REFUSED) {
+      if (guard.crashes().verdict() == Verdict.REFUSED) {
         turnAway();
       }
     } else if (route.idempotent()) {
@@ -214,13 +214,13 @@
 
   @Override
   public Verdict verdict() {
-    return crashes.verdict();
+    return guard.crashes().verdict();
   }
 
   /** Servers end under the request, so it goes to none; at once, since waiting would not help. */
   @Override
   public void turnAway() {
-    giveUp(ENDS_SERVERS, crashes::retryAfterNanos);
+    giveUp(ENDS_SERVERS, guard.crashes()::retryAfterNanos);
   }
 
   void unreachable(Attempt attempt, String reason) {
@@ -253,7 +253,7 @@
   void broken(Attempt attempt, String reason) {
     open.remove(attempt);
     fate.perhapsRun();
-    report.broken(service, attempt.serverId(), reason, crashes.identity());
+    report.broken(service, attempt.serverId(), reason, guard.crashes().identities().content());
     if (othersOpen()) {
       return;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.front.request;
 
 import java.util.Optional;
+import org.magnoliaswitch.core.process.RequestCrashes;
 import org.magnoliaswitch.front.load.Fallback;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.RepeatBudget;
@@ -14,7 +15,7 @@
   private final String service;
   private final RequestTimes times;
   private final RequestReport report;
-  private final CrashGuard crashes;
+  private final RequestCrashes crashes;
   private int sends;
 
   FurtherSends(
@@ -23,7 +24,7 @@
       String service,
       RequestTimes times,
       RequestReport report,
-      CrashGuard crashes) {
+      RequestCrashes crashes) {
     this.environment = environment;
     this.route = route;
     this.service = service;
--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.RequestIdentity;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Route;
