One caller has nobody else turned away

Cause: while all ends came with one caller, its request and what it asks for are equally strong, and which one explained the other hung on their hashes: in the soak it was by luck the caller's. By the other luck, others who ask for the same would have been turned away for up to an hour. Change: an identity tells whether its caller counts; of equals the caller's comes first, and an end under a second caller makes the content the stronger.

--- a/core/src/main/java/org/magnoliaswitch/core/crash/CrashTable.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/CrashTable.java
@@ -24,10 +24,15 @@
               entry -> entry.getValue().ends().size())
           .thenComparingLong(entry -> entry.getValue().changedNanos());
 
-  /** The strongest first; of equals the same one first at every instance. */
+  /**
+   * The strongest first. While all ends of a request came with one caller, it is that caller's
+   * request which explains them, so that nobody has others turned away; with a second caller's end
+   * what they ask for is the stronger one. Of equals the same one is first at every instance.
+   */
   private static final Comparator<Map.Entry<RequestIdentity, CrashCase>> STRONGEST_FIRST =
       Comparator.<Map.Entry<RequestIdentity, CrashCase>>comparingInt(
               entry -> -entry.getValue().ends().size())
+          .thenComparing(entry -> !entry.getKey().ofOneCaller())
           .thenComparing(entry -> entry.getKey().toString());
 
   /** Knows of nothing. */
--- a/core/src/main/java/org/magnoliaswitch/core/crash/RequestIdentity.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/RequestIdentity.java
@@ -9,7 +9,7 @@
 
 /**
  * What a request is, whichever try, connection or instance brings it: the first 128 bits of a
- * SHA-256 over its parts.
+ * SHA-256 over its parts, of which the last tells whether its caller is one of them.
  *
  * @param high first 64 bits
  * @param low next 64 bits
@@ -21,6 +21,7 @@
    */
   private static final int MAX_BODY_BYTES = 64 << 10;
 
+  private static final long CALLER_BIT = 1;
   private static final int HEX_DIGITS = 32;
   private static final HexFormat HEX = HexFormat.of();
 
@@ -39,7 +40,7 @@
     }
     digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(body.length).flip());
     digest.update(body, 0, Math.min(body.length, MAX_BODY_BYTES));
-    return of(digest);
+    return of(digest, 0);
   }
 
   /**
@@ -52,12 +53,17 @@
     MessageDigest digest = sha256();
     digest.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(high).putLong(low).flip());
     digest.update(caller.getBytes(StandardCharsets.UTF_8));
-    return of(digest);
+    return of(digest, CALLER_BIT);
   }
 
-  private static RequestIdentity of(MessageDigest digest) {
+  private static RequestIdentity of(MessageDigest digest, long lastBit) {
     ByteBuffer hash = ByteBuffer.wrap(digest.digest());
-    return new RequestIdentity(hash.getLong(), hash.getLong());
+    return new RequestIdentity(hash.getLong(), (hash.getLong() & ~CALLER_BIT) | lastBit);
+  }
+
+  /** Whether this is a request of one caller alone. */
+  public boolean ofOneCaller() {
+    return (low & CALLER_BIT) != 0;
   }
 
   /**
--- a/core/src/test/java/org/magnoliaswitch/core/crash/CrashTableTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/crash/CrashTableTest.java
@@ -238,6 +238,33 @@
       assertEquals(table.verdict(BYSTANDER, 0), Verdict.ALLOWED);
     }
 
+    /**
+     * All ends came with one caller, whose request may differ from others' in what is not looked
+     * at. Others who ask for the same are let through; when a server ends under one of them too,
+     * nobody is.
+     */
+    @Test
+    public void oneCallerHasNobodyElseTurnedAway() {
+      RequestIdentity content = RequestIdentity.ofContent("GET", "h", "/a", new byte[0]);
+      RequestIdentity one = content.by("10.0.0.1");
+      RequestIdentity other = content.by("10.0.0.2");
+      CrashTable table = CrashTable.EMPTY;
+      for (String server : List.of("a", "b", "c")) {
+        List<CrashReport> reports =
+            List.of(
+                new CrashReport.Ended(content, server, server.equals("c")),
+                new CrashReport.Ended(one, server, server.equals("c")));
+        table = table.with(reports, 0).table();
+      }
+      assertEquals(table.verdict(one, 0), Verdict.REFUSED);
+      assertEquals(table.verdict(content, 0), Verdict.ALLOWED);
+      List<CrashReport> fourth =
+          List.of(
+              new CrashReport.Ended(content, "d", false), new CrashReport.Ended(other, "d", false));
+      table = table.with(fourth, 0).table();
+      assertEquals(table.verdict(content, 0), Verdict.REFUSED);
+    }
+
     /** Two deadly requests at a time: each has ends that the other does not explain. */
     @Test
     public void twoCausesAreBothConfirmed() {
--- a/core/src/test/java/org/magnoliaswitch/core/crash/RequestIdentityTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/crash/RequestIdentityTest.java
@@ -1,8 +1,10 @@
 package org.magnoliaswitch.core.crash;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
 
@@ -49,6 +51,13 @@
     assertNotEquals(RequestIdentity.ofContent("POST", "h", "/a", body), one);
   }
 
+  @Test
+  public void itTellsWhetherItsCallerCounts() {
+    RequestIdentity content = RequestIdentity.ofContent("GET", "h", "/a", BODY);
+    assertFalse(content.ofOneCaller());
+    assertTrue(content.by("10.0.0.1").ofOneCaller());
+  }
+
   @Test
   public void itIsReadAsItIsWritten() {
     RequestIdentity one = read("/a", "10.0.0.1");
