--- a/front/src/test/java/org/magnoliaswitch/front/request/CrashingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/CrashingRequestTest.java
@@ -36,13 +36,13 @@
  * in all. Each try of the request came under a new id to another instance, took two servers, the
  * first and the one it was sent to again, and was told 502. Instances counted the ends against the
  * servers ({@code event=server_suspect}) and never against what they had run, so nothing related
- * one try to the next: {@code event=broken} named 84 requests, none with more than two servers
- * under it, in pairs like
+ * one try to the next: {@code event=broken} named 84 tries, none with more than two servers under
+ * it, in pairs at one instance like
  *
  * <pre>
- * 8.775 event=broken request=d64b541024785864 server=i-b05f12fb3c reason=closed
- * 8.858 event=broken request=d64b541024785864 server=i-b84618134a reason=closed
- * 8.858 event=not_repeated request=d64b541024785864 reason=most_servers left_ms=860
+ *  8.775 event=broken reason=closed
+ *  8.858 event=broken reason=closed
+ *  8.858 event=not_repeated reason=most_servers left_ms=860
  * </pre>
  */
 public final class CrashingRequestTest {
@@ -109,9 +109,9 @@
 
   /**
    * The request comes from another address each time, as one does that is passed on through several
-   * gateways. On the played day its tries reached instances of two data centres within 0.1 s, and
-   * callers' addresses belong to a data centre: {@code 8.858} at {@code front-zk-hall-1} and {@code
-   * 8.881} at {@code front-teika-hall-3}. What it asks for is the same, and that must be enough.
+   * gateways. Its tries had reached instances of two data centres within 0.1 s (8.858 s in one,
+   * 8.881 s in the other), while an address belongs to one; told by its address it was a new
+   * request each time. What it asks for is the same, and that must be enough.
    */
   @Test
   public void isRecognisedFromWhateverAddressItComes() throws IOException {
