A test of the crash archive read its answer after it had handed the write on

The last line before was event=crash_archived added=2 confirmed=true, the stack stood in the second take(): the test, woken by the first write, had set the store to "confirmed" before the store read what to answer, so no second write came. Ruled out: a fault of the archive, which did as it was told. Change: the stand-in reads its answer first. The test asks the same as before.

--- a/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
@@ -47,13 +47,15 @@
         Collection<CrashReport.Ended> added,
         Collection<CrashReport.Ended> removed,
         Consumer<Boolean> done) {
+      // Whoever takes the puts may change the answer at once: this call has the one before.
+      boolean confirmed = confirms.get();
       if (!added.isEmpty()) {
         puts.add(List.copyOf(added));
       }
       if (!removed.isEmpty()) {
         removals.add(List.copyOf(removed));
       }
-      done.accept(confirms.get());
+      done.accept(confirmed);
     }
   }
 
