--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
@@ -5,7 +5,7 @@
 
 /** Plays one pattern under one policy, several times with fixed seeds. */
 final class Replay {
-  /** The two worst seconds of one play vary by 0.05; the mean over these seeds by 0.02. */
+  /** Few seeds tell little of the two worst seconds of a play; of these the mean is steady. */
   static final int SEEDS = 6;
 
   private static final long FIRST_SEED = 20_611;
--- a/core/src/main/java/org/magnoliaswitch/core/crash/CrashCase.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/CrashCase.java
@@ -52,8 +52,8 @@
 
   /**
    * Time in which a trial tells something, longer than nearly all answers take. Copies of a request
-   * wait for it: turned away instead, callers that poll one path lost one try in 60 in a replay in
-   * which a sixth of the servers ended every second, and none with the wait.
+   * wait for it: while servers end for other reasons, callers that poll one path would lose tries
+   * if they were turned away.
    */
   private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
--- a/core/src/main/java/org/magnoliaswitch/core/crash/RequestIdentity.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/RequestIdentity.java
@@ -16,8 +16,8 @@
  */
 public record RequestIdentity(long high, long low) {
   /**
-   * Bytes of a body that count, besides its length. Hashing 64 KB takes about 0.2 ms; a body of
-   * many megabytes would stop all other requests for as long as it is hashed.
+   * Bytes of a body that count, besides its length. A body of many megabytes would stop all other
+   * requests for as long as it is hashed.
    */
   private static final int MAX_BODY_BYTES = 64 << 10;
 
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -25,7 +25,7 @@
 public final class ServerConnector {
   /**
    * A server that does not take a connection within this time is passed by: nothing has been
-   * written yet, so another may be tried. Connections between data centres take 4 ms.
+   * written yet, so another may be tried.
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
--- a/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -1,7 +1,7 @@
 package org.magnoliaswitch.front.load;
 
 /**
- * Parts of the decisions under load that can be switched off one by one, to measure what each is
+ * Parts of the decisions under load that can be switched off one by one, to find out what each is
  * worth. None of them guards a promise: at most once, whole answers and drains hold without.
  */
 public enum Mechanism {
--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -40,9 +40,7 @@
   /**
    * Cost of opening a connection, relative to the value of a request. It takes a slot of the server
    * for a moment, and it must outweigh what a single slow answer costs its server in the ranking:
-   * otherwise an instance that sees few requests goes from one server to the next. Replayed with
-   * 150 instances of three requests a second, 0.46 instead of 0.63 connections are opened a request
-   * and as many answers are in time; from twice as much on, the worst seconds suffer.
+   * otherwise an instance that sees few requests goes from one server to the next.
    */
   private static final double CONNECT_LOSS = 0.1;
 
@@ -82,8 +80,7 @@
    *
    * <p>Load pattern: a neighbour slows a server down, and a request that starts at that moment is
    * slow to its end. Five times slower it is late for certain and keeps a slot that would serve
-   * five others, while the neighbour is gone after a moment. Waiting for that moment brought 0.86
-   * instead of 0.71 of the value in the two worst seconds of a replayed burst on three slots.
+   * five others, while the neighbour is gone after a moment.
    *
    * <p>What lasts does not count: a service whose only server was slow lately, or whose usual
    * latency was learnt on a bad day, would get no request, and so never show that it is well again.
--- a/front/src/main/java/org/magnoliaswitch/front/load/ProbeShare.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ProbeShare.java
@@ -5,8 +5,8 @@
  *
  * <p>A server's budget holds over all instances together, and they do not agree on it: each takes
  * an even share of what is allowed, counting those that send to the server at all. Shared among all
- * instances of a large deployment it allowed one question in four seconds, and most requests were
- * placed without.
+ * instances of a large deployment it would allow each a question in many seconds, and most requests
+ * would be placed without.
  */
 public final class ProbeShare {
   /** Instances may be more than this one knows of. */
--- a/front/src/main/java/org/magnoliaswitch/front/load/RepeatBudget.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RepeatBudget.java
@@ -9,9 +9,9 @@
  * the requests plus a slack in any window. Each instance keeps to the ratio of its own requests in
  * the last window and to an even share of the slack, so uneven traffic cannot break the sum.
  *
- * <p>A share is seldom a whole number. Rounded down everywhere, 150 instances that may make 5.5
- * further sends each lost a tenth of the budget; each rounds at a point of its own instead, so that
- * the sum over many is what is allowed.
+ * <p>A share is seldom a whole number. Rounded down everywhere, much of the budget would be lost
+ * where there are many instances; each rounds at a point of its own instead, so that the sum over
+ * many is what is allowed.
  */
 public final class RepeatBudget {
   private static final int BUCKETS = 20;
--- a/front/src/main/java/org/magnoliaswitch/front/load/Room.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Room.java
@@ -45,8 +45,7 @@
    * refusal, they would otherwise take the room of those that can still be in time, and soon nobody
    * is in time. While some of those have to wait, late ones get one slot only: after a burst
    * callers with long patience kept half of the slots busy with answers that came too late, and the
-   * service did not recover (replayed: 0.80 instead of 0.78 in time, 0.61 instead of 0.56 of the
-   * value in the two worst seconds).
+   * service did not recover.
    */
   public static boolean hasRoom(ServerState server, PlacementContext context) {
     if (!context.on(Mechanism.KNEE_BOUND)) {
--- a/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
@@ -11,14 +11,12 @@
  * <p>Load pattern: neighbours make a quarter of the servers several times slower, anew every few
  * hundred milliseconds, so news from other answers are mostly too old to tell who is slow now. When
  * the asked ones turn out to be slow or full, those ranked next are known no better than they were,
- * so these are asked too: in a replay of noisy neighbours further rounds brought 0.961 instead of
- * 0.934 of the answers within their objective.
+ * so these are asked too.
  */
 public final class Selection {
   /**
    * Candidates asked in each round; a round takes a few milliseconds, twelve where one is silent.
-   * Mostly the first one will do: a replayed calm day took 1.3 questions a request this way and 2.2
-   * with three at once, for 0.987 instead of 0.980 of the answers in time.
+   * Mostly the first one will do, so one is asked first.
    */
   private static final List<Integer> ROUNDS = List.of(1, 2, 3);
 
--- a/front/src/main/java/org/magnoliaswitch/front/load/WaitLimit.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/WaitLimit.java
@@ -5,9 +5,8 @@
  *
  * <p>Load pattern: servers are full for moments in a burst, or for long in an overload. A request
  * that can still be in time waits as long as it could still be: each answer that comes meanwhile
- * frees a slot for it, and a refusal would cost its caller a try. In a replayed burst of three
- * times the load this brought 0.57 instead of 0.54 of the value in the two worst seconds. A late
- * one waits longer: its value no longer falls, and the room that others leave comes and goes.
+ * frees a slot for it, and a refusal would cost its caller a try. A late one waits longer: its
+ * value no longer falls, and the room that others leave comes and goes.
  */
 public final class WaitLimit {
   /** Least part of its objective that a request in time waits. */
--- a/front/src/main/java/org/magnoliaswitch/front/logging/LogSetup.java
+++ b/front/src/main/java/org/magnoliaswitch/front/logging/LogSetup.java
@@ -55,8 +55,8 @@
 
   /**
    * Prints problems of the log itself. Without a listener the library looks for problems at the end
-   * of its set-up, and loads all time zones for their time stamps: 5 of the 113 ms of processor
-   * time until a restarted instance listens.
+   * of its set-up, and loads all time zones for their time stamps, while a restarted instance's
+   * callers wait.
    */
   private static final class ProblemPrinter implements StatusListener {
     @Override
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -13,8 +13,8 @@
   private static final long NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_200);
 
   /**
-   * Left of the grace time when the process ends, whatever is still open. With 0.3 s a slow machine
-   * was killed while it wrote its last lines.
+   * Left of the grace time when the process ends, whatever is still open: a slow machine needs some
+   * time to write its last lines, and would be killed meanwhile.
    */
   private static final long RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
@@ -49,10 +49,10 @@
   }
 
   /**
-   * Shortest wait after a failed read. While the store is away for all, 150 instances with short
-   * waits make about 870 calls in eight seconds (from the time-outs), all for nothing. Those that
-   * serve and hear others leave it to the seeds, who tell them at once when it is back; of a store
-   * that turns only the seeds away they still learn in time by asking now and then.
+   * Shortest wait after a failed read. While the store is away for all, many instances with short
+   * waits would make calls in vain all the time. Those that serve and hear others leave it to the
+   * seeds, who tell them at once when it is back; of a store that turns only the seeds away they
+   * still learn in time by asking now and then.
    *
    * @param complete whether this instance knows enough to serve
    * @param hearsPeers whether other instances tell it their news
--- a/front/src/main/java/org/magnoliaswitch/front/request/FirstConfiguration.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FirstConfiguration.java
@@ -12,8 +12,8 @@
 
   /**
    * How long a request waits. After a loss of all instances everyone's callers return at once; a
-   * started instance knows its servers 0.2 s after it listens, and a refusal would cost each of
-   * them a try.
+   * started instance knows its servers soon after it listens, and a refusal would cost each of them
+   * a try.
    */
   private static final long WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
