--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -49,6 +49,7 @@
   private long latencyNanos;
   private boolean gone;
   private boolean evacuated;
+  private boolean coldnessTold = true;
   private final SendWindow written = new SendWindow();
 
   public ServerState(ServerEntry entry, long nowNanos) {
@@ -64,7 +65,7 @@
   public void update(ServerEntry next, long nowNanos) {
     // An entry is seconds old and read many times: it may lengthen a warm-up once, never end one.
     if (next.warmupNanos() != entry.warmupNanos()) {
-      assumeCold(next.warmupNanos(), nowNanos);
+      lengthenWarmup(next.warmupNanos(), nowNanos);
     }
     this.entry = next;
   }
@@ -72,10 +73,21 @@
   /** Takes the server's own word on how long it stays cold. */
   public void warmupTold(long leftNanos, long nowNanos) {
     coldUntilNanos = nowNanos + leftNanos;
+    coldnessTold = true;
   }
 
   /** It may have become cold, and stays so for a time unless it says otherwise. */
   public void assumeCold(long spanNanos, long nowNanos) {
+    lengthenWarmup(spanNanos, nowNanos);
+    coldnessTold = false;
+  }
+
+  /** Whether it counts as cold and its own word on that is not known. */
+  public boolean coldnessUnknown(long nowNanos) {
+    return !coldnessTold && cold(nowNanos);
+  }
+
+  private void lengthenWarmup(long spanNanos, long nowNanos) {
     if (nowNanos + spanNanos - coldUntilNanos > 0) {
       coldUntilNanos = nowNanos + spanNanos;
     }
--- a/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
@@ -17,8 +17,12 @@
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.ScriptedServer.Script;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.Warmup;
 import org.magnoliaswitch.front.version.WeightedService;
 import org.testng.annotations.Test;
 
@@ -136,6 +140,40 @@
     }
   }
 
+  /**
+   * A data centre is taken back, its servers count as cold, and this instance is not drawn for any:
+   * it sends nothing there until a server's health check says that it is warm. Then it does;
+   * otherwise a third of the slots would stand idle while callers are refused.
+   */
+  @Test
+  public void aServerThatSaysItIsWarmIsUsedAtOnce() throws IOException, InterruptedException {
+    Script warm =
+        request -> {
+          request.write(
+              "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Id: a\r\nWarmup-Left: 0\r\n"
+                      .formatted(request.header("Request-Id"))
+                  + "Load: 0,0,6,100\r\nContent-Length: 0\r\n\r\n");
+          return true;
+        };
+    try (ScriptedServer server = new ScriptedServer("a", warm)) {
+      Environment environment = TestEnvironment.with(READ, server);
+      ServicePolicy cold = new ServicePolicy("s", "/health", 9, new Warmup(MINUTE, 0));
+      environment
+          .routes()
+          .set(new RouteTable(2, List.of(READ), List.of(cold), CallerLimits.DEFAULT));
+      evacuate(environment, 1, "here");
+      evacuate(environment, 2);
+      assertEquals(ask(environment).join().status().code(), 503);
+      assertEquals(server.received().size(), 0);
+      int status = 503;
+      while (status == 503) {
+        status = ask(environment).join().status().code();
+      }
+      assertEquals(status, 200);
+      environment.loop().stop();
+    }
+  }
+
   /** A route is bound to a region; a server elsewhere must never get its requests. */
   @Test
   public void aRouteOfAnotherRegionGoesToNoServerHere() throws IOException {
