Servers that only count as cold are asked for what they are

Cause: an evacuated data centre that is taken back counts as cold until its servers say otherwise, but only the few drawn senders asked them. Change: each search also asks up to two servers whose coldness is only assumed, within the budget of health checks and without waiting. A health check is no request.

--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -18,6 +18,9 @@
 
 /** Finds the server for a request, asking the best candidates for their load when news are old. */
 final class ServerSearch implements ServerFinder {
+  /** Servers of unknown warmth that are asked beside one search. */
+  private static final int UNKNOWN_ASKED = 2;
+
   private final Environment environment;
   private final Probes probes;
 
@@ -45,6 +48,9 @@
 
     void look(int round) {
       Optional<ServicePolicy> policy = environment.routes().get().service(wanted.service());
+      if (round == 0 && policy.isPresent()) {
+        askUnknown(wanted, policy.get());
+      }
       List<Ranked> ranked = rank(wanted, excluded);
       boolean askable = policy.isPresent();
       Selection.Step step = Selection.next(ranked, context(wanted), round, askable);
@@ -63,6 +69,22 @@
     }
   }
 
+  /**
+   * Asks servers that only count as cold for what they are, beside the search. A data centre that
+   * was taken back warm would else stand idle for the whole warm-up.
+   */
+  private void askUnknown(Wanted wanted, ServicePolicy policy) {
+    long now = environment.clocks().nanos();
+    List<ServerPool> unknown =
+        environment.servers().of(wanted.service()).stream()
+            .filter(pool -> mayGet(pool.state(), wanted) && pool.state().coldnessUnknown(now))
+            .limit(UNKNOWN_ASKED)
+            .toList();
+    if (!unknown.isEmpty()) {
+      probes.ask(unknown, policy.healthPath(), () -> {});
+    }
+  }
+
   private static Result result(Selection.Step step) {
     return switch (step) {
       case Selection.Step.Send send -> new Result.Chosen(send.server());
