Right after a start an instance leaves out no server of a small service

Cause: while the count of instances was not settled, an instance kept to eight servers of each service. Whether it shows depends on which servers end; the cause is told by the new test of ServerDirectoryTest, which found 8 of 14 servers before and 14 after.

--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
@@ -28,6 +28,9 @@
   /** Fewest servers that an instance sends to: some may be gone, slow or cold at the same time. */
   static final int LEAST = 8;
 
+  /** Most servers that an instance sends to while it cannot tell how many others there are. */
+  private static final int AT_START = 16;
+
   /** Share of them that lie in the instance's own data centre, if there are as many. */
   static final double NEAR_SHARE = 2 / 3.0;
 
@@ -47,6 +50,11 @@
     return (int) Math.min(servers, Math.max(LEAST, even));
   }
 
+  /** The same right after a start, when all instances may have started at once. */
+  public static int sizeAtStart(int servers) {
+    return Math.min(servers, AT_START);
+  }
+
   /**
    * The servers that an instance sends to.
    *
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -146,7 +146,10 @@
     if (!settings.mechanisms().on(Mechanism.SUBSET)) {
       return pools;
     }
-    int size = ServerSubset.size(pools.size(), knownInstances());
+    int size =
+        instances.settled()
+            ? ServerSubset.size(pools.size(), instances.count())
+            : ServerSubset.sizeAtStart(pools.size());
     return ServerSubset.of(
         pools, size, pool -> pool.state().entry(), settings.instance(), settings.dataCentre());
   }
@@ -170,13 +173,6 @@
     group();
   }
 
-  /**
-   * Until the count is settled all instances keep to few servers: they may have started at once.
-   */
-  private int knownInstances() {
-    return instances.settled() ? instances.count() : Integer.MAX_VALUE;
-  }
-
   /** Closes connections that the servers would soon close themselves. */
   public void sweep() {
     byId.values().forEach(pool -> pool.sweep(MAX_IDLE_NANOS));
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
@@ -89,6 +89,22 @@
     assertFalse(directory.of("s").getFirst().state().acceptsWork());
   }
 
+  /**
+   * An instance has just started, some of its service's fourteen servers have ended, and it does
+   * not know yet how many others serve. Were it to keep to few servers, most of them might be those
+   * that ended, and its caller would be refused beside servers that are well.
+   */
+  @Test
+  public void rightAfterTheStartNoServerOfASmallServiceIsLeftOut() {
+    ServerDirectory directory = directory(new PausedClock().clocks(), Warmup.UNLIMITED);
+    ServerEntry[] entries = new ServerEntry[14];
+    for (int i = 0; i < entries.length; i++) {
+      entries[i] = Servers.entry("s" + i, false);
+    }
+    apply(directory, 1, entries);
+    assertEquals(directory.of("s").size(), entries.length);
+  }
+
   /** Data centres that an operator empties and takes back. */
   public static final class Evacuated {
     private static final long SPAN_NANOS = TimeUnit.SECONDS.toNanos(3);
