--- a/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
@@ -3,8 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
@@ -12,8 +10,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.connection.CallerAnswer;
-import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.testing.Requests;
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.ScriptedServer.Script;
 import org.magnoliaswitch.front.testing.TestEnvironment;
@@ -23,37 +21,14 @@
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServicePolicy;
 import org.magnoliaswitch.front.version.Warmup;
-import org.magnoliaswitch.front.version.WeightedService;
 import org.testng.annotations.Test;
 
 /** Requests while an operator evacuates the data centre of their servers. */
 public final class EvacuationTest {
   private static final long MINUTE = TimeUnit.MINUTES.toNanos(1);
   private static final Script WELL = request -> request.answer(200, "well");
-  private static final Route ONCE = route(false);
-  private static final Route READ = route(true);
-
-  private static Route route(boolean idempotent) {
-    List<WeightedService> parts = List.of(new WeightedService("s", 1));
-    return new Route("r", "h", "/", idempotent, MINUTE, MINUTE, 0, 3, parts);
-  }
-
-  private static CompletableFuture<CallerAnswer> ask(Environment environment) {
-    CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
-    CallerRequest request =
-        new CallerRequest(
-            HttpMethod.POST,
-            "/x",
-            new DefaultHttpHeaders().set("Host", "h").set("Request-Id", "1"),
-            new byte[0],
-            environment.clocks().nanos(),
-            false,
-            "127.0.0.1");
-    environment
-        .loop()
-        .execute(() -> new FrontDispatcher(environment).start(request, answer::complete));
-    return answer;
-  }
+  private static final Route ONCE = Requests.route(false);
+  private static final Route READ = Requests.route(true);
 
   private static void evacuate(Environment environment, long version, String... dataCentres)
       throws InterruptedException {
@@ -82,7 +57,7 @@
         };
     try (ScriptedServer server = new ScriptedServer("a", held)) {
       Environment environment = TestEnvironment.with(ONCE, server);
-      CompletableFuture<CallerAnswer> answer = ask(environment);
+      CompletableFuture<CallerAnswer> answer = Requests.ask(environment);
       server.awaitFirst();
       evacuate(environment, 1, "here");
       released.countDown();
@@ -99,14 +74,14 @@
   public void withAllEvacuatedCallersAreRefusedAtOnce() throws IOException, InterruptedException {
     try (ScriptedServer server = new ScriptedServer("a", WELL)) {
       Environment environment = TestEnvironment.with(READ, server);
-      assertEquals(ask(environment).join().status().code(), 200);
+      assertEquals(Requests.ask(environment).join().status().code(), 200);
       evacuate(environment, 1, "here");
-      CallerAnswer refusal = ask(environment).join();
+      CallerAnswer refusal = Requests.ask(environment).join();
       assertEquals(refusal.status().code(), 503);
       assertTrue(refusal.headers().contains("Retry-After"));
       assertEquals(server.received().size(), 1);
       evacuate(environment, 2);
-      assertEquals(ask(environment).join().status().code(), 200);
+      assertEquals(Requests.ask(environment).join().status().code(), 200);
       environment.loop().stop();
     }
   }
@@ -128,7 +103,7 @@
     try (ScriptedServer first = new ScriptedServer("a", rejects);
         ScriptedServer second = new ScriptedServer("b", rejects)) {
       Environment environment = TestEnvironment.with(READ, first, second);
-      CompletableFuture<CallerAnswer> answer = ask(environment);
+      CompletableFuture<CallerAnswer> answer = Requests.ask(environment);
       while (first.received().size() + second.received().size() == 0) {
         Thread.onSpinWait();
       }
@@ -163,11 +138,11 @@
           .set(new RouteTable(2, List.of(READ), List.of(cold), CallerLimits.DEFAULT));
       evacuate(environment, 1, "here");
       evacuate(environment, 2);
-      assertEquals(ask(environment).join().status().code(), 503);
+      assertEquals(Requests.ask(environment).join().status().code(), 503);
       assertEquals(server.received().size(), 0);
       int status = 503;
       while (status == 503) {
-        status = ask(environment).join().status().code();
+        status = Requests.ask(environment).join().status().code();
       }
       assertEquals(status, 200);
       environment.loop().stop();
@@ -179,7 +154,7 @@
   public void aRouteOfAnotherRegionGoesToNoServerHere() throws IOException {
     try (ScriptedServer server = new ScriptedServer("a", WELL)) {
       Environment environment = TestEnvironment.with(READ.within(Set.of("other region")), server);
-      assertEquals(ask(environment).join().status().code(), 503);
+      assertEquals(Requests.ask(environment).join().status().code(), 503);
       assertEquals(server.received().size(), 0);
       environment.loop().stop();
     }
--- a/front/src/test/java/org/magnoliaswitch/front/request/RestartedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/RestartedServerTest.java
@@ -5,55 +5,27 @@
 import static org.testng.Assert.assertNotSame;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.connection.CallerAnswer;
-import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.testing.Requests;
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.ScriptedServer.Script;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.ServerList;
-import org.magnoliaswitch.front.version.WeightedService;
 import org.testng.annotations.Test;
 
 /** Requests under way while their server starts again under the id that it had. */
 public final class RestartedServerTest {
-  private static final long MINUTE = TimeUnit.MINUTES.toNanos(1);
   private static final Script WELL = request -> request.answer(200, "again");
-  private static final Route ONCE = route(false);
-  private static final Route READ = route(true);
-
-  private static Route route(boolean idempotent) {
-    List<WeightedService> parts = List.of(new WeightedService("s", 1));
-    return new Route("r", "h", "/", idempotent, MINUTE, MINUTE, 0, 3, parts);
-  }
-
-  private static CompletableFuture<CallerAnswer> ask(Environment environment) {
-    CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
-    CallerRequest request =
-        new CallerRequest(
-            HttpMethod.POST,
-            "/x",
-            new DefaultHttpHeaders().set("Host", "h").set("Request-Id", "1"),
-            new byte[0],
-            environment.clocks().nanos(),
-            false,
-            "127.0.0.1");
-    environment
-        .loop()
-        .execute(() -> new FrontDispatcher(environment).start(request, answer::complete));
-    return answer;
-  }
+  private static final Route ONCE = Requests.route(false);
+  private static final Route READ = Requests.route(true);
 
   /** Discovery tells that the server has started again, at another port. */
   private static void restart(Environment environment, ScriptedServer next)
@@ -94,7 +66,7 @@
     try (ScriptedServer old = new ScriptedServer("a", crash);
         ScriptedServer next = new ScriptedServer("a", WELL)) {
       Environment environment = TestEnvironment.with(ONCE, old);
-      CompletableFuture<CallerAnswer> answer = ask(environment);
+      CompletableFuture<CallerAnswer> answer = Requests.ask(environment);
       old.awaitFirst();
       restart(environment, next);
       released.countDown();
@@ -122,7 +94,7 @@
         ScriptedServer next = new ScriptedServer("a", WELL)) {
       Environment environment = TestEnvironment.with(READ, old);
       ServerState before = state(environment);
-      CompletableFuture<CallerAnswer> answer = ask(environment);
+      CompletableFuture<CallerAnswer> answer = Requests.ask(environment);
       old.awaitFirst();
       restart(environment, next);
       released.countDown();
@@ -147,9 +119,9 @@
     try (ScriptedServer old = new ScriptedServer("a", WELL);
         ScriptedServer next = new ScriptedServer("a", WELL)) {
       Environment environment = TestEnvironment.with(ONCE, old);
-      assertEquals(ask(environment).join().status().code(), 200);
+      assertEquals(Requests.ask(environment).join().status().code(), 200);
       restart(environment, next);
-      assertEquals(ask(environment).join().status().code(), 200);
+      assertEquals(Requests.ask(environment).join().status().code(), 200);
       assertEquals(old.received().size(), 1);
       assertEquals(next.received().size(), 1);
       environment.loop().stop();
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/Requests.java
@@ -0,0 +1,44 @@
+package org.magnoliaswitch.front.testing;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.request.FrontDispatcher;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.WeightedService;
+
+/** Requests of a caller that has all the time it wants. */
+public final class Requests {
+  private static final long MINUTE = TimeUnit.MINUTES.toNanos(1);
+
+  private Requests() {}
+
+  /** The one route of a test, to service {@code s}. */
+  public static Route route(boolean idempotent) {
+    List<WeightedService> parts = List.of(new WeightedService("s", 1));
+    return new Route("r", "h", "/", idempotent, MINUTE, MINUTE, 0, 3, parts);
+  }
+
+  /** Brings a request; the answer comes when it is final. */
+  public static CompletableFuture<CallerAnswer> ask(Environment environment) {
+    CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+    CallerRequest request =
+        new CallerRequest(
+            HttpMethod.POST,
+            "/x",
+            new DefaultHttpHeaders().set("Host", "h").set("Request-Id", "1"),
+            new byte[0],
+            environment.clocks().nanos(),
+            false,
+            "127.0.0.1");
+    environment
+        .loop()
+        .execute(() -> new FrontDispatcher(environment).start(request, answer::complete));
+    return answer;
+  }
+}
