A read is due when missing entries are kept no longer

Played again with the sender's log: the instances were cut off from the store from 1 to 13 s, the server's entry went at 4 s; the first read at 13.5 s kept missing entries for 2.2 s, since they might only have lapsed, and the next read after that came when it was due anyway: server_gone at 16.37 s, when instances had counted as in touch since 16.0 s. Ruled out: an older list in place of a newer one; the list versions only rise (135, 136). Change: a read is due the moment the keeping ends, unless a peer has told its list since. Tests: DiscoveryKeeperTest.aReadIsDueWhenTheKeepingEnds, noReadIsDueOnceAPeerHasTold.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryKeeper.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryKeeper.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
@@ -27,6 +28,7 @@
   private long lastReadNanos;
   private long keepUntilNanos;
   private boolean keeping;
+  private boolean toldSince;
 
   /** Notes that a read failed. */
   public void failed() {
@@ -44,6 +46,7 @@
       keeping = false;
     }
     failing = false;
+    toldSince = false;
     read = true;
     lastReadNanos = nowNanos;
     Map<String, ServerEntry> believed = new HashMap<>(list.servers());
@@ -65,6 +68,17 @@
     return new ServerList(version, believed);
   }
 
+  /**
+   * Time until missing entries are kept no longer; absent while none are, or if a peer has told its
+   * list since. A read is due then: put off to its usual time, a server that left meanwhile would
+   * get requests for that much longer.
+   */
+  public OptionalLong untilReleaseNanos(long nowNanos) {
+    return keeping && !toldSince
+        ? OptionalLong.of(Math.max(0, keepUntilNanos - nowNanos))
+        : OptionalLong.empty();
+  }
+
   /**
    * A process that stood still while its server started again may write its entry once more. Taken
    * for the server's, it would bring back what the new process replaced, as long as a heartbeat.
@@ -80,6 +94,7 @@
   /** Takes what a peer believes, which is as good as an own read. */
   public void adopt(ServerList list, long nowNanos) {
     known = list.servers();
+    toldSince = true;
     read = true;
     failing = false;
     lastReadNanos = nowNanos;
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -1,5 +1,6 @@
 package org.magnoliaswitch.front.process;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -21,6 +22,8 @@
   /** Spread of the wait after a failed read: instances must not ask a returning store together. */
   private static final long RETRY_SPAN_MILLIS = 300;
 
+  private static final long NANOS_BELOW_A_MILLI = TimeUnit.MILLISECONDS.toNanos(1) - 1;
+
   /** Smallest time between two looks at the plan. */
   private static final long MIN_CHECK_MILLIS = 20;
 
@@ -105,7 +108,7 @@
 
   private void check() {
     long uptime = TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - startedNanos);
-    long wait = plan.untilRead(ageMillis(), uptime);
+    long wait = Math.min(plan.untilRead(ageMillis(), uptime), untilReleaseMillis());
     if (wait <= 0) {
       read();
     } else {
@@ -113,6 +116,15 @@
     }
   }
 
+  private long untilReleaseMillis() {
+    OptionalLong nanos = keeper.untilReleaseNanos(clocks.nanos());
+    if (nanos.isEmpty()) {
+      return Long.MAX_VALUE;
+    }
+    // Rounded up: a read a moment too early would keep the entries once more.
+    return TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong() + NANOS_BELOW_A_MILLI);
+  }
+
   private void read() {
     long asOf = clocks.nanos();
     if (waitHealthy) {
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryKeeperTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryKeeperTest.java
@@ -106,6 +106,38 @@
       assertEquals(read(keeper, 10 * SECOND, list(9)), Set.of("a"));
     }
 
+    /**
+     * All instances were cut off from the store while a server left without a word. Its entry is
+     * missing at the first read and kept, since it might have lapsed only. Read again at the usual
+     * time after the keeping has ended, it would get requests nearly a second longer than it may.
+     */
+    @Test
+    public void aReadIsDueWhenTheKeepingEnds() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      assertTrue(keeper.untilReleaseNanos(0).isEmpty());
+      read(keeper, 0, list(1, "a", "b"));
+      keeper.failed();
+      read(keeper, 10 * SECOND, list(9, "a"));
+      assertEquals(
+          keeper.untilReleaseNanos(11 * SECOND).orElseThrow(),
+          DiscoveryKeeper.COME_BACK_NANOS - SECOND);
+      long end = 10 * SECOND + DiscoveryKeeper.COME_BACK_NANOS;
+      assertEquals(keeper.untilReleaseNanos(end + 1).orElseThrow(), 0);
+      assertEquals(read(keeper, end, list(9, "a")), Set.of("a"));
+      assertTrue(keeper.untilReleaseNanos(end).isEmpty());
+    }
+
+    /** A peer that reads the store has told its list: this instance need not read as well. */
+    @Test
+    public void noReadIsDueOnceAPeerHasTold() {
+      DiscoveryKeeper keeper = new DiscoveryKeeper();
+      read(keeper, 0, list(1, "a", "b"));
+      keeper.failed();
+      read(keeper, 10 * SECOND, list(9, "a"));
+      keeper.adopt(list(10, "a"), 11 * SECOND);
+      assertTrue(keeper.untilReleaseNanos(11 * SECOND).isEmpty());
+    }
+
     @Test
     public void aLongGapBetweenReadsCountsAsAnOutage() {
       DiscoveryKeeper keeper = new DiscoveryKeeper();
