A suspect request hears of trials elsewhere before it is tried

By its log the caller came back 5 to 8 ms after each failure, to three instances in turn; each let the suspect through (warned=true at 27.203 to 27.216) before the news of the last trial had come, which are gathered for 5 ms at each of two hops. Ruled out: ends that were not counted (all are in the log); telling the trial earlier (it is told before it is written); an order among instances that try at once (a report names no instance, and callers that come one after the other need none). Change: in the front a suspect waits 50 ms from when its verdict is first a trial. The entry, whose requests cannot wait, tries at once as before. Cost: an innocent suspect's trial is 50 ms later.

--- a/core/src/main/java/org/magnoliaswitch/core/process/RequestCrashes.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/RequestCrashes.java
@@ -28,9 +28,11 @@
 
   private final CrashWatch watch;
   private final Clocks clocks;
+  private final long trialNoticeNanos;
   private final Supplier<Identities> identify;
   private final Set<String> perhapsEnded = ConcurrentHashMap.newKeySet();
   private volatile @Nullable Identities identities;
+  private volatile @Nullable Long trialSinceNanos;
 
   /**
    * What a request is.
@@ -52,11 +54,15 @@
   /**
    * Creates one for a request.
    *
+   * @param trialNoticeNanos how long a suspect waits for news of other instances' trials before it
+   *     goes to a server itself; 0 where requests cannot wait
    * @param identify tells what the request is; called when that matters, perhaps never
    */
-  public RequestCrashes(CrashWatch watch, Clocks clocks, Supplier<Identities> identify) {
+  public RequestCrashes(
+      CrashWatch watch, Clocks clocks, long trialNoticeNanos, Supplier<Identities> identify) {
     this.watch = watch;
     this.clocks = clocks;
+    this.trialNoticeNanos = trialNoticeNanos;
     this.identify = identify;
   }
 
@@ -75,10 +81,27 @@
     if (watch.quiet()) {
       return Verdict.ALLOWED;
     }
-    return identities().both().stream()
-        .map(watch::verdict)
-        .max(Comparator.naturalOrder())
-        .orElse(Verdict.ALLOWED);
+    Verdict verdict =
+        identities().both().stream()
+            .map(watch::verdict)
+            .max(Comparator.naturalOrder())
+            .orElse(Verdict.ALLOWED);
+    return verdict == Verdict.TRIAL && !noticed() ? Verdict.WAIT : verdict;
+  }
+
+  /**
+   * Whether there was time to hear of trials that began elsewhere. A caller that comes back at once
+   * reaches the next instance sooner than the news of its last try, and each instance would risk a
+   * server of its own.
+   */
+  private boolean noticed() {
+    long now = clocks.nanos();
+    Long since = trialSinceNanos;
+    if (since == null) {
+      since = now;
+      trialSinceNanos = since;
+    }
+    return now - since >= trialNoticeNanos;
   }
 
   /** Asked right before the request is written; a trial that is granted is told to all. */
--- a/core/src/main/java/org/magnoliaswitch/core/request/Dispatcher.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Dispatcher.java
@@ -34,6 +34,9 @@
  * executing it twice does no harm.
  */
 public final class Dispatcher {
+  /** A request that waited would keep its thread, and turned away it never gets its trial. */
+  private static final long NO_TRIAL_NOTICE_NANOS = 0;
+
   /** Why a request under which servers end is not sent. */
   static final String ENDS_SERVERS = "servers end under this request";
 
@@ -109,6 +112,7 @@
     return new RequestCrashes(
         crashWatch,
         clocks,
+        NO_TRIAL_NOTICE_NANOS,
         () -> RequestCrashes.Identities.of(request.identity(), request.caller()));
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/CrashGuard.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/CrashGuard.java
@@ -1,5 +1,6 @@
 package org.magnoliaswitch.front.request;
 
+import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.core.process.RequestCrashes;
 import org.magnoliaswitch.core.process.RequestCrashes.Identities;
 import org.magnoliaswitch.front.connection.CallerRequest;
@@ -8,6 +9,9 @@
 
 /** Finds out whether servers end under one request, and reports it. */
 final class CrashGuard {
+  /** News reach all instances in two hops, gathered for a few milliseconds at each. */
+  private static final long TRIAL_NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   private final Environment environment;
   private final String requestId;
   private final RequestCrashes crashes;
@@ -19,6 +23,7 @@
         new RequestCrashes(
             environment.crashes(),
             environment.clocks(),
+            TRIAL_NOTICE_NANOS,
             () -> Identities.of(request.identity(), request.caller()));
   }
 
