Others take the place of servers that cannot be reached

An instance sends two thirds of its requests to servers of its own data centre; of an instance there two thirds of nine servers were gone, their entries stay listed for seconds, and its callers were refused while servers elsewhere had room. A health check that found nobody listening was not counted against its server, and asked again in each search. Ruled out: evacuated servers in the part (they are left out of it already). Change: the part is chosen among servers that can be reached; those that cannot stay beside it for two seconds, to be found back. A refused connection of a health check counts as a failure. Grouping left ServerDirectory for ServerGroups.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -127,6 +127,8 @@
         longest = Math.max(longest, answer);
         node.pool(state).usedByCheck();
         node.world().time().afterMillis(answer, () -> node.sampled(state));
+      } else if (asked && node.model(state).ended()) {
+        node.unreachable(state);
       }
     }
     node.world().time().afterMillis(longest, then);
@@ -195,6 +197,12 @@
 
   private void send(ServerState state) {
     searches++;
+    if (node.model(state).ended()) {
+      tried.add(state);
+      node.unreachable(state);
+      place();
+      return;
+    }
     sends++;
     tried.add(state);
     state.sent();
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,7 +31,9 @@
   private final Rules rules;
   private final int index;
   private final RouteState routes;
+  private final Map<String, List<ServerState>> all = new HashMap<>();
   private final Map<String, List<ServerState>> states = new HashMap<>();
+  private final Set<ServerState> unreachable = new HashSet<>();
   private final Map<ServerState, ModelServer> models = new HashMap<>();
   private final Map<ServerState, RateLimit> probes = new HashMap<>();
   private final Map<ServerState, ModelPool> pools = new HashMap<>();
@@ -50,9 +53,11 @@
             new RepeatBudget.Limits(
                 BUDGET_RATIO, world.deployment().repeatSlack(), BUDGET_WINDOW_NANOS));
     for (List<ModelServer> service : world.services()) {
-      List<ServerState> all = new ArrayList<>();
-      service.forEach(model -> all.add(add(model)));
-      states.put(service.getFirst().entry().service(), subset(all));
+      List<ServerState> known = new ArrayList<>();
+      service.forEach(model -> known.add(add(model)));
+      String name = service.getFirst().entry().service();
+      all.put(name, known);
+      states.put(name, subset(known));
     }
   }
 
@@ -96,10 +101,24 @@
     return World.networkMillis(index, model(state));
   }
 
+  /** Nobody listens at a server's address. */
+  void unreachable(ServerState state) {
+    state.failed(world.time().nanos());
+    if (unreachable.add(state)) {
+      String service = state.entry().service();
+      states.put(service, subset(all.get(service)));
+    }
+  }
+
   private List<ServerState> subset(List<ServerState> servers) {
     if (!rules.mechanisms().on(Mechanism.SUBSET)) {
       return servers;
     }
+    boolean replaced = rules.mechanisms().on(Mechanism.REPLACEMENTS);
+    return ServerSubset.withReplacements(servers, replaced ? unreachable : Set.of(), this::part);
+  }
+
+  private List<ServerState> part(List<ServerState> servers) {
     int size = rules.subset().size(servers.size(), world.deployment().instances());
     return ServerSubset.of(
         servers, size, ServerState::entry, "instance-" + index, World.dataCentre(index));
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
@@ -43,6 +43,7 @@
   private final Deque<Job> waiting = new ArrayDeque<>();
   private double slowness = 1;
   private boolean lost;
+  private boolean ended;
 
   ModelServer(ServerEntry entry, Pattern pattern, VirtualTime time, RandomGenerator random) {
     this.entry = entry;
@@ -113,10 +114,20 @@
     waiting.clear();
   }
 
+  /** Ends: nobody answers, and nobody listens at its address. */
+  void end() {
+    lose();
+    ended = true;
+  }
+
   boolean lost() {
     return lost;
   }
 
+  boolean ended() {
+    return ended;
+  }
+
   LoadSample sample() {
     return new LoadSample(running.size(), waiting.size(), traits.slots(), slowness);
   }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
@@ -57,6 +57,8 @@
               "two-slots-lost", Deployment.TWO_SLOTS, 1.2, 1, 0.3, 0, Trouble.serversLost(1 / 3.0)),
           new Pattern(
               "two-slots-rejecting", Deployment.TWO_SLOTS, 1.2, 1, 0.3, 0, Trouble.rejecting(0.55)),
+          new Pattern(
+              "two-slots-ended", Deployment.TWO_SLOTS, 1, 1, 0.3, 0, Trouble.oneDataCentreEnds()),
           new Pattern(
               "zone-lost", Deployment.SMALL, 1.2, 1.4, NOISE, 0, Trouble.instancesLost(1 / 3.0)));
 
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
@@ -30,9 +30,7 @@
     Callers callers = new Callers(world, pattern);
     Policy policy = policy(way, world, callers);
     callers.start(policy);
-    world
-        .time()
-        .afterMillis(Pattern.TROUBLE_MILLIS, () -> lose(world, pattern.trouble().lostServers()));
+    world.time().afterMillis(Pattern.TROUBLE_MILLIS, () -> lose(world, pattern.trouble()));
     if (pattern.trouble().outage()) {
       world.time().afterMillis(Pattern.TROUBLE_MILLIS, policy::forget);
     }
@@ -41,10 +39,16 @@
     return world.scoreboard().result();
   }
 
-  private static void lose(World world, double share) {
+  private static void lose(World world, Trouble trouble) {
     for (List<ModelServer> servers : world.services()) {
-      int count = (int) Math.round(share * servers.size());
+      int count = (int) Math.round(trouble.lostServers() * servers.size());
       servers.subList(0, count).forEach(ModelServer::lose);
+      if (trouble.dataCentreEnds()) {
+        String ending = World.dataCentre(0);
+        servers.stream()
+            .filter(server -> server.entry().dataCentre().equals(ending))
+            .forEach(ModelServer::end);
+      }
     }
   }
 
--- a/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
@@ -153,6 +153,21 @@
     return new Object[][] {{"two-slots-lost"}, {"two-slots-burst"}, {"burst-1.7"}, {"overload"}};
   }
 
+  /**
+   * All servers of a data centre end without a word. The instances there sent two thirds of their
+   * requests to them, and refuse callers while servers elsewhere have room. With others in the
+   * place of those that cannot be reached, more answers must be in time and fewer callers be
+   * refused again.
+   */
+  @Test
+  public void replacementsHelpInstancesWhoseDataCentreEnds() {
+    Result before = replay("two-slots-ended", Way.without(Mechanism.REPLACEMENTS));
+    Result after = replay("two-slots-ended", Way.CURRENT);
+    assertTrue(after.inTime() > before.inTime() + 0.02, before + " to " + after);
+    assertTrue(after.worstSecond() > before.worstSecond() + 0.03, before + " to " + after);
+    assertTrue(after.refusedTwice() < before.refusedTwice(), before + " to " + after);
+  }
+
   /**
    * A burst leaves behind callers with long patience, who come back late. If they keep half of the
    * slots busy, those that could be in time wait until they are late as well, and so on.
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
@@ -26,6 +26,7 @@
   private final Deque<ServerConnection> idle = new ArrayDeque<>();
   private final Set<ServerConnection> all = new HashSet<>();
   private final List<Consumer<Boolean>> askingWhetherEnded = new ArrayList<>();
+  private int opening;
 
   public ServerPool(ServerState state, ServerConnector connector, Clocks clocks) {
     this.state = state;
@@ -58,17 +59,27 @@
     return Optional.of(connection);
   }
 
+  /** Whether a connection is being opened. */
+  public boolean opening() {
+    return opening > 0;
+  }
+
   /** Opens a connection; exactly one of the callbacks is called. */
   public void connect(Consumer<ServerConnection> connected, Consumer<Throwable> failed) {
     InetSocketAddress address = new InetSocketAddress(state.entry().host(), state.entry().port());
+    opening++;
     connector.connect(
         address,
         new Members(),
         connection -> {
+          opening--;
           all.add(connection);
           connected.accept(connection);
         },
-        failed);
+        cause -> {
+          opening--;
+          failed.accept(cause);
+        });
   }
 
   /**
--- a/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -43,6 +43,8 @@
   NEAR_FIRST,
   /** Of a large service an instance sends to a part of the servers. */
   SUBSET,
+  /** Others take the place of servers that cannot be reached. */
+  REPLACEMENTS,
   /** What may run once is written only on connections used a moment ago. */
   FRESH_CONNECTIONS,
   /** Requests wait for the first configuration after a start. */
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -35,6 +35,12 @@
   /** Share of recent failures from which a server counts as suspect: two in a row. */
   private static final double SUSPECT_SHARE = 0.5;
 
+  /**
+   * How long others take the place of a server that could not be reached: a process that starts
+   * again is back within seconds.
+   */
+  private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private ServerEntry entry;
   private long coldUntilNanos;
   private int inFlight;
@@ -47,6 +53,8 @@
   private long failureNanos;
   private double latencyRatio = 1;
   private long latencyNanos;
+  private boolean unreachable;
+  private long unreachableNanos;
   private boolean gone;
   private boolean evacuated;
   private boolean coldnessTold = true;
@@ -123,6 +131,17 @@
     gone = true;
   }
 
+  /** Notes that no connection to it could be opened. */
+  public void unreachable(long nowNanos) {
+    unreachable = true;
+    unreachableNanos = nowNanos;
+  }
+
+  /** Whether no connection to it could be opened lately, and it has not told its load since. */
+  public boolean unreachableLately(long nowNanos) {
+    return unreachable && nowNanos - unreachableNanos < UNREACHABLE_NANOS;
+  }
+
   /** Whether new requests may go there. */
   public boolean acceptsWork() {
     return !gone && !evacuated && !entry.draining();
@@ -144,6 +163,7 @@
     sampleNanos = nowNanos;
     ownAtSample = ownAmongHeld;
     sampled = true;
+    unreachable = false;
   }
 
   /** Notes a whole answer and how its latency compares with what was expected. */
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import org.magnoliaswitch.front.version.ServerEntry;
 
 /**
@@ -89,4 +92,23 @@
     }
     return chosen;
   }
+
+  /**
+   * A part of the servers, with others in place of those that cannot be reached. When a data centre
+   * falls silent, most servers of an instance there are gone, and its callers would be refused
+   * while servers elsewhere have room. Those that are replaced stay in the part, to be found back.
+   *
+   * @param unreachable servers to which no connection could be opened lately
+   * @param choose chooses a part of a list, the same for the same list
+   */
+  public static <T> List<T> withReplacements(
+      List<T> servers, Set<T> unreachable, UnaryOperator<List<T>> choose) {
+    List<T> reachable = servers.stream().filter(server -> !unreachable.contains(server)).toList();
+    if (reachable.size() == servers.size() || reachable.isEmpty()) {
+      return choose.apply(servers);
+    }
+    Set<T> used = new LinkedHashSet<>(choose.apply(reachable));
+    used.addAll(choose.apply(servers));
+    return new ArrayList<>(used);
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,9 +11,7 @@
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.connection.ServerPool;
-import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.ServerSubset;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
@@ -30,12 +27,9 @@
   private final ServerConnector connector;
   private final Clocks clocks;
   private final EventLog log;
-  private final FrontSettings settings;
-  private final InstanceCount instances;
   private final ColdSends coldSends;
   private final Map<String, ServerPool> byId = new HashMap<>();
-  private final Map<String, List<ServerPool>> byService = new HashMap<>();
-  private final Map<String, Double> parts = new HashMap<>();
+  private final ServerGroups groups;
   private ServerList current = ServerList.EMPTY;
   private Set<String> evacuated = Set.of();
 
@@ -50,9 +44,8 @@
     this.connector = connector;
     this.clocks = clocks;
     this.log = log;
-    this.settings = settings;
-    this.instances = instances;
     this.coldSends = coldSends;
+    this.groups = new ServerGroups(settings, clocks, instances, coldSends);
   }
 
   /** Whether a list has been received. */
@@ -67,12 +60,12 @@
 
   /** The servers of a service, those that leave included; of a large service a part. */
   public List<ServerPool> of(String service) {
-    return byService.getOrDefault(service, List.of());
+    return groups.of(service);
   }
 
   /** Share of a service's servers that this instance sends to, as do others of theirs. */
   public double part(String service) {
-    return parts.getOrDefault(service, 1.0);
+    return groups.part(service);
   }
 
   /** The connections to a server; a server that has left since keeps a pool of its own. */
@@ -102,56 +95,7 @@
     }
     tellLearnt(learnt);
     dropMissing();
-    group();
-  }
-
-  /**
-   * Those that leave are kept beside the part in use, since requests may still be at work there.
-   */
-  private void group() {
-    Map<String, List<ServerPool>> accepting = new HashMap<>();
-    Map<String, List<ServerPool>> leaving = new HashMap<>();
-    for (ServerPool pool : byId.values()) {
-      var group = pool.state().acceptsWork() ? accepting : leaving;
-      group.computeIfAbsent(pool.state().entry().service(), name -> new ArrayList<>()).add(pool);
-    }
-    byService.clear();
-    parts.clear();
-    accepting.forEach(
-        (service, pools) -> {
-          List<ServerPool> used = subset(pools);
-          parts.put(service, used.size() / (double) pools.size());
-          byService.put(service, withColdOnes(used, pools));
-        });
-    leaving.forEach(
-        (service, pools) ->
-            byService.computeIfAbsent(service, name -> new ArrayList<>()).addAll(pools));
-  }
-
-  /**
-   * The part in use and the cold servers that this instance was drawn for. Few are, so a server
-   * that has just come would wait long for its first request if they had to use it anyway.
-   */
-  private List<ServerPool> withColdOnes(List<ServerPool> used, List<ServerPool> all) {
-    Set<ServerPool> chosen = new LinkedHashSet<>(used);
-    for (ServerPool pool : all) {
-      if (pool.state().cold(clocks.nanos()) && coldSends.drawn(pool.state())) {
-        chosen.add(pool);
-      }
-    }
-    return new ArrayList<>(chosen);
-  }
-
-  private List<ServerPool> subset(List<ServerPool> pools) {
-    if (!settings.mechanisms().on(Mechanism.SUBSET)) {
-      return pools;
-    }
-    int size =
-        instances.settled()
-            ? ServerSubset.size(pools.size(), instances.count())
-            : ServerSubset.sizeAtStart(pools.size());
-    return ServerSubset.of(
-        pools, size, pool -> pool.state().entry(), settings.instance(), settings.dataCentre());
+    groups.form(byId.values());
   }
 
   /**
@@ -170,12 +114,28 @@
         state.assumeCold(coldSends.spanNanos(state.entry().service()), clocks.nanos());
       }
     }
-    group();
+    groups.form(byId.values());
   }
 
   /** Closes connections that the servers would soon close themselves. */
   public void sweep() {
     byId.values().forEach(pool -> pool.sweep(MAX_IDLE_NANOS));
+    if (groups.outdated(byId.values())) {
+      groups.form(byId.values());
+    }
+  }
+
+  /**
+   * Notes that no connection to a server could be opened. Others take its place for a while, and
+   * whoever listens there next may have started anew.
+   */
+  public void unreachable(ServerState state) {
+    failed(state, "unreachable");
+    coldSends.unreachable(state);
+    state.unreachable(clocks.nanos());
+    if (groups.outdated(byId.values())) {
+      groups.form(byId.values());
+    }
   }
 
   /** Notes a failure of a server, and tells when it makes the server suspect. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -149,8 +149,7 @@
   private void connectFailed(Throwable cause) {
     if (!ended) {
       end();
-      environment.servers().failed(pool.state(), "unreachable");
-      environment.coldSends().unreachable(pool.state());
+      environment.servers().unreachable(pool.state());
       exchange.unreachable(this, cause.getClass().getSimpleName());
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/CrashGuard.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/CrashGuard.java
@@ -44,6 +44,7 @@
     pool.findWhetherEnded(
         ended -> {
           if (ended) {
+            environment.servers().unreachable(pool.state());
             tell(server, warned);
           }
           crashes.lookedAt(server, ended, warned);
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -97,12 +97,17 @@
       if (kept.isPresent()) {
         open++;
         ask(pool, kept.get(), healthPath);
-      } else if (pool.size() == 0) {
+      } else if (pool.size() == 0 && !pool.opening()) {
         open++;
-        pool.connect(opened -> connected(pool, opened, healthPath), cause -> answered());
+        pool.connect(opened -> connected(pool, opened, healthPath), cause -> unreachable(pool));
       }
     }
 
+    private void unreachable(ServerPool pool) {
+      environment.servers().unreachable(pool.state());
+      answered();
+    }
+
     private void connected(ServerPool pool, ServerConnection opened, String healthPath) {
       if (pool.state().acceptsWork()) {
         ask(pool, opened, healthPath);
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.connection.ServerConnector;
+import org.magnoliaswitch.front.connection.ServerPool;
+import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.testing.PausedClock;
@@ -25,6 +28,7 @@
 import org.magnoliaswitch.front.version.ServerList;
 import org.magnoliaswitch.front.version.ServicePolicy;
 import org.magnoliaswitch.front.version.Warmup;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Which servers get work as lists come in. */
@@ -36,6 +40,10 @@
   }
 
   private static ServerDirectory directory(Clocks clocks, Warmup warmup) {
+    return directory(clocks, warmup, 1);
+  }
+
+  private static ServerDirectory directory(Clocks clocks, Warmup warmup, int count) {
     RouteTable routes =
         new RouteTable(
             1,
@@ -43,7 +51,7 @@
             List.of(new ServicePolicy("s", "/health", 9, warmup)),
             CallerLimits.DEFAULT);
     FrontSettings settings = TestEnvironment.settings();
-    InstanceCount instances = new InstanceCount(1, clocks);
+    InstanceCount instances = new InstanceCount(count, clocks);
     ColdSends coldSends = new ColdSends(settings, clocks, new AtomicReference<>(routes), instances);
     ServerConnector connector = new ServerConnector(Loop.start(), clocks, NAMES);
     return new ServerDirectory(
@@ -105,6 +113,78 @@
     assertEquals(directory.of("s").size(), entries.length);
   }
 
+  /** A hundred instances, of which this one sends to some servers of a service only. */
+  public static final class Unreachable {
+    private static final int SERVERS = 60;
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private static final int INSTANCES = 100;
+
+    private PausedClock time = new PausedClock();
+    private ServerDirectory directory = directory();
+
+    private List<ServerState> used() {
+      return directory.of("s").stream().map(ServerPool::state).toList();
+    }
+
+    @BeforeMethod
+    public void start() {
+      time = new PausedClock();
+      directory = directory(time.clocks(), Warmup.UNLIMITED, INSTANCES);
+      time.advance(10 * SECOND);
+      ServerEntry[] entries = new ServerEntry[SERVERS];
+      for (int i = 0; i < SERVERS; i++) {
+        entries[i] = Servers.entry("s" + i, false);
+      }
+      apply(directory, time.read(), entries);
+    }
+
+    /**
+     * A data centre falls silent without a word, and with it most of the servers that this instance
+     * sends to. Its entries stay for seconds. Callers would be refused for want of room while
+     * servers elsewhere are idle, so as many of those are used instead.
+     */
+    @Test
+    public void othersTakeThePlaceOfServersThatCannotBeReached() {
+      List<ServerState> before = used();
+      assertTrue(before.size() < SERVERS / 2);
+      List<ServerState> silent = before.subList(0, before.size() / 2);
+      silent.forEach(directory::unreachable);
+      List<ServerState> after = new ArrayList<>(used());
+      assertTrue(after.containsAll(before));
+      after.removeAll(silent);
+      assertEquals(after.size(), before.size());
+    }
+
+    /** They are back, or were only cut off for a moment: the instance returns to its own. */
+    @Test
+    public void afterAWhileTheyAreTriedAgainInTheirPlace() {
+      List<ServerState> before = used();
+      before.subList(0, 3).forEach(directory::unreachable);
+      time.advance(3 * SECOND);
+      directory.sweep();
+      assertEquals(used(), before);
+    }
+
+    /** It tells its load: whoever could not reach it a moment ago can do so now. */
+    @Test
+    public void oneThatAnswersIsUsedAgain() {
+      List<ServerState> before = used();
+      directory.unreachable(before.getFirst());
+      before.getFirst().sampled(new LoadSample(0, 0, 2, 1), 0, time.read());
+      directory.sweep();
+      assertEquals(used(), before);
+    }
+
+    /** An instance that is cut off itself reaches none, and keeps to those it would use. */
+    @Test
+    public void whenNoneCanBeReachedTheUsualOnesAreTried() {
+      List<ServerState> before = used();
+      directory.all().forEach(pool -> directory.unreachable(pool.state()));
+      assertEquals(used(), before);
+    }
+  }
+
   /** Data centres that an operator empties and takes back. */
   public static final class Evacuated {
     private static final long SPAN_NANOS = TimeUnit.SECONDS.toNanos(3);
