Senders to cold servers are drawn by places that the seeds give

Drawn by hashing names, so few senders may be drawn on average that most of what a server bears is unused. Change: a seed gives each listener the lowest free place, at the end of its messages; an instance is a sender if its place is among the five that hash highest with the server's incarnation. Without a place the draw by name holds. Each server has five senders (2.8 on average before).

--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -25,6 +26,7 @@
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.CrashTable;
 import org.magnoliaswitch.core.peer.CrashReportCodec;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.Evacuations;
@@ -42,6 +44,7 @@
   private static final long HEARTBEAT_MILLIS = 400;
 
   private static final int LENGTH_BYTES = 4;
+  private static final int OWN_PLACE = 0;
 
   /** Longest message of a listener: reports of a full table of cases. */
   private static final int MAX_REPORTS_BYTES = 1 << 20;
@@ -66,6 +69,7 @@
   private final Supplier<Knowledge> knowledge;
   private final Consumer<List<CrashReport>> reported;
   private final Set<Listener> listeners = new HashSet<>();
+  private final BitSet taken = new BitSet();
   private @Nullable Encoded last;
 
   /**
@@ -78,6 +82,7 @@
     this.loop = loop;
     this.knowledge = knowledge;
     this.reported = reported;
+    taken.set(OWN_PLACE);
   }
 
   /** Binds the address that others listen at. */
@@ -98,6 +103,15 @@
     return listeners.size() + 1;
   }
 
+  /** This instance's own place among those that listen to it. */
+  public InstancePlace ownPlace() {
+    return placeAt(OWN_PLACE);
+  }
+
+  private InstancePlace placeAt(int index) {
+    return new InstancePlace(index, taken.length());
+  }
+
   /** Tells everyone now. */
   public void tellAll() {
     tell(List.of());
@@ -131,7 +145,14 @@
       Optional<RouteTable> routes = news ? Optional.of(now.routes()) : Optional.empty();
       ServerChanges changes = ServerChanges.between(toldServers, now.servers());
       PeerNews message =
-          new PeerNews(now.ageMillis(), instances(), routes, changes, now.evacuations(), crashes);
+          new PeerNews(
+              now.ageMillis(),
+              instances(),
+              routes,
+              changes,
+              now.evacuations(),
+              crashes,
+              Optional.empty());
       last = new Encoded(told, PeerNewsCodec.encode(message));
     }
     return last.bytes();
@@ -166,6 +187,7 @@
   /** An instance that listens, and what it has been told. */
   private final class Listener extends SimpleChannelInboundHandler<ByteBuf> {
     private final Channel channel;
+    private int place = OWN_PLACE;
     private ServerList toldServers = ServerList.EMPTY;
     private long toldRoutes;
 
@@ -176,6 +198,9 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
       listeners.add(this);
+      // The lowest free one: who starts again takes the place that was left.
+      place = taken.nextClearBit(OWN_PLACE);
+      taken.set(place);
       Knowledge now = knowledge.get();
       tell(now, now.crashes().reports());
     }
@@ -195,7 +220,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      listeners.remove(this);
+      if (listeners.remove(this)) {
+        taken.clear(place);
+      }
     }
 
     @Override
@@ -212,7 +239,8 @@
       byte[] message = message(now, toldServers, toldRoutes, crashes);
       toldRoutes = Math.max(toldRoutes, now.routes().version());
       toldServers = now.servers();
-      Channels.write(channel, Unpooled.wrappedBuffer(message));
+      byte[] own = PeerNewsCodec.encodePlace(placeAt(place));
+      Channels.write(channel, Unpooled.wrappedBuffer(message, own));
     }
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.magnoliaswitch.core.crash.CrashReport;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.RouteTable;
 
@@ -16,6 +17,7 @@
  * @param servers what changed in the sender's list since its last message
  * @param evacuations the evacuated data centres
  * @param crashes what is new about requests under which servers end
+ * @param place the listener's place among all that listen to the sender
  */
 public record PeerNews(
     long ageMillis,
@@ -23,7 +25,8 @@
     Optional<RouteTable> routes,
     ServerChanges servers,
     Evacuations evacuations,
-    List<CrashReport> crashes) {
+    List<CrashReport> crashes,
+    Optional<InstancePlace> place) {
   public PeerNews {
     crashes = List.copyOf(crashes);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.peer.CrashReportCodec;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.Route;
@@ -45,12 +46,38 @@
       if (news.routes().isPresent()) {
         RouteExtrasCodec.write(out, news.routes().get());
       }
+      if (news.place().isPresent()) {
+        writePlace(out, news.place().get());
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory does not fail", e);
+    }
+  }
+
+  /**
+   * Encodes the end of a message without a place: all listeners get the same message, but each has
+   * a place of its own.
+   */
+  static byte[] encodePlace(InstancePlace place) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      writePlace(out, place);
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory does not fail", e);
     }
   }
 
+  private static void writePlace(MessagePacker out, InstancePlace place) throws IOException {
+    out.packInt(place.index());
+    out.packInt(place.places());
+  }
+
+  private static InstancePlace readPlace(MessageUnpacker in) throws IOException {
+    int index = in.unpackInt();
+    return new InstancePlace(index, in.unpackInt());
+  }
+
   /** Decodes a message; anything malformed is an {@link IOException}. */
   public static PeerNews decode(byte[] bytes) throws IOException {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
@@ -69,7 +96,8 @@
       if (routes.isPresent() && in.hasNext()) {
         routes = Optional.of(RouteExtrasCodec.read(in, routes.get()));
       }
-      return new PeerNews(age, instances, routes, servers, evacuations, crashes);
+      Optional<InstancePlace> place = in.hasNext() ? Optional.of(readPlace(in)) : Optional.empty();
+      return new PeerNews(age, instances, routes, servers, evacuations, crashes, place);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed news", e);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ColdSends.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ColdSends.java
@@ -1,18 +1,29 @@
 package org.magnoliaswitch.front.process;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.load.ColdShare;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.version.RouteTable;
-import org.magnoliaswitch.front.version.Warmup;
 
 /** What this instance may send to servers whose caches are cold; used by one thread. */
 public final class ColdSends {
+  /** Shares kept: a share is looked up for each cold server in each search, and takes a while. */
+  private static final int MOST_SHARES = 2_000;
+
   private final FrontSettings settings;
   private final Clocks clocks;
   private final AtomicReference<RouteTable> routes;
   private final InstanceCount instances;
+  private final Map<String, ColdShare> shares = new HashMap<>();
+  private Basis basis = new Basis(0, 0, Optional.empty());
+
+  /** What shares are worked out from. */
+  private record Basis(long routesVersion, int instances, Optional<InstancePlace> place) {}
 
   public ColdSends(
       FrontSettings settings,
@@ -52,12 +63,22 @@
   }
 
   private ColdShare share(ServerState server) {
-    Warmup warmup = routes.get().warmup(server.entry().service());
+    Basis now = new Basis(routes.get().version(), instances.count(), instances.place());
+    if (!now.equals(basis) || shares.size() >= MOST_SHARES) {
+      shares.clear();
+      basis = now;
+    }
+    return shares.computeIfAbsent(
+        server.entry().incarnation(), incarnation -> share(server.entry().service(), incarnation));
+  }
+
+  private ColdShare share(String service, String incarnation) {
     return ColdShare.of(
-        warmup,
+        routes.get().warmup(service),
         settings.coldSends(),
         settings.instance(),
-        server.entry().incarnation(),
-        instances.count());
+        incarnation,
+        instances.count(),
+        instances.place());
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/InstanceCount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/InstanceCount.java
@@ -1,11 +1,15 @@
 package org.magnoliaswitch.front.process;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.load.InstancePlace;
 
 /**
- * How many instances serve, as far as this one knows; safe for several threads.
+ * How many instances serve and which of their places this one has, as far as it knows; safe for
+ * several threads.
  *
  * <p>Shares of what all instances together may do are worked out from it. While all of them start
  * at once, each knows of few others; by the time the count is settled they have found each other.
@@ -14,6 +18,8 @@
   private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final AtomicInteger count;
+  private final AtomicReference<Optional<InstancePlace>> place =
+      new AtomicReference<>(Optional.empty());
   private final Clocks clocks;
   private final long startedNanos;
 
@@ -38,6 +44,19 @@
     count.set(told);
   }
 
+  /**
+   * This instance's place among all; the last one it had while it hears nobody, since the others go
+   * on counting on it for a while.
+   */
+  public Optional<InstancePlace> place() {
+    return place.get();
+  }
+
+  /** Takes a place that others tell. */
+  public void placed(InstancePlace told) {
+    place.set(Optional.of(told));
+  }
+
   /** Whether there was time to find the others. */
   public boolean settled() {
     return clocks.nanos() - startedNanos >= SETTLE_NANOS;
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -3,10 +3,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.process.CrashWatch;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.PeerHub;
 import org.magnoliaswitch.front.peer.PeerNews;
@@ -31,8 +34,9 @@
   private final PeerHub hub;
   private final NewsReader reader;
   private final Map<InetSocketAddress, Integer> instancesByPeer = new HashMap<>();
+  private final Map<InetSocketAddress, InstancePlace> placesBySeed = new HashMap<>();
   private final CrashArchive archive;
-  private final List<PeerSubscription> subscriptions = new ArrayList<>();
+  private final Map<InetSocketAddress, PeerSubscription> subscriptions = new LinkedHashMap<>();
   private final List<CrashReport> toReport = new ArrayList<>();
   private final List<CrashReport> toTell = new ArrayList<>();
 
@@ -77,7 +81,7 @@
                 seed,
                 (news, servers) -> heard(seed, news, servers),
                 () -> environment.crashes().table().reports());
-        subscriptions.add(subscription);
+        subscriptions.put(seed, subscription);
         subscription.start();
       }
     }
@@ -115,7 +119,7 @@
     List<CrashReport> news = List.copyOf(toTell);
     toReport.clear();
     toTell.clear();
-    subscriptions.forEach(subscription -> subscription.report(reports));
+    subscriptions.values().forEach(subscription -> subscription.report(reports));
     hub.tell(news);
   }
 
@@ -125,23 +129,41 @@
   }
 
   private boolean hearsPeers() {
-    return subscriptions.stream().anyMatch(PeerSubscription::hearing);
+    return subscriptions.values().stream().anyMatch(PeerSubscription::hearing);
   }
 
   private void heard(InetSocketAddress seed, PeerNews news, ServerList servers) {
     instancesByPeer.put(seed, news.instances());
-    countInstances();
+    news.place().ifPresent(place -> placesBySeed.put(seed, place));
+    learnInstances();
     reader.heard(news, servers);
     environment.crashes().heard(news.crashes(), CrashWatch.Source.PEER);
   }
 
   private void tell() {
-    countInstances();
+    learnInstances();
     hub.tellAll();
   }
 
+  /**
+   * The place that the first seed gives which is heard, so that all instances have theirs from the
+   * same one. A seed has its own among its listeners.
+   */
+  private Optional<InstancePlace> firstPlace() {
+    for (InetSocketAddress seed : environment.settings().seeds()) {
+      if (seed.equals(environment.settings().peers())) {
+        return Optional.of(hub.ownPlace());
+      }
+      PeerSubscription subscription = subscriptions.get(seed);
+      if (subscription != null && subscription.hearing() && placesBySeed.containsKey(seed)) {
+        return Optional.of(placesBySeed.get(seed));
+      }
+    }
+    return Optional.empty();
+  }
+
   /** The largest count heard: each seed counts those that listen to it, and a new one few. */
-  private void countInstances() {
+  private void learnInstances() {
     int most = hub.instances();
     for (int count : instancesByPeer.values()) {
       most = Math.max(most, count);
@@ -149,5 +171,6 @@
     if (most > 1) {
       environment.instances().learnt(most);
     }
+    firstPlace().ifPresent(environment.instances()::placed);
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.version.Warmup;
@@ -21,10 +23,12 @@
 
   private static final int SERVERS = 200;
 
+  private static final Optional<InstancePlace> NOWHERE = Optional.empty();
+
   private static int sharesOf(String server, int instances, int believed) {
     int sum = 0;
     for (int i = 0; i < instances; i++) {
-      sum += ColdShare.of(WARMUP, BOUNDS, "front-" + i, server, believed).mostPerSecond();
+      sum += ColdShare.of(WARMUP, BOUNDS, "front-" + i, server, believed, NOWHERE).mostPerSecond();
     }
     return sum;
   }
@@ -72,10 +76,95 @@
 
   @Test
   public void aServiceThatDeclaresNothingIsNotLimited() {
-    ColdShare share = ColdShare.of(Warmup.UNLIMITED, BOUNDS, "a", "i@0", 100);
+    ColdShare share = ColdShare.of(Warmup.UNLIMITED, BOUNDS, "a", "i@0", 100, NOWHERE);
     assertEquals(share.mostPerSecond(), Integer.MAX_VALUE);
   }
 
+  /** Instances that have a place from a seed. */
+  public static final class Placed {
+    private static final int INSTANCES = 97;
+
+    private static int share(String server, int place, int places) {
+      Optional<InstancePlace> known = Optional.of(new InstancePlace(place, places));
+      return ColdShare.of(WARMUP, BOUNDS, "front", server, places, known).mostPerSecond();
+    }
+
+    /** What the instances send whose places a list names, in a second. */
+    private static int sum(String server, List<Integer> places) {
+      return places.stream().mapToInt(place -> share(server, place, INSTANCES)).sum();
+    }
+
+    private static List<Integer> shuffled(long seed) {
+      List<Integer> places = new ArrayList<>();
+      for (int i = 0; i < INSTANCES; i++) {
+        places.add(i);
+      }
+      Collections.shuffle(places, new Random(seed));
+      return places;
+    }
+
+    /**
+     * A data centre comes back cold in a burst. Drawn by their names, a server had three senders on
+     * average and some had none, and callers were refused beside servers that would have borne
+     * twice as many.
+     */
+    @Test
+    public void eachColdServerHasAsManySendersAsItBears() {
+      for (int i = 0; i < SERVERS; i++) {
+        assertEquals(sum("i-" + i + "@0", shuffled(0)), 5);
+      }
+    }
+
+    /**
+     * The first seed ends, and instances turn to the next one, one after the other. Some have their
+     * places from the one and some from the other; together they must not send a cold server more
+     * than it bears.
+     */
+    @Test
+    public void placesOfTwoSeedsTogetherSendNoMoreThanIsBorne() {
+      List<Integer> first = shuffled(1);
+      List<Integer> second = shuffled(2);
+      for (int i = 0; i < SERVERS; i++) {
+        String server = "i-" + i + "@0";
+        for (int turned = 0; turned <= INSTANCES; turned += 8) {
+          int all =
+              sum(server, first.subList(turned, INSTANCES))
+                  + sum(server, second.subList(0, turned));
+          assertTrue(all <= MOST_PER_SECOND, server + " got " + all);
+        }
+      }
+    }
+
+    /** Two thirds of them have no place yet, since they have just started. */
+    @Test
+    public void withOthersThatAreDrawnByNameTheBoundHolds() {
+      for (int i = 0; i < SERVERS; i++) {
+        String server = "i-" + i + "@0";
+        int named = 0;
+        for (int k = 0; k < 2 * INSTANCES / 3; k++) {
+          named +=
+              ColdShare.of(WARMUP, BOUNDS, "front-" + k, server, INSTANCES, NOWHERE)
+                  .mostPerSecond();
+        }
+        int all = named + sum(server, shuffled(3).subList(0, INSTANCES / 3));
+        assertTrue(all <= MOST_PER_SECOND, server + " got " + all);
+      }
+    }
+
+    /** A service that bears one request a second while cold is not left without a sender. */
+    @Test
+    public void aServerThatBearsOneRequestASecondHasASender() {
+      Warmup one = new Warmup(TimeUnit.SECONDS.toNanos(3), 1);
+      int senders = 0;
+      for (int place = 0; place < INSTANCES; place++) {
+        Optional<InstancePlace> known = Optional.of(new InstancePlace(place, INSTANCES));
+        senders +=
+            ColdShare.of(one, ColdShare.Bounds.NONE, "a", "i@0", INSTANCES, known).mostPerSecond();
+      }
+      assertEquals(senders, 1);
+    }
+  }
+
   /** Two ways to keep a limit that nobody can ask the others about. */
   public static final class Ways {
     private static final int INSTANCES = 100;
@@ -124,7 +213,8 @@
 
       @Override
       public boolean send(int instance, long nowNanos) {
-        ColdShare share = ColdShare.of(WARMUP, BOUNDS, "front-" + instance, server, INSTANCES);
+        ColdShare share =
+            ColdShare.of(WARMUP, BOUNDS, "front-" + instance, server, INSTANCES, NOWHERE);
         SendWindow window = windows.get(instance);
         if (window.size(nowNanos) >= share.mostPerSecond()) {
           return false;
--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
@@ -14,6 +14,7 @@
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.RequestIdentity;
 import org.magnoliaswitch.core.peer.CrashReportCodec;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
@@ -57,7 +58,8 @@
                   CallerLimits.DEFAULT)),
           new ServerChanges(9, List.of(Servers.entry("i", true)), List.of("j")),
           new Evacuations(8, Set.of("x", "y")),
-          REPORTS);
+          REPORTS,
+          Optional.of(new InstancePlace(2, 5)));
 
   @Test
   public void whatIsWrittenIsRead() throws IOException {
@@ -142,6 +144,27 @@
     assertThrows(IOException.class, () -> PeerNewsCodec.decode(other));
   }
 
+  /** Listeners share the bytes of a message, and each has a place of its own at its end. */
+  @Test
+  public void aPlaceIsAddedToAMessageThatOthersGetAsWell() throws IOException {
+    PeerNews shared =
+        new PeerNews(
+            0,
+            1,
+            Optional.empty(),
+            ServerChanges.between(ServerList.EMPTY, ServerList.EMPTY),
+            Evacuations.UNKNOWN,
+            List.of(),
+            Optional.empty());
+    InstancePlace place = new InstancePlace(3, 97);
+    byte[] message = PeerNewsCodec.encode(shared);
+    byte[] end = PeerNewsCodec.encodePlace(place);
+    byte[] whole = Arrays.copyOf(message, message.length + end.length);
+    System.arraycopy(end, 0, whole, message.length, end.length);
+    assertEquals(PeerNewsCodec.decode(whole).place(), Optional.of(place));
+    assertEquals(PeerNewsCodec.decode(message).place(), Optional.empty());
+  }
+
   /** A server that starts again at once, with nothing else changed, must not look unchanged. */
   @Test
   public void aRestartIsAChange() throws IOException {
@@ -152,7 +175,14 @@
     PeerNews read =
         PeerNewsCodec.decode(
             PeerNewsCodec.encode(
-                new PeerNews(0, 1, Optional.empty(), changes, Evacuations.UNKNOWN, List.of())));
+                new PeerNews(
+                    0,
+                    1,
+                    Optional.empty(),
+                    changes,
+                    Evacuations.UNKNOWN,
+                    List.of(),
+                    Optional.empty())));
     assertEquals(read.servers().applyTo(before), after);
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/process/ColdSendsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ColdSendsTest.java
@@ -28,6 +28,7 @@
   private static final int SHARE = 3;
 
   private PausedClock time;
+  private InstanceCount instances;
   private ColdSends coldSends;
   private ServerState server;
 
@@ -35,6 +36,7 @@
   @BeforeMethod
   public void start() {
     time = new PausedClock();
+    instances = new InstanceCount(2, time.clocks());
     coldSends = sends(new Warmup(SPAN, 2 * SHARE));
     server = new ServerState(Servers.entry("a", false), time.read());
   }
@@ -47,10 +49,7 @@
             List.of(new ServicePolicy("s", "/health", 9, warmup)),
             CallerLimits.DEFAULT);
     return new ColdSends(
-        TestEnvironment.settings(),
-        time.clocks(),
-        new AtomicReference<>(routes),
-        new InstanceCount(2, time.clocks()));
+        TestEnvironment.settings(), time.clocks(), new AtomicReference<>(routes), instances);
   }
 
   private int sendAll(long spanNanos) {
@@ -104,6 +103,16 @@
     assertTrue(coldSends.allowed(server));
   }
 
+  /** Others have joined, and the share that was worked out before would be too large now. */
+  @Test
+  public void aShareFollowsTheNumberOfInstances() {
+    time.advance(10 * SECOND);
+    server.assumeCold(SPAN, time.read());
+    assertEquals(sendAll(SECOND), SHARE);
+    instances.learnt(2 * SHARE);
+    assertEquals(sendAll(SECOND), 1);
+  }
+
   /** Servers of a service that declares nothing bear requests from their first moment on. */
   @Test
   public void withoutADeclarationNothingIsHeldBack() {
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -22,6 +23,7 @@
 import org.magnoliaswitch.core.crash.Standing;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.connection.ServerConnector;
+import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.load.RepeatBudget;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.testing.Servers;
@@ -196,6 +198,31 @@
       assertTrue(heard.get() < count / 2, heard + " messages");
     }
 
+    /**
+     * A few of all instances may send to a cold server. If two took the same place, it would get
+     * more than it bears: the seed gives each listener a place of its own and keeps one itself.
+     */
+    @Test
+    public void allInstancesHaveDifferentPlaces() throws IOException {
+      int port = freePort();
+      Source good = new Source();
+      good.answer(3, "a");
+      List<Learner> all = new ArrayList<>();
+      all.add(new Learner(port, List.of(at(port)), good));
+      for (int i = 0; i < 4; i++) {
+        all.add(new Learner(freePort(), List.of(at(port)), good));
+      }
+      Set<Integer> indices = new HashSet<>();
+      for (Learner learner : all) {
+        InstanceCount instances = learner.environment.instances();
+        while (instances.place().map(InstancePlace::places).orElse(0) < all.size()) {
+          Thread.onSpinWait();
+        }
+        indices.add(instances.place().orElseThrow().index());
+      }
+      assertEquals(indices, Set.of(0, 1, 2, 3, 4));
+    }
+
     /**
      * The seeds are gone and nobody tells anything. An instance must not wait for them: it reads
      * the platform itself.
