Replacements until six servers can be reached, not as many as are missing

All instances pressed on the servers that were left and met at each free slot. Change: others take the place of servers that cannot be reached only until six can be.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Pattern.java
@@ -59,6 +59,14 @@
               "two-slots-rejecting", Deployment.TWO_SLOTS, 1.2, 1, 0.3, 0, Trouble.rejecting(0.55)),
           new Pattern(
               "two-slots-ended", Deployment.TWO_SLOTS, 1, 1, 0.3, 0, Trouble.oneDataCentreEnds()),
+          new Pattern(
+              "two-slots-ended-pressed",
+              Deployment.TWO_SLOTS,
+              1.6,
+              1.6,
+              0.3,
+              0.24,
+              Trouble.oneDataCentreEnds()),
           new Pattern(
               "zone-lost", Deployment.SMALL, 1.2, 1.4, NOISE, 0, Trouble.instancesLost(1 / 3.0)));
 
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerSubset.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import org.magnoliaswitch.front.version.ServerEntry;
 
@@ -31,6 +32,11 @@
   /** Fewest servers that an instance sends to: some may be gone, slow or cold at the same time. */
   static final int LEAST = 8;
 
+  /**
+   * Fewest of them that can be reached; others take the place of missing ones up to this number.
+   */
+  static final int LEAST_REACHABLE = 6;
+
   /** Most servers that an instance sends to while it cannot tell how many others there are. */
   private static final int AT_START = 16;
 
@@ -94,21 +100,29 @@
   }
 
   /**
-   * A part of the servers, with others in place of those that cannot be reached. When a data centre
-   * falls silent, most servers of an instance there are gone, and its callers would be refused
-   * while servers elsewhere have room. Those that are replaced stay in the part, to be found back.
+   * A part of the servers, with others in place of those that cannot be reached, up to a few. When
+   * a data centre falls silent, most servers of an instance there are gone, and its callers would
+   * be refused while servers elsewhere have room. With as many as before, all instances would press
+   * on the servers that are left and meet there. Those that are replaced stay in the part, to be
+   * found back.
    *
    * @param unreachable servers to which no connection could be opened lately
    * @param choose chooses a part of a list, the same for the same list
    */
   public static <T> List<T> withReplacements(
       List<T> servers, Set<T> unreachable, UnaryOperator<List<T>> choose) {
-    List<T> reachable = servers.stream().filter(server -> !unreachable.contains(server)).toList();
-    if (reachable.size() == servers.size() || reachable.isEmpty()) {
-      return choose.apply(servers);
+    Set<T> used = new LinkedHashSet<>(choose.apply(servers));
+    Predicate<T> gone = unreachable::contains;
+    long left = used.stream().filter(gone.negate()).count();
+    if (left == used.size() || left >= LEAST_REACHABLE) {
+      return new ArrayList<>(used);
     }
-    Set<T> used = new LinkedHashSet<>(choose.apply(reachable));
-    used.addAll(choose.apply(servers));
+    List<T> reachable = servers.stream().filter(gone.negate()).toList();
+    choose.apply(reachable).stream()
+        .filter(server -> !used.contains(server))
+        .limit(LEAST_REACHABLE - left)
+        .toList()
+        .forEach(used::add);
     return new ArrayList<>(used);
   }
 }
