--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -37,7 +37,7 @@
    */
   private static final long OUTRUN_MILLIS = 300;
 
-  private final Exchange exchange;
+  private final RoutedExchange exchange;
   private final Environment environment;
   private final ServerPool pool;
   private final CallerRequest request;
@@ -49,7 +49,7 @@
   private boolean ended;
 
   Attempt(
-      Exchange exchange,
+      RoutedExchange exchange,
       Environment environment,
       ServerPool pool,
       CallerRequest request,
--- a/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
@@ -57,7 +57,7 @@
   /** Whether one may go out beside a send that is late; taken from the budget. */
   boolean mayHedge() {
     if (!crashes.mayHedge()) {
-      report.notRepeated(service, Exchange.ENDS_SERVERS, times.leftNanos());
+      report.notRepeated(service, RoutedExchange.ENDS_SERVERS, times.leftNanos());
       return false;
     }
     return mayFollow();
@@ -74,7 +74,7 @@
       return Optional.of("most_servers");
     }
     if (!crashes.mayRepeat()) {
-      return Optional.of(Exchange.ENDS_SERVERS);
+      return Optional.of(RoutedExchange.ENDS_SERVERS);
     }
     if (times.leftNanos() <= 0) {
       return Optional.of("no_time");
--- a/front/src/main/java/org/magnoliaswitch/front/request/Hedge.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Hedge.java
@@ -12,13 +12,13 @@
   /** Time between two looks; each asks up to six servers. */
   private static final long SEEK_AGAIN_MILLIS = 100;
 
-  private final Exchange exchange;
+  private final RoutedExchange exchange;
   private final Loop loop;
   private final Placing placing;
   private final RequestTimes times;
   private boolean forbidden;
 
-  Hedge(Exchange exchange, Loop loop, Placing placing, RequestTimes times) {
+  Hedge(RoutedExchange exchange, Loop loop, Placing placing, RequestTimes times) {
     this.exchange = exchange;
     this.loop = loop;
     this.placing = placing;
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -25,6 +25,11 @@
     this.requestId = requestId;
   }
 
+  /** The id that the caller gave its request; empty if it gave none. */
+  String requestId() {
+    return requestId;
+  }
+
   /** A send that brought no answer. */
   void attempt(String event, String service, String server, String key, String cause) {
     environment.metrics().count("attempts", service, event);
