--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -145,6 +145,19 @@
     hub.tellAll();
   }
 
+  private void placed(InstancePlace place) {
+    Optional<Integer> before = environment.instances().place().map(InstancePlace::index);
+    environment.instances().placed(place);
+    if (!before.equals(Optional.of(place.index()))) {
+      environment
+          .log()
+          .belief("placed")
+          .add("index", place.index())
+          .add("places", place.places())
+          .write();
+    }
+  }
+
   /**
    * The place that the first seed gives which is heard, so that all instances have theirs from the
    * same one. A seed has its own among its listeners.
@@ -171,6 +184,6 @@
     if (most > 1) {
       environment.instances().learnt(most);
     }
-    firstPlace().ifPresent(environment.instances()::placed);
+    firstPlace().ifPresent(this::placed);
   }
 }
