--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -8,23 +8,23 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.AdmissionLimit;
 import org.magnoliaswitch.front.load.Fallback;
 import org.magnoliaswitch.front.load.HedgeDelay;
 import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.PlacementContext;
 import org.magnoliaswitch.front.load.RetryAfter;
-import org.magnoliaswitch.front.load.Room;
 import org.magnoliaswitch.front.load.Selection;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.LatencyBaseline;
 
 /** One try of a caller at one instance: the front's exchange without its connections. */
-final class FrontExchange implements WaitingLine.Entry {
+final class FrontExchange implements PendingQueue.Entry {
   private static final double LOOK_AGAIN_MILLIS = 12;
   private static final double PROBE_SERVER_MILLIS = 1;
 
@@ -38,8 +38,8 @@
   private int searches;
   private int sends;
   private boolean sought;
-  private boolean inLine;
-  private Chance chanceInLine = Chance.IN_TIME;
+  private boolean queued;
+  private Timeliness queuedTimeliness = Timeliness.IN_TIME;
   private boolean done;
 
   /** One send to one server. */
@@ -78,7 +78,7 @@
   private void callerLeft() {
     if (!done) {
       done = true;
-      leaveLine();
+      leaveQueue();
       open.forEach(this::cancel);
     }
   }
@@ -138,13 +138,13 @@
     if (done || asked != searches) {
       return;
     }
-    if (!sought && chance() == Chance.IN_TIME) {
+    if (!sought && timeliness() == Timeliness.IN_TIME) {
       node.routes().load(service()).sought(step instanceof Selection.Step.Send);
     }
     sought = true;
     switch (step) {
       case Selection.Step.Send send -> {
-        leaveLine();
+        leaveQueue();
         send(send.server());
       }
       case Selection.Step.Ask ask -> waitForRoom();
@@ -157,15 +157,15 @@
     double usual = node.routes().baseline(request.kind().route()).nanos();
     long objective = request.kind().route().objectiveNanos();
     long patience = request.deadlineNanos() - arrivedNanos;
-    double limit = node.rules().waiting().nanos(chance(), usual, objective, patience);
+    double limit = node.rules().waiting().nanos(timeliness(), usual, objective, patience);
     if (now() - arrivedNanos > limit || !mechanisms().on(Mechanism.WAITING)) {
       refuse(RetryAfter.Cause.BUSY);
       return;
     }
-    if (!inLine) {
-      inLine = true;
-      chanceInLine = chance();
-      node.line().add(service(), this);
+    if (!queued) {
+      queued = true;
+      queuedTimeliness = timeliness();
+      node.pending().add(service(), this);
     }
     int current = searches;
     node.world()
@@ -173,7 +173,7 @@
         .afterMillis(
             LOOK_AGAIN_MILLIS,
             () -> {
-              if (inLine && current == searches) {
+              if (queued && current == searches) {
                 place();
               }
             });
@@ -182,16 +182,16 @@
   private void refuse(RetryAfter.Cause cause) {
     if (!done) {
       done = true;
-      leaveLine();
+      leaveQueue();
       double usual = node.routes().baseline(request.kind().route()).nanos();
       callers.refused(request, RetryAfter.nanos(cause, usual, node.world().random(), mechanisms()));
     }
   }
 
-  private void leaveLine() {
-    if (inLine) {
-      inLine = false;
-      node.line().remove(service(), this);
+  private void leaveQueue() {
+    if (queued) {
+      queued = false;
+      node.pending().remove(service(), this);
     }
   }
 
@@ -309,7 +309,7 @@
 
   private void learn(ServerState state, long tookNanos, double slowness) {
     LatencyBaseline baseline = node.routes().baseline(request.kind().route());
-    Optional<FrontExchange> first = node.line().first(service());
+    Optional<FrontExchange> first = node.pending().first(service());
     if (first.isPresent() && first.get().suits(state)) {
       first.get().offered(state);
     }
@@ -320,12 +320,12 @@
   private boolean suits(ServerState state) {
     PlacementContext context = context();
     return Placement.fits(state, context)
-        && (Room.hasRoom(state, context) || Room.mayFill(state, context));
+        && (AdmissionLimit.hasRoom(state, context) || AdmissionLimit.mayFill(state, context));
   }
 
   private PlacementContext context() {
-    long end = chance() == Chance.IN_TIME ? objectiveEndNanos() : request.deadlineNanos();
-    return node.context(request.kind(), chance(), end - now());
+    long end = timeliness() == Timeliness.IN_TIME ? objectiveEndNanos() : request.deadlineNanos();
+    return node.context(request.kind(), timeliness(), end - now());
   }
 
   private Mechanisms mechanisms() {
@@ -333,15 +333,15 @@
   }
 
   private void offered(ServerState state) {
-    if (inLine && !tried.contains(state)) {
-      leaveLine();
+    if (queued && !tried.contains(state)) {
+      leaveQueue();
       send(state);
     }
   }
 
-  private Chance chance() {
+  private Timeliness timeliness() {
     double usual = node.routes().baseline(request.kind().route()).nanos();
-    return objectiveEndNanos() - now() < usual ? Chance.LATE : Chance.IN_TIME;
+    return objectiveEndNanos() - now() < usual ? Timeliness.LATE : Timeliness.IN_TIME;
   }
 
   private String service() {
@@ -353,8 +353,8 @@
   }
 
   @Override
-  public Chance chanceInLine() {
-    return chanceInLine;
+  public Timeliness queuedTimeliness() {
+    return queuedTimeliness;
   }
 
   @Override
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -6,19 +6,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Fallback;
 import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Mechanism;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.PlacementContext;
 import org.magnoliaswitch.front.load.ProbeShare;
 import org.magnoliaswitch.front.load.RateLimit;
-import org.magnoliaswitch.front.load.RepeatBudget;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.ServerSubset;
 import org.magnoliaswitch.front.load.ServiceLoad;
-import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.RouteState;
 
 /** What one instance knows, with the front's own classes. */
@@ -37,20 +37,20 @@
   private final Map<ServerState, ModelServer> models = new HashMap<>();
   private final Map<ServerState, RateLimit> probes = new HashMap<>();
   private final Map<ServerState, ModelPool> pools = new HashMap<>();
-  private final WaitingLine<FrontExchange> line;
+  private final PendingQueue<FrontExchange> pending;
 
   FrontNode(World world, Rules rules, int index) {
     this.world = world;
     this.rules = rules;
     this.index = index;
-    this.line = new WaitingLine<>(rules.mechanisms());
+    this.pending = new PendingQueue<>(rules.mechanisms());
     this.routes =
         new RouteState(
             // Shares of the budget are rounded down, and the replay's draws left alone: a seed
             // plays
             // the same pattern of load whatever draws the product makes.
             () -> 0,
-            new RepeatBudget.Limits(
+            new SharedRetryBudget.Limits(
                 BUDGET_RATIO, world.deployment().repeatSlack(), BUDGET_WINDOW_NANOS));
     for (List<ModelServer> service : world.services()) {
       List<ServerState> known = new ArrayList<>();
@@ -81,8 +81,8 @@
     return routes;
   }
 
-  WaitingLine<FrontExchange> line() {
-    return line;
+  PendingQueue<FrontExchange> pending() {
+    return pending;
   }
 
   ModelPool pool(ServerState state) {
@@ -130,11 +130,11 @@
     return Placement.rank(eligible, context, world.random());
   }
 
-  PlacementContext context(Kind kind, Chance chance, long allowedNanos) {
+  PlacementContext context(Kind kind, Timeliness timeliness, long allowedNanos) {
     return new PlacementContext(
         routes.baseline(kind.route()).nanos(),
         allowedNanos,
-        chance,
+        timeliness,
         routes.load(kind.service()),
         World.dataCentre(index),
         rules.mechanisms(),
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Rules.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Rules.java
@@ -1,9 +1,9 @@
 package org.magnoliaswitch.bench.model;
 
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Mechanisms;
 import org.magnoliaswitch.front.load.ServerSubset;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.load.WaitLimit;
 
 /**
@@ -19,7 +19,7 @@
   /** Longest wait since a request was read. */
   @FunctionalInterface
   interface Wait {
-    double nanos(Chance chance, double usualNanos, long objectiveNanos, long patienceNanos);
+    double nanos(Timeliness timeliness, double usualNanos, long objectiveNanos, long patienceNanos);
   }
 
   /** How many servers of a service an instance sends to. */
@@ -58,8 +58,8 @@
   }
 
   private static double eighth(
-      Chance chance, double usualNanos, long objectiveNanos, long patienceNanos) {
+      Timeliness timeliness, double usualNanos, long objectiveNanos, long patienceNanos) {
     double usual = 0.125 * objectiveNanos;
-    return chance == Chance.IN_TIME ? usual : Math.max(usual, 0.15 * patienceNanos);
+    return timeliness == Timeliness.IN_TIME ? usual : Math.max(usual, 0.15 * patienceNanos);
   }
 }
--- a/core/src/main/java/org/magnoliaswitch/core/crash/CrashCase.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/CrashCase.java
@@ -170,11 +170,11 @@
   }
 
   /** How far the request is under suspicion. */
-  Standing standing() {
+  SuspicionLevel standing() {
     if (confirmed()) {
-      return Standing.CONFIRMED;
+      return SuspicionLevel.CONFIRMED;
     }
-    return ends.size() >= SUSPECT_ENDS ? Standing.SUSPECT : Standing.UNSUSPECTED;
+    return ends.size() >= SUSPECT_ENDS ? SuspicionLevel.SUSPECT : SuspicionLevel.UNSUSPECTED;
   }
 
   /** Whether it has been quiet for so long that it is no longer kept. */
--- a/core/src/main/java/org/magnoliaswitch/core/crash/CrashTable.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/CrashTable.java
@@ -131,7 +131,7 @@
   }
 
   /** How far a request is under suspicion. */
-  public Standing standing(RequestIdentity request) {
+  public SuspicionLevel standing(RequestIdentity request) {
     return judged(request).standing();
   }
 
@@ -203,7 +203,7 @@
   }
 
   /** Requests of a standing. */
-  public long count(Standing standing) {
+  public long count(SuspicionLevel standing) {
     return judged.values().stream().filter(known -> known.standing() == standing).count();
   }
 
--- a/core/src/main/java/org/magnoliaswitch/core/crash/Standing.java
+++ b/core/src/main/java/org/magnoliaswitch/core/crash/SuspicionLevel.java
@@ -1,7 +1,7 @@
 package org.magnoliaswitch.core.crash;
 
 /** How far a request is believed to end the servers that run it. */
-public enum Standing {
+public enum SuspicionLevel {
   /** No more than a bystander meets. */
   UNSUSPECTED,
 
--- a/core/src/main/java/org/magnoliaswitch/core/process/CrashWatch.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/CrashWatch.java
@@ -11,7 +11,7 @@
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.CrashTable;
 import org.magnoliaswitch.core.crash.RequestIdentity;
-import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.SuspicionLevel;
 import org.magnoliaswitch.core.crash.Verdict;
 
 /**
@@ -44,7 +44,7 @@
    *
    * @param ends incarnations whose ends count
    */
-  public record Change(RequestIdentity request, Standing standing, Set<String> ends) {}
+  public record Change(RequestIdentity request, SuspicionLevel standing, Set<String> ends) {}
 
   /** Is told of what was learnt. */
   @FunctionalInterface
@@ -162,7 +162,7 @@
     update.news().forEach(report -> touched.add(report.request()));
     List<Change> changes = new ArrayList<>();
     for (RequestIdentity request : touched) {
-      Standing standing = update.table().standing(request);
+      SuspicionLevel standing = update.table().standing(request);
       if (standing != before.standing(request)) {
         changes.add(new Change(request, standing, update.table().endsUnder(request)));
       }
--- a/core/src/main/java/org/magnoliaswitch/core/process/RequestCrashes.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/RequestCrashes.java
@@ -10,7 +10,7 @@
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.CrashTable;
 import org.magnoliaswitch.core.crash.RequestIdentity;
-import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.SuspicionLevel;
 import org.magnoliaswitch.core.crash.Verdict;
 
 /**
@@ -128,7 +128,7 @@
     }
     CrashTable table = watch.table();
     boolean confirmed = identities().both().stream().anyMatch(table::confirmed);
-    boolean suspect = table.standing(identities().ofCaller()) == Standing.SUSPECT;
+    boolean suspect = table.standing(identities().ofCaller()) == SuspicionLevel.SUSPECT;
     return confirmed || (suspect && !trial);
   }
 
--- a/core/src/test/java/org/magnoliaswitch/core/crash/CrashReplay.java
+++ b/core/src/test/java/org/magnoliaswitch/core/crash/CrashReplay.java
@@ -149,7 +149,7 @@
 
     boolean stops(boolean warned) {
       CrashTable table = tables[instance];
-      boolean suspect = table.standing(identities.getLast()) == Standing.SUSPECT;
+      boolean suspect = table.standing(identities.getLast()) == SuspicionLevel.SUSPECT;
       return identities.stream().anyMatch(table::confirmed) || (suspect && !warned);
     }
 
@@ -333,7 +333,7 @@
 
   private void learn(int instance, CrashReport report) {
     tables[instance] = tables[instance].with(List.of(report), nanos()).table();
-    if (tables[instance].standing(report.request()) != Standing.UNSUSPECTED) {
+    if (tables[instance].standing(report.request()) != SuspicionLevel.UNSUSPECTED) {
       stopSends(instance, report.request());
     }
   }
--- a/core/src/test/java/org/magnoliaswitch/core/crash/CrashTableTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/crash/CrashTableTest.java
@@ -62,7 +62,7 @@
     @Test
     public void aTrialThatEndsItsServerConfirms() {
       CrashTable confirmed = after(ended("a"), ended("b"), tried(1), warned("c"));
-      assertEquals(confirmed.standing(REQUEST), Standing.CONFIRMED);
+      assertEquals(confirmed.standing(REQUEST), SuspicionLevel.CONFIRMED);
       assertEquals(confirmed.verdict(REQUEST, HOUR - SECOND), Verdict.REFUSED);
     }
 
@@ -76,7 +76,7 @@
       for (int i = 0; i < 8; i++) {
         table = table.with(List.of(ended("s" + i)), 0).table();
       }
-      assertEquals(table.standing(REQUEST), Standing.SUSPECT);
+      assertEquals(table.standing(REQUEST), SuspicionLevel.SUSPECT);
       assertEquals(table.verdict(REQUEST, 0), Verdict.TRIAL);
     }
 
@@ -84,7 +84,7 @@
     @Test
     public void anAnswerClears() {
       CrashTable cleared = after(ended("a"), ended("b"), tried(1), cleared("a", "b"));
-      assertEquals(cleared.standing(REQUEST), Standing.UNSUSPECTED);
+      assertEquals(cleared.standing(REQUEST), SuspicionLevel.UNSUSPECTED);
       CrashTable again = cleared.with(List.of(ended("c")), 0).table();
       assertEquals(again.verdict(REQUEST, 0), Verdict.ALLOWED);
     }
@@ -181,9 +181,9 @@
         List<CrashReport> single = List.of(new CrashReport.Ended(other(i), "s" + i, false));
         table = table.with(single, i + 1).table();
       }
-      assertEquals(table.standing(REQUEST), Standing.CONFIRMED);
+      assertEquals(table.standing(REQUEST), SuspicionLevel.CONFIRMED);
       assertEquals(table.endsUnder(other(0)), Set.of());
-      assertEquals(table.count(Standing.UNSUSPECTED), CrashTable.MAX_CASES - 1);
+      assertEquals(table.count(SuspicionLevel.UNSUSPECTED), CrashTable.MAX_CASES - 1);
     }
 
     @Test
@@ -233,8 +233,8 @@
               beside("b", false),
               beside("c", false),
               beside("d", true));
-      assertEquals(table.standing(REQUEST), Standing.CONFIRMED);
-      assertEquals(table.standing(BYSTANDER), Standing.UNSUSPECTED);
+      assertEquals(table.standing(REQUEST), SuspicionLevel.CONFIRMED);
+      assertEquals(table.standing(BYSTANDER), SuspicionLevel.UNSUSPECTED);
       assertEquals(table.verdict(BYSTANDER, 0), Verdict.ALLOWED);
     }
 
@@ -278,8 +278,8 @@
               beside("x", false),
               beside("y", false),
               beside("z", true));
-      assertEquals(table.standing(REQUEST), Standing.CONFIRMED);
-      assertEquals(table.standing(BYSTANDER), Standing.CONFIRMED);
+      assertEquals(table.standing(REQUEST), SuspicionLevel.CONFIRMED);
+      assertEquals(table.standing(BYSTANDER), SuspicionLevel.CONFIRMED);
     }
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -6,7 +6,6 @@
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.loop.Loop;
-import org.magnoliaswitch.front.process.Beliefs;
 import org.magnoliaswitch.front.process.ColdSends;
 import org.magnoliaswitch.front.process.CrashLog;
 import org.magnoliaswitch.front.process.Environment;
@@ -15,6 +14,7 @@
 import org.magnoliaswitch.front.process.FrontMetrics;
 import org.magnoliaswitch.front.process.FrontSettings;
 import org.magnoliaswitch.front.process.InstanceCount;
+import org.magnoliaswitch.front.process.KnownState;
 import org.magnoliaswitch.front.process.News;
 import org.magnoliaswitch.front.process.NewsSource;
 import org.magnoliaswitch.front.process.RouteState;
@@ -70,10 +70,10 @@
             log,
             metrics,
             crashes);
-    Beliefs beliefs = new Beliefs(routes, servers, requests, log);
-    News news = new News(environment, beliefs, control, source.create(control, log, metrics));
+    KnownState knownState = new KnownState(routes, servers, requests, log);
+    News news = new News(environment, knownState, control, source.create(control, log, metrics));
     news.start();
-    Front front = new Front(environment, beliefs, FrontDispatcher::new);
+    Front front = new Front(environment, knownState, FrontDispatcher::new);
     front.start();
     return front;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Room.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/AdmissionLimit.java
@@ -9,7 +9,7 @@
  * the end rejected. Requests without room wait here for a moment, or are refused while their
  * callers still have time.
  */
-public final class Room {
+public final class AdmissionLimit {
   /** Share of busy slots above which servers slow down. */
   static final double KNEE = 0.8;
 
@@ -22,10 +22,10 @@
   /** The same while requests that could be in time wait: one slot of six. */
   private static final double LATE_SHARE_PRESSED = 0.2;
 
-  private Room() {}
+  private AdmissionLimit() {}
 
   private static double share(PlacementContext context) {
-    return switch (context.chance()) {
+    return switch (context.timeliness()) {
       case IN_TIME -> KNEE;
       case LATE -> yields(context) ? LATE_SHARE_PRESSED : LATE_SHARE;
     };
@@ -70,7 +70,7 @@
    */
   public static boolean mayFill(ServerState server, PlacementContext context) {
     if (!context.on(Mechanism.LAST_SLOT)
-        || context.chance() == Chance.LATE
+        || context.timeliness() == Timeliness.LATE
         || !server.hasSample()) {
       return false;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/load/WaitingLine.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/PendingQueue.java
@@ -15,11 +15,11 @@
  *
  * @param <T> a waiting request
  */
-public final class WaitingLine<T extends WaitingLine.Entry> {
+public final class PendingQueue<T extends PendingQueue.Entry> {
   /** What decides a request's place; must not change while it waits. */
   public interface Entry {
     /** Whether the request could still be in time when it began to wait. */
-    Chance chanceInLine();
+    Timeliness queuedTimeliness();
 
     /** Rank of the route among others; 0 is the most urgent. */
     int priority();
@@ -31,12 +31,12 @@
   private final Comparator<T> order;
   private final Map<String, PriorityQueue<T>> byService = new HashMap<>();
 
-  public WaitingLine(Mechanisms mechanisms) {
-    this.order = mechanisms.on(Mechanism.LINE_ORDER) ? byChance() : byAge();
+  public PendingQueue(Mechanisms mechanisms) {
+    this.order = mechanisms.on(Mechanism.LINE_ORDER) ? byTimeliness() : byAge();
   }
 
-  private static <T extends Entry> Comparator<T> byChance() {
-    return Comparator.<T, Chance>comparing(Entry::chanceInLine)
+  private static <T extends Entry> Comparator<T> byTimeliness() {
+    return Comparator.<T, Timeliness>comparing(Entry::queuedTimeliness)
         .thenComparingInt(Entry::priority)
         .thenComparingLong(Entry::objectiveEndNanos);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Placement.java
@@ -19,7 +19,9 @@
   /** Neighbours change a server's speed several times a second: a sample says little after this. */
   private static final double SAMPLE_FADE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-  /** Slow-down above {@link Room#KNEE} of the slots, where requests begin to share cores. */
+  /**
+   * Slow-down above {@link AdmissionLimit#KNEE} of the slots, where requests begin to share cores.
+   */
   static final double KNEE_FACTOR = 1.7;
 
   /** Slow-down while a server warms up, until its caches are filled and its code is compiled. */
@@ -113,7 +115,7 @@
     double slowness = slowness(server, context.load(), context.nowNanos());
     double slots = server.sample().slots();
     double held = held(server, context.load().meanHeld(), context.nowNanos()) + 1;
-    double knee = held > Room.KNEE * slots ? KNEE_FACTOR : 1;
+    double knee = held > AdmissionLimit.KNEE * slots ? KNEE_FACTOR : 1;
     double waves = Math.max(0, held - slots) / slots;
     boolean starting = server.cold(context.nowNanos()) && context.on(Mechanism.WARMTH);
     double cold = starting ? COLD_FACTOR : 1;
--- a/front/src/main/java/org/magnoliaswitch/front/load/PlacementContext.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/PlacementContext.java
@@ -5,7 +5,7 @@
  *
  * @param expectedNanos usual latency of such a request on an undisturbed server
  * @param allowedNanos time until an answer loses most of the value that it can still have
- * @param chance whether the request can be in time
+ * @param timeliness whether the request can be in time
  * @param load what is known of the service as a whole
  * @param dataCentre where this instance runs
  * @param mechanisms which parts of the decision are in force
@@ -14,7 +14,7 @@
 public record PlacementContext(
     double expectedNanos,
     long allowedNanos,
-    Chance chance,
+    Timeliness timeliness,
     ServiceLoad load,
     String dataCentre,
     Mechanisms mechanisms,
--- a/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
@@ -105,8 +105,8 @@
       return new Step.None();
     }
     List<ServerState> fitting = ranked.stream().filter(Ranked::fits).map(Ranked::server).toList();
-    return first(fitting, server -> Room.hasRoom(server, context))
-        .or(() -> first(fitting, server -> Room.mayFill(server, context)))
+    return first(fitting, server -> AdmissionLimit.hasRoom(server, context))
+        .or(() -> first(fitting, server -> AdmissionLimit.mayFill(server, context)))
         .<Step>map(Step.Send::new)
         .orElseGet(Step.Full::new);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/load/RepeatBudget.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/SharedRetryBudget.java
@@ -13,7 +13,7 @@
  * where there are many instances; each rounds at a point of its own instead, so that the sum over
  * many is what is allowed.
  */
-public final class RepeatBudget {
+public final class SharedRetryBudget {
   private static final int BUCKETS = 20;
 
   /**
@@ -56,7 +56,7 @@
    *
    * @param rounding where this instance rounds its share up, drawn evenly from 0 to 1
    */
-  public RepeatBudget(Limits limits, double rounding) {
+  public SharedRetryBudget(Limits limits, double rounding) {
     this.limits = limits;
     this.roundUpFrom = 1 - rounding;
     this.bucketNanos = Math.max(1, limits.windowNanos() / (BUCKETS - 1));
--- a/front/src/main/java/org/magnoliaswitch/front/load/Chance.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Timeliness.java
@@ -1,7 +1,7 @@
 package org.magnoliaswitch.front.load;
 
 /** Whether a request can still be answered within its objective. */
-public enum Chance {
+public enum Timeliness {
   /** It can. */
   IN_TIME,
 
--- a/front/src/main/java/org/magnoliaswitch/front/load/WaitLimit.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/WaitLimit.java
@@ -28,9 +28,9 @@
    * @param patienceNanos time that the caller waited for when the request was read
    */
   public static double nanos(
-      Chance chance, double usualNanos, long objectiveNanos, long patienceNanos) {
+      Timeliness timeliness, double usualNanos, long objectiveNanos, long patienceNanos) {
     double least = LEAST_SHARE * objectiveNanos;
-    return switch (chance) {
+    return switch (timeliness) {
       case IN_TIME -> Math.max(least, objectiveNanos - RUN_FACTOR * usualNanos);
       case LATE -> Math.max(least, LATE_SHARE * patienceNanos);
     };
--- a/front/src/main/java/org/magnoliaswitch/front/process/CrashArchive.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/CrashArchive.java
@@ -11,7 +11,7 @@
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.RequestIdentity;
-import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.SuspicionLevel;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.loop.Loop;
 
@@ -82,7 +82,7 @@
     for (CrashReport report : reports) {
       if (report instanceof CrashReport.Ended ended && pending.size() < MAX_PENDING) {
         pending.add(End.of(ended));
-        boolean suspect = watch.table().standing(ended.request()) != Standing.UNSUSPECTED;
+        boolean suspect = watch.table().standing(ended.request()) != SuspicionLevel.UNSUSPECTED;
         loop.afterMillis(suspect ? 0 : WRITE_DELAY_MILLIS, this::write);
       }
     }
--- a/front/src/main/java/org/magnoliaswitch/front/process/CrashLog.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/CrashLog.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
-import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.SuspicionLevel;
 import org.magnoliaswitch.core.process.CrashWatch;
 
 /** Tells and counts what becomes known of requests under which servers end. */
@@ -14,7 +14,7 @@
   public CrashLog(CrashWatch watch, EventLog log, FrontMetrics metrics) {
     this.log = log;
     this.metrics = metrics;
-    for (Standing standing : List.of(Standing.SUSPECT, Standing.CONFIRMED)) {
+    for (SuspicionLevel standing : List.of(SuspicionLevel.SUSPECT, SuspicionLevel.CONFIRMED)) {
       metrics.gauge("crash." + word(standing) + ".requests", () -> watch.table().count(standing));
     }
     watch.listen(this);
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -25,15 +25,17 @@
   private static final long SWEEP_MILLIS = 500;
 
   private final Environment environment;
-  private final Beliefs beliefs;
+  private final KnownState knownState;
   private final CallerListener callers;
   private volatile boolean stopping;
   private boolean toldReady;
 
   public Front(
-      Environment environment, Beliefs beliefs, Function<Environment, RequestHandler> handlers) {
+      Environment environment,
+      KnownState knownState,
+      Function<Environment, RequestHandler> handlers) {
     this.environment = environment;
-    this.beliefs = beliefs;
+    this.knownState = knownState;
     this.callers =
         new CallerListener(
             environment.loop(),
@@ -93,13 +95,13 @@
   }
 
   private StatusListener.Status readiness() {
-    boolean ready = beliefs.complete() && !stopping;
+    boolean ready = knownState.complete() && !stopping;
     if (ready != toldReady) {
       toldReady = ready;
       environment
           .log()
           .belief(ready ? "ready" : "not_ready")
-          .add("version", beliefs.routesVersion())
+          .add("version", knownState.routesVersion())
           .write();
     }
     return new StatusListener.Status(ready, ready ? "ready\n" : "not ready\n");
--- a/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.magnoliaswitch.front.load.ColdShare;
 import org.magnoliaswitch.front.load.Mechanisms;
-import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
 
 /**
  * What one instance is told at its start.
@@ -35,7 +35,7 @@
     boolean firstStart,
     int metricsPort,
     long graceNanos,
-    RepeatBudget.Limits repeats,
+    SharedRetryBudget.Limits repeats,
     double probesPerServer,
     ColdShare.Bounds coldSends,
     Map<String, String> regions,
--- a/front/src/main/java/org/magnoliaswitch/front/process/Beliefs.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
@@ -13,7 +13,7 @@
  * <p>News may come late, twice, or from a peer that lags; only a higher version changes anything.
  * Safe for several threads.
  */
-public final class Beliefs {
+public final class KnownState {
   private final AtomicReference<RouteTable> routes;
   private final AtomicReference<ServerList> servers = new AtomicReference<>(ServerList.EMPTY);
   private final AtomicReference<Evacuations> evacuations =
@@ -22,7 +22,7 @@
   private final Loop loop;
   private final EventLog log;
 
-  public Beliefs(
+  public KnownState(
       AtomicReference<RouteTable> routes, ServerDirectory directory, Loop loop, EventLog log) {
     this.routes = routes;
     this.directory = directory;
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -29,7 +29,7 @@
   private static final long GATHER_MILLIS = 5;
 
   private final Environment environment;
-  private final Beliefs beliefs;
+  private final KnownState knownState;
   private final Loop loop;
   private final PeerHub hub;
   private final NewsReader reader;
@@ -40,9 +40,9 @@
   private final List<CrashReport> toReport = new ArrayList<>();
   private final List<CrashReport> toTell = new ArrayList<>();
 
-  public News(Environment environment, Beliefs beliefs, Loop control, NewsSource source) {
+  public News(Environment environment, KnownState knownState, Loop control, NewsSource source) {
     this.environment = environment;
-    this.beliefs = beliefs;
+    this.knownState = knownState;
     this.loop = control;
     FrontSettings settings = environment.settings();
     ReadingPlan plan =
@@ -54,7 +54,7 @@
     this.archive = new CrashArchive(source.crashes(), environment, control, this::hearsPeers);
     this.reader =
         new NewsReader(
-            source, beliefs, plan, control, environment, this::tell, this::hearsPeers, archive);
+            source, knownState, plan, control, environment, this::tell, this::hearsPeers, archive);
     this.hub =
         new PeerHub(
             control,
@@ -62,8 +62,8 @@
                 new PeerHub.Knowledge(
                     reader.ageMillis(),
                     environment.routes().get(),
-                    beliefs.evacuations(),
-                    beliefs.servers(),
+                    knownState.evacuations(),
+                    knownState.servers(),
                     environment.crashes().table()),
             reports -> environment.crashes().heard(reports, CrashWatch.Source.LISTENER));
   }
@@ -89,13 +89,13 @@
     environment.crashes().coordinateTrials(this::heardByOthers);
     loop.everyMillis(FORGET_MILLIS, environment.crashes()::forgetOutdated);
     reader.start();
-    environment.metrics().gauge("configuration.version", beliefs::routesVersion);
+    environment.metrics().gauge("configuration.version", knownState::routesVersion);
     environment.metrics().gauge("knowledge.age.milliseconds", reader::ageMillis);
     environment.metrics().gauge("instances", () -> environment.instances().count());
     environment
         .metrics()
-        .gauge("evacuated.data.centres", () -> beliefs.evacuations().dataCentres().size());
-    environment.metrics().gauge("servers", () -> beliefs.servers().servers().size());
+        .gauge("evacuated.data.centres", () -> knownState.evacuations().dataCentres().size());
+    environment.metrics().gauge("servers", () -> knownState.servers().servers().size());
   }
 
   /**
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -28,7 +28,7 @@
   private static final long MIN_CHECK_MILLIS = 20;
 
   private final NewsSource source;
-  private final Beliefs beliefs;
+  private final KnownState knownState;
   private final ReadingPlan plan;
   private final Loop loop;
   private final Environment environment;
@@ -53,7 +53,7 @@
    */
   public NewsReader(
       NewsSource source,
-      Beliefs beliefs,
+      KnownState knownState,
       ReadingPlan plan,
       Loop loop,
       Environment environment,
@@ -61,7 +61,7 @@
       BooleanSupplier hearsPeers,
       CrashArchive archive) {
     this.source = source;
-    this.beliefs = beliefs;
+    this.knownState = knownState;
     this.plan = plan;
     this.loop = loop;
     this.environment = environment;
@@ -88,9 +88,9 @@
   public void heard(PeerNews news, ServerList servers) {
     long now = clocks.nanos();
     offer(new OperatorState(news.routes().orElse(RouteTable.EMPTY), news.evacuations()), "peer");
-    if (servers.version() > beliefs.servers().version()) {
+    if (servers.version() > knownState.servers().version()) {
       keeper.adopt(servers, now);
-      beliefs.offer(servers);
+      knownState.offer(servers);
     }
     if (servers.known() && news.evacuations().known()) {
       freshness.confirmed(now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis()));
@@ -99,8 +99,8 @@
 
   /** Evacuations go first: a request that finds its route must not find an evacuated server. */
   private void offer(OperatorState state, String told) {
-    boolean evacuationsChanged = beliefs.offer(state.evacuations(), told);
-    boolean routesChanged = beliefs.offer(state.routes(), told);
+    boolean evacuationsChanged = knownState.offer(state.evacuations(), told);
+    boolean routesChanged = knownState.offer(state.routes(), told);
     if (evacuationsChanged || routesChanged) {
       changed.run();
     }
@@ -168,10 +168,10 @@
     switch (read) {
       case NewsSource.Read.Known<ServerList> known -> {
         if (sourceLost) {
-          log.belief("source_regained").add("version", beliefs.routesVersion()).write();
+          log.belief("source_regained").add("version", knownState.routesVersion()).write();
           sourceLost = false;
         }
-        beliefs.offer(keeper.read(known.value(), clocks.nanos()));
+        knownState.offer(keeper.read(known.value(), clocks.nanos()));
         freshness.confirmed(asOf);
         changed.run();
         archive.read();
@@ -196,7 +196,7 @@
           .write();
     }
     sourceLost = true;
-    long wait = plan.retryMillis(beliefs.complete(), hearsPeers.getAsBoolean());
+    long wait = plan.retryMillis(knownState.complete(), hearsPeers.getAsBoolean());
     loop.afterMillis(wait + random.nextLong(RETRY_SPAN_MILLIS), this::check);
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
@@ -4,21 +4,21 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.magnoliaswitch.front.load.PartPicker;
-import org.magnoliaswitch.front.load.RepeatBudget;
 import org.magnoliaswitch.front.load.ServiceLoad;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
 import org.magnoliaswitch.front.version.Route;
 
 /** What outlives a configuration version for each route and service; used by one thread only. */
 public final class RouteState {
   private final RandomGenerator random;
-  private final RepeatBudget.Limits repeatLimits;
+  private final SharedRetryBudget.Limits repeatLimits;
   private final Map<String, PartPicker> pickers = new HashMap<>();
   private final Map<String, LatencyBaseline> baselines = new HashMap<>();
-  private final Map<String, RepeatBudget> budgets = new HashMap<>();
+  private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final Map<String, Long> patience = new HashMap<>();
   private final Map<String, ServiceLoad> loads = new HashMap<>();
 
-  public RouteState(RandomGenerator random, RepeatBudget.Limits repeatLimits) {
+  public RouteState(RandomGenerator random, SharedRetryBudget.Limits repeatLimits) {
     this.random = random;
     this.repeatLimits = repeatLimits;
   }
@@ -52,8 +52,8 @@
   }
 
   /** Budget of further sends to a service. */
-  public RepeatBudget budget(String service) {
+  public SharedRetryBudget budget(String service) {
     return budgets.computeIfAbsent(
-        service, name -> new RepeatBudget(repeatLimits, random.nextDouble()));
+        service, name -> new SharedRetryBudget(repeatLimits, random.nextDouble()));
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -8,8 +8,8 @@
 import org.magnoliaswitch.front.connection.CallerAnswer;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.connection.RequestHandler;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.RetryAfter;
-import org.magnoliaswitch.front.load.WaitingLine;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
 
@@ -25,7 +25,7 @@
 
   private final Environment environment;
   private final ServerFinder finder;
-  private final WaitingLine<Placing> line;
+  private final PendingQueue<Placing> pending;
   private final CallerRequest request;
   private final Consumer<CallerAnswer> answer;
   private final RequestReport report;
@@ -35,12 +35,12 @@
   Exchange(
       Environment environment,
       ServerFinder finder,
-      WaitingLine<Placing> line,
+      PendingQueue<Placing> pending,
       CallerRequest request,
       Consumer<CallerAnswer> answer) {
     this.environment = environment;
     this.finder = finder;
-    this.line = line;
+    this.pending = pending;
     this.request = request;
     this.answer = answer;
     String requestId = request.headers().get(environment.names().requestId(), "");
@@ -59,7 +59,7 @@
       return;
     }
     RoutedExchange begun =
-        new RoutedExchange(environment, finder, line, request, found.get(), report, answer);
+        new RoutedExchange(environment, finder, pending, request, found.get(), report, answer);
     routed = Optional.of(begun);
     begun.start();
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -9,7 +9,7 @@
 import org.magnoliaswitch.front.connection.CallerAnswer;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.connection.RequestHandler;
-import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
 
@@ -17,12 +17,12 @@
 public final class FrontDispatcher implements RequestHandler {
   private final Environment environment;
   private final ServerSearch search;
-  private final WaitingLine<Placing> line;
+  private final PendingQueue<Placing> pending;
   private final Set<Exchange> underWay = new HashSet<>();
 
   public FrontDispatcher(Environment environment) {
     this.environment = environment;
-    this.line = new WaitingLine<>(environment.settings().mechanisms());
+    this.pending = new PendingQueue<>(environment.settings().mechanisms());
     this.search = new ServerSearch(environment, new Probes(environment));
     environment.crashes().listen(lesson -> environment.loop().execute(this::crashesChanged));
   }
@@ -54,7 +54,7 @@
           new Exchange(
               environment,
               search,
-              line,
+              pending,
               request,
               given -> {
                 ended();
--- a/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FurtherSends.java
@@ -4,7 +4,7 @@
 import org.magnoliaswitch.core.process.RequestCrashes;
 import org.magnoliaswitch.front.load.Fallback;
 import org.magnoliaswitch.front.load.Mechanism;
-import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
 
@@ -79,7 +79,7 @@
     if (times.leftNanos() <= 0) {
       return Optional.of("no_time");
     }
-    RepeatBudget budget = environment.routeState().budget(service);
+    SharedRetryBudget budget = environment.routeState().budget(service);
     long now = environment.clocks().nanos();
     if (budget.spend(fallback, environment.instances().count(), now)) {
       return Optional.empty();
--- a/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -6,18 +6,18 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.magnoliaswitch.core.crash.Verdict;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.load.WaitLimit;
-import org.magnoliaswitch.front.load.WaitingLine;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.Route;
 
 /** Finds servers for one request, and lets it wait in line while all of them are busy. */
-final class Placing implements WaitingLine.Entry {
+final class Placing implements PendingQueue.Entry {
   /** Time between two looks for room while nothing is heard from servers. */
   private static final long LOOK_AGAIN_MILLIS = 12;
 
@@ -41,7 +41,7 @@
 
   private final Loop loop;
   private final ServerFinder finder;
-  private final WaitingLine<Placing> line;
+  private final PendingQueue<Placing> pending;
   private final Mechanisms mechanisms;
   private final Route route;
   private final String service;
@@ -51,13 +51,13 @@
   private final Set<String> tried = new HashSet<>();
   private int searches;
   private boolean sought;
-  private boolean inLine;
-  private Chance chanceInLine = Chance.IN_TIME;
+  private boolean queued;
+  private Timeliness queuedTimeliness = Timeliness.IN_TIME;
 
   Placing(
       Loop loop,
       ServerFinder finder,
-      WaitingLine<Placing> line,
+      PendingQueue<Placing> pending,
       Mechanisms mechanisms,
       Route route,
       String service,
@@ -66,7 +66,7 @@
       Owner owner) {
     this.loop = loop;
     this.finder = finder;
-    this.line = line;
+    this.pending = pending;
     this.mechanisms = mechanisms;
     this.route = route;
     this.service = service;
@@ -104,24 +104,24 @@
 
   /** Sends the request to a server; searches under way come to nothing. */
   void take(ServerState server) {
-    leaveLine();
+    leaveQueue();
     searches++;
     tried.add(server.entry().id());
     owner.send(server);
   }
 
   /** Ends the wait, if there is one. */
-  void leaveLine() {
-    if (inLine) {
-      inLine = false;
-      line.remove(service, this);
+  void leaveQueue() {
+    if (queued) {
+      queued = false;
+      pending.remove(service, this);
     }
   }
 
   /** A server's answer has told of room there: the first in line may take it. */
   void offerRoom(ServerState server) {
-    Optional<Placing> first = line.first(service);
-    if (first.isPresent() && finder.suits(server, first.get().wanted())) {
+    Optional<Placing> first = pending.first(service);
+    if (first.isPresent() && finder.suits(server, first.get().query())) {
       // Deferred, so that the connection that brought the answer is back in its pool.
       loop.execute(() -> first.get().offered(server));
     }
@@ -129,7 +129,7 @@
 
   /** Takes room that was offered, unless the request has gone elsewhere since. */
   void offered(ServerState server) {
-    if (inLine && !tried.contains(server.entry().id()) && server.acceptsWork()) {
+    if (queued && !tried.contains(server.entry().id()) && server.acceptsWork()) {
       take(server);
     }
   }
@@ -138,7 +138,7 @@
     searches++;
     int asked = searches;
     finder.search(
-        wanted(),
+        query(),
         tried,
         result -> {
           // While a search waits for health checks, an answer may have offered room: the request
@@ -149,16 +149,17 @@
         });
   }
 
-  private Wanted wanted() {
-    Chance chance = times.chance();
-    long allowed = chance == Chance.IN_TIME ? times.objectiveLeftNanos() : times.leftNanos();
-    return new Wanted(route, service, chance, allowed);
+  private ServerQuery query() {
+    Timeliness timeliness = times.timeliness();
+    long allowed =
+        timeliness == Timeliness.IN_TIME ? times.objectiveLeftNanos() : times.leftNanos();
+    return new ServerQuery(route, service, timeliness, allowed);
   }
 
   private void found(ServerFinder.Result result) {
     if (!sought) {
       sought = true;
-      finder.sought(service, times.chance(), result instanceof ServerFinder.Result.Chosen);
+      finder.sought(service, times.timeliness(), result instanceof ServerFinder.Result.Chosen);
     }
     switch (result) {
       case ServerFinder.Result.Chosen chosen -> take(chosen.server());
@@ -170,30 +171,30 @@
   private void waitForRoom() {
     double limit =
         WaitLimit.nanos(
-            times.chance(), times.usualNanos(), route.objectiveNanos(), times.patienceNanos());
+            times.timeliness(), times.usualNanos(), route.objectiveNanos(), times.patienceNanos());
     if (times.waitedNanos() > limit || !mechanisms.on(Mechanism.WAITING)) {
       owner.giveUp("no_room", RetryAfter.Cause.BUSY);
       return;
     }
-    if (!inLine) {
-      inLine = true;
-      chanceInLine = times.chance();
-      line.add(service, this);
-      report.waits(service, times, limit, line.size(service));
+    if (!queued) {
+      queued = true;
+      queuedTimeliness = times.timeliness();
+      pending.add(service, this);
+      report.waits(service, times, limit, pending.size(service));
     }
     int current = searches;
     loop.afterMillis(LOOK_AGAIN_MILLIS, () -> lookAgain(current));
   }
 
   private void lookAgain(int asked) {
-    if (inLine && asked == searches) {
+    if (queued && asked == searches) {
       place();
     }
   }
 
   @Override
-  public Chance chanceInLine() {
-    return chanceInLine;
+  public Timeliness queuedTimeliness() {
+    return queuedTimeliness;
   }
 
   @Override
--- a/front/src/main/java/org/magnoliaswitch/front/request/KnownFate.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestFate.java
@@ -6,7 +6,7 @@
 import org.magnoliaswitch.front.connection.CallerAnswer;
 
 /** What earlier sends have made known of a request that gets no answer of success. */
-final class KnownFate {
+final class RequestFate {
   private boolean perhapsRun;
   private @Nullable CallerAnswer serverFailure;
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -69,7 +69,7 @@
         .add("service", service)
         .add("servers", environment.servers().of(service).size())
         .addDecimal("mean_held", environment.routeState().load(service).meanHeld())
-        .add("chance", times.chance().name().toLowerCase(Locale.ROOT))
+        .add("chance", times.timeliness().name().toLowerCase(Locale.ROOT))
         .add("in_line", inLine)
         .add("limit_ms", (long) limitNanos / NANOS_PER_MILLI)
         .add("left_ms", millis(times.leftNanos()))
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
@@ -2,8 +2,8 @@
 
 import java.util.OptionalLong;
 import org.magnoliaswitch.front.connection.CallerRequest;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Fallback;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
 
@@ -62,7 +62,7 @@
   }
 
   /** Whether the request can still be answered within its objective. */
-  Chance chance() {
-    return objectiveLeftNanos() < usualNanos() ? Chance.LATE : Chance.IN_TIME;
+  Timeliness timeliness() {
+    return objectiveLeftNanos() < usualNanos() ? Timeliness.LATE : Timeliness.IN_TIME;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -13,9 +13,9 @@
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.HedgeDelay;
 import org.magnoliaswitch.front.load.Mechanism;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.WaitingLine;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.LatencyBaseline;
@@ -48,14 +48,14 @@
   private final Optional<Hedge> hedge;
   private final Loop.Timer timer;
   private final List<Attempt> open = new ArrayList<>();
-  private final KnownFate fate = new KnownFate();
+  private final RequestFate fate = new RequestFate();
   private int unreachable;
   private boolean done;
 
   RoutedExchange(
       Environment environment,
       ServerFinder finder,
-      WaitingLine<Placing> line,
+      PendingQueue<Placing> pending,
       CallerRequest request,
       Route route,
       RequestReport report,
@@ -73,7 +73,7 @@
         new Placing(
             environment.loop(),
             finder,
-            line,
+            pending,
             environment.settings().mechanisms(),
             route,
             service,
@@ -103,7 +103,7 @@
       return;
     }
     done = true;
-    placing.leaveLine();
+    placing.leaveQueue();
     timer.cancel();
     // Work nobody waits for is cancelled only where a half-done run does no harm.
     if (route.idempotent()) {
@@ -326,7 +326,7 @@
       return;
     }
     done = true;
-    placing.leaveLine();
+    placing.leaveQueue();
     timer.cancel();
     reportEnd(outcome, result.status().code());
     answer.accept(result);
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
@@ -2,8 +2,8 @@
 
 import java.util.Set;
 import java.util.function.Consumer;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.Timeliness;
 
 /** Finds the server for a request. */
 interface ServerFinder {
@@ -24,11 +24,11 @@
    *
    * @param excluded ids of servers that the request was sent to before
    */
-  void search(Wanted wanted, Set<String> excluded, Consumer<Result> found);
+  void search(ServerQuery query, Set<String> excluded, Consumer<Result> found);
 
   /** Notes whether a request found room at its first search. */
-  void sought(String service, Chance chance, boolean found);
+  void sought(String service, Timeliness timeliness, boolean found);
 
   /** Whether a server should get the request now. */
-  boolean suits(ServerState server, Wanted wanted);
+  boolean suits(ServerState server, ServerQuery query);
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Wanted.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerQuery.java
@@ -1,6 +1,6 @@
 package org.magnoliaswitch.front.request;
 
-import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.version.Route;
 
 /**
@@ -8,7 +8,7 @@
  *
  * @param route how it is treated
  * @param service whose servers may get it
- * @param chance whether it can be in time
+ * @param timeliness whether it can be in time
  * @param allowedNanos time until an answer loses most of the value that it can still have
  */
-record Wanted(Route route, String service, Chance chance, long allowedNanos) {}
+record ServerQuery(Route route, String service, Timeliness timeliness, long allowedNanos) {}
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -6,13 +6,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.connection.ServerPool;
-import org.magnoliaswitch.front.load.Chance;
+import org.magnoliaswitch.front.load.AdmissionLimit;
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.Placement.Ranked;
 import org.magnoliaswitch.front.load.PlacementContext;
-import org.magnoliaswitch.front.load.Room;
 import org.magnoliaswitch.front.load.Selection;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.ServicePolicy;
 
@@ -30,33 +30,33 @@
   }
 
   @Override
-  public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
-    new Search(wanted, excluded, found).look(0);
+  public void search(ServerQuery query, Set<String> excluded, Consumer<Result> found) {
+    new Search(query, excluded, found).look(0);
   }
 
   /** One search: it asks servers in rounds until the best one is known well enough. */
   private final class Search {
-    private final Wanted wanted;
+    private final ServerQuery query;
     private final Set<String> excluded;
     private final Consumer<Result> found;
 
-    Search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
-      this.wanted = wanted;
+    Search(ServerQuery query, Set<String> excluded, Consumer<Result> found) {
+      this.query = query;
       this.excluded = excluded;
       this.found = found;
     }
 
     void look(int round) {
-      Optional<ServicePolicy> policy = environment.routes().get().service(wanted.service());
+      Optional<ServicePolicy> policy = environment.routes().get().service(query.service());
       if (round == 0 && policy.isPresent()) {
-        askUnknown(wanted, policy.get());
+        askUnknown(query, policy.get());
       }
-      List<Ranked> ranked = rank(wanted, excluded);
+      List<Ranked> ranked = rank(query, excluded);
       boolean askable = policy.isPresent();
-      Selection.Step step = Selection.next(ranked, context(wanted), round, askable);
+      Selection.Step step = Selection.next(ranked, context(query), round, askable);
       if (step instanceof Selection.Step.Ask ask && policy.isPresent()) {
         ask(ask.servers(), policy.get(), round + 1);
-      } else if (step instanceof Selection.Step.None && someRest(wanted, excluded)) {
+      } else if (step instanceof Selection.Step.None && someRest(query, excluded)) {
         found.accept(new Result.Full());
       } else {
         found.accept(result(step));
@@ -73,11 +73,11 @@
    * Asks servers that only count as cold for what they are, beside the search. A data centre that
    * was taken back warm would else stand idle for the whole warm-up.
    */
-  private void askUnknown(Wanted wanted, ServicePolicy policy) {
+  private void askUnknown(ServerQuery query, ServicePolicy policy) {
     long now = environment.clocks().nanos();
     List<ServerPool> unknown =
-        environment.servers().of(wanted.service()).stream()
-            .filter(pool -> mayGet(pool.state(), wanted) && pool.state().coldnessUnknown(now))
+        environment.servers().of(query.service()).stream()
+            .filter(pool -> mayGet(pool.state(), query) && pool.state().coldnessUnknown(now))
             .limit(UNKNOWN_ASKED)
             .toList();
     if (!unknown.isEmpty()) {
@@ -95,55 +95,55 @@
   }
 
   @Override
-  public void sought(String service, Chance chance, boolean found) {
-    if (chance == Chance.IN_TIME) {
+  public void sought(String service, Timeliness timeliness, boolean found) {
+    if (timeliness == Timeliness.IN_TIME) {
       environment.routeState().load(service).sought(found);
     }
   }
 
   @Override
-  public boolean suits(ServerState server, Wanted wanted) {
-    PlacementContext context = context(wanted);
-    return mayGet(server, wanted)
+  public boolean suits(ServerState server, ServerQuery query) {
+    PlacementContext context = context(query);
+    return mayGet(server, query)
         && environment.coldSends().allowed(server)
         && Placement.fits(server, context)
-        && (Room.hasRoom(server, context) || Room.mayFill(server, context));
+        && (AdmissionLimit.hasRoom(server, context) || AdmissionLimit.mayFill(server, context));
   }
 
-  private List<Ranked> rank(Wanted wanted, Set<String> excluded) {
+  private List<Ranked> rank(ServerQuery query, Set<String> excluded) {
     List<ServerState> eligible = new ArrayList<>();
-    for (ServerPool pool : environment.servers().of(wanted.service())) {
+    for (ServerPool pool : environment.servers().of(query.service())) {
       ServerState server = pool.state();
       boolean known = excluded.contains(server.entry().id());
-      if (!known && mayGet(server, wanted) && environment.coldSends().allowed(server)) {
+      if (!known && mayGet(server, query) && environment.coldSends().allowed(server)) {
         eligible.add(server);
       }
     }
-    return Placement.rank(eligible, context(wanted), environment.random());
+    return Placement.rank(eligible, context(query), environment.random());
   }
 
   /** Whether some server will take a request of this instance within a second, for it is cold. */
-  private boolean someRest(Wanted wanted, Set<String> excluded) {
-    return environment.servers().of(wanted.service()).stream()
+  private boolean someRest(ServerQuery query, Set<String> excluded) {
+    return environment.servers().of(query.service()).stream()
         .map(ServerPool::state)
         .anyMatch(
             server ->
                 !excluded.contains(server.entry().id())
-                    && mayGet(server, wanted)
+                    && mayGet(server, query)
                     && environment.coldSends().drawn(server));
   }
 
-  private boolean mayGet(ServerState server, Wanted wanted) {
+  private boolean mayGet(ServerState server, ServerQuery query) {
     String region = environment.settings().region(server.entry().dataCentre());
-    return server.acceptsWork() && wanted.route().allows(region);
+    return server.acceptsWork() && query.route().allows(region);
   }
 
-  private PlacementContext context(Wanted wanted) {
+  private PlacementContext context(ServerQuery query) {
     return new PlacementContext(
-        environment.routeState().baseline(wanted.route()).nanos(),
-        wanted.allowedNanos(),
-        wanted.chance(),
-        environment.routeState().load(wanted.service()),
+        environment.routeState().baseline(query.route()).nanos(),
+        query.allowedNanos(),
+        query.timeliness(),
+        environment.routeState().load(query.service()),
         environment.settings().dataCentre(),
         environment.settings().mechanisms(),
         environment.clocks().nanos());
--- a/front/src/test/java/org/magnoliaswitch/front/load/RoomTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/AdmissionLimitTest.java
@@ -8,7 +8,7 @@
 import org.testng.annotations.Test;
 
 /** Whether a server should get one more request. */
-public final class RoomTest {
+public final class AdmissionLimitTest {
   private static final long NOW = TimeUnit.SECONDS.toNanos(50);
 
   private static ServiceLoad service(int meanHeld) {
@@ -20,28 +20,28 @@
   }
 
   private static boolean hasRoom(
-      ServerState server, ServiceLoad service, Chance chance, long nowNanos) {
-    return Room.hasRoom(server, Servers.context(chance, service, nowNanos));
+      ServerState server, ServiceLoad service, Timeliness timeliness, long nowNanos) {
+    return AdmissionLimit.hasRoom(server, Servers.context(timeliness, service, nowNanos));
   }
 
   @DataProvider
   public Object[][] loads() {
     return new Object[][] {
-      {0, Chance.IN_TIME, true},
-      {3, Chance.IN_TIME, true},
-      {4, Chance.IN_TIME, false},
-      {6, Chance.IN_TIME, false},
-      {2, Chance.LATE, true},
-      {3, Chance.LATE, false},
+      {0, Timeliness.IN_TIME, true},
+      {3, Timeliness.IN_TIME, true},
+      {4, Timeliness.IN_TIME, false},
+      {6, Timeliness.IN_TIME, false},
+      {2, Timeliness.LATE, true},
+      {3, Timeliness.LATE, false},
     };
   }
 
   /** Six slots: in-time requests fill four of them, late ones three. */
   @Test(dataProvider = "loads")
   public void slotsAreFilledToTheKneeAndLateRequestsLeaveOneMore(
-      int running, Chance chance, boolean room) {
+      int running, Timeliness timeliness, boolean room) {
     ServerState server = Servers.told("a", running, 1, NOW);
-    assertEquals(hasRoom(server, service(running), chance, NOW), room);
+    assertEquals(hasRoom(server, service(running), timeliness, NOW), room);
   }
 
   /**
@@ -52,8 +52,8 @@
   public void oldNewsOfAnIdleServerDoNotCountOnABusyDay() {
     ServerState server = Servers.told("a", 0, 1, NOW);
     long later = NOW + TimeUnit.SECONDS.toNanos(1);
-    assertEquals(hasRoom(server, service(5), Chance.IN_TIME, later), false);
-    assertEquals(hasRoom(server, service(1), Chance.IN_TIME, later), true);
+    assertEquals(hasRoom(server, service(5), Timeliness.IN_TIME, later), false);
+    assertEquals(hasRoom(server, service(1), Timeliness.IN_TIME, later), true);
   }
 
   /**
@@ -64,9 +64,9 @@
   @Test
   public void aServerNotHeardOfYetGetsOneRequestAtATime() {
     ServerState server = new ServerState(Servers.entry("a", false), NOW);
-    assertEquals(hasRoom(server, service(0), Chance.IN_TIME, NOW), true);
+    assertEquals(hasRoom(server, service(0), Timeliness.IN_TIME, NOW), true);
     server.sent();
-    assertEquals(hasRoom(server, service(0), Chance.IN_TIME, NOW), false);
+    assertEquals(hasRoom(server, service(0), Timeliness.IN_TIME, NOW), false);
   }
 
   @Test
@@ -75,6 +75,6 @@
     server.sent();
     ServiceLoad silent = new ServiceLoad();
     silent.toldNothing();
-    assertEquals(hasRoom(server, silent, Chance.LATE, NOW), true);
+    assertEquals(hasRoom(server, silent, Timeliness.LATE, NOW), true);
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/load/LoadReplayTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/LoadReplayTest.java
@@ -144,7 +144,7 @@
       PlacementContext context = context(instance, now);
       return ranked.stream()
           .map(Ranked::server)
-          .filter(server -> Room.hasRoom(server, context))
+          .filter(server -> AdmissionLimit.hasRoom(server, context))
           .findFirst();
     }
 
@@ -154,7 +154,7 @@
 
     private PlacementContext context(int instance, long now) {
       return Servers.context(
-          WORK_MILLIS * 1e6, nanos(OBJECTIVE_MILLIS), Chance.IN_TIME, loads.get(instance), now);
+          WORK_MILLIS * 1e6, nanos(OBJECTIVE_MILLIS), Timeliness.IN_TIME, loads.get(instance), now);
     }
 
     private static long nanos(double millis) {
--- a/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/PlacementTest.java
@@ -30,7 +30,7 @@
   }
 
   private static PlacementContext context(long now) {
-    return Servers.context((double) EXPECTED, OBJECTIVE, Chance.IN_TIME, service(), now);
+    return Servers.context((double) EXPECTED, OBJECTIVE, Timeliness.IN_TIME, service(), now);
   }
 
   private String best(List<ServerState> servers, long now) {
@@ -133,7 +133,7 @@
       return Servers.context(
           usualMillis * 1e6,
           TimeUnit.MILLISECONDS.toNanos(allowedMillis),
-          Chance.IN_TIME,
+          Timeliness.IN_TIME,
           service(),
           NOW);
     }
--- a/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
@@ -16,7 +16,7 @@
   private static final long LONG_AGO = TimeUnit.SECONDS.toNanos(9);
 
   private static final PlacementContext CONTEXT =
-      Servers.context(Chance.IN_TIME, new ServiceLoad(), NOW);
+      Servers.context(Timeliness.IN_TIME, new ServiceLoad(), NOW);
 
   /** More rounds than a search has. */
   private static final int LAST_ROUND = 9;
--- a/front/src/test/java/org/magnoliaswitch/front/load/ServiceShapesTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ServiceShapesTest.java
@@ -46,7 +46,7 @@
   private static Selection.Step step(ServerState server, long work) {
     PlacementContext context =
         Servers.context(
-            (double) work, OBJECTIVE_FACTOR * work, Chance.IN_TIME, new ServiceLoad(), NOW);
+            (double) work, OBJECTIVE_FACTOR * work, Timeliness.IN_TIME, new ServiceLoad(), NOW);
     List<Ranked> ranked = Placement.rank(List.of(server), context, new Random(1));
     return Selection.next(ranked, context, 0, true);
   }
@@ -81,7 +81,10 @@
   public void aRequestWaitsOnlyWhileItCanBeInTime(int slots, long work) {
     double limit =
         WaitLimit.nanos(
-            Chance.IN_TIME, (double) work, OBJECTIVE_FACTOR * work, 2 * OBJECTIVE_FACTOR * work);
+            Timeliness.IN_TIME,
+            (double) work,
+            OBJECTIVE_FACTOR * work,
+            2 * OBJECTIVE_FACTOR * work);
     assertTrue(limit > 0 && limit + (double) work <= (double) (OBJECTIVE_FACTOR * work));
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/load/RepeatBudgetTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/SharedRetryBudgetTest.java
@@ -11,9 +11,10 @@
 import org.testng.annotations.Test;
 
 /** The share of further sends that one instance may make. */
-public final class RepeatBudgetTest {
+public final class SharedRetryBudgetTest {
   private static final long WINDOW = TimeUnit.SECONDS.toNanos(10);
-  private static final RepeatBudget.Limits LIMITS = new RepeatBudget.Limits(0.2, 62, WINDOW);
+  private static final SharedRetryBudget.Limits LIMITS =
+      new SharedRetryBudget.Limits(0.2, 62, WINDOW);
 
   @DataProvider
   public Object[][] instances() {
@@ -28,9 +29,9 @@
   @Test(dataProvider = "instances")
   public void theSumOverUnevenInstancesKeepsTheRule(int instances) {
     RandomGenerator random = new java.util.Random(instances);
-    RepeatBudget[] budgets = new RepeatBudget[instances];
+    SharedRetryBudget[] budgets = new SharedRetryBudget[instances];
     for (int i = 0; i < instances; i++) {
-      budgets[i] = new RepeatBudget(LIMITS, random.nextDouble());
+      budgets[i] = new SharedRetryBudget(LIMITS, random.nextDouble());
     }
     Deque<Long> requests = new ArrayDeque<>();
     Deque<Long> repeats = new ArrayDeque<>();
@@ -53,7 +54,7 @@
 
   @Test
   public void aQuietInstanceMayRepeatAfterItsWindow() {
-    RepeatBudget budget = new RepeatBudget(LIMITS, 0);
+    SharedRetryBudget budget = new SharedRetryBudget(LIMITS, 0);
     while (budget.spend(Fallback.NONE, 17, 0)) {
       assertTrue(true);
     }
@@ -67,7 +68,7 @@
    */
   @Test
   public void callersThatCanComeBackLeaveSomeForThoseThatCannot() {
-    RepeatBudget budget = new RepeatBudget(LIMITS, 0);
+    SharedRetryBudget budget = new SharedRetryBudget(LIMITS, 0);
     for (int i = 0; i < 500; i++) {
       budget.request(0);
     }
@@ -83,7 +84,8 @@
    */
   @Test
   public void aSingleRejectionIsSentAgainWhoeverItsCallerIs() {
-    RepeatBudget budget = new RepeatBudget(new RepeatBudget.Limits(0.2, 230, WINDOW), 0);
+    SharedRetryBudget budget =
+        new SharedRetryBudget(new SharedRetryBudget.Limits(0.2, 230, WINDOW), 0);
     for (int i = 0; i < 5; i++) {
       budget.request(0);
     }
@@ -99,10 +101,10 @@
   public void sharesThatAreNoWholeNumbersAddUp() {
     RandomGenerator random = new java.util.Random(3);
     int instances = 150;
-    RepeatBudget.Limits limits = new RepeatBudget.Limits(0.2, 150 * 2, WINDOW);
+    SharedRetryBudget.Limits limits = new SharedRetryBudget.Limits(0.2, 150 * 2, WINDOW);
     int sum = 0;
     for (int i = 0; i < instances; i++) {
-      RepeatBudget budget = new RepeatBudget(limits, random.nextDouble());
+      SharedRetryBudget budget = new SharedRetryBudget(limits, random.nextDouble());
       for (int request = 0; request < 28; request++) {
         budget.request(0);
       }
@@ -116,7 +118,7 @@
     assertTrue(Math.abs(sum - allowed) < 0.02 * allowed, sum + " of " + allowed);
   }
 
-  private static int spendAll(RepeatBudget budget, Fallback fallback) {
+  private static int spendAll(SharedRetryBudget budget, Fallback fallback) {
     int spent = 0;
     while (budget.spend(fallback, 17, 0)) {
       spent++;
--- a/front/src/test/java/org/magnoliaswitch/front/load/WaitLimitTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/WaitLimitTest.java
@@ -9,8 +9,8 @@
 public final class WaitLimitTest {
   @Test
   public void aRequestInTimeWaitsWhileItCanStillBeInTime() {
-    assertEquals(WaitLimit.nanos(Chance.IN_TIME, 100, 800, 100_000), 670.0);
-    assertEquals(WaitLimit.nanos(Chance.IN_TIME, 700, 800, 100_000), 100.0);
+    assertEquals(WaitLimit.nanos(Timeliness.IN_TIME, 100, 800, 100_000), 670.0);
+    assertEquals(WaitLimit.nanos(Timeliness.IN_TIME, 700, 800, 100_000), 100.0);
   }
 
   /**
@@ -19,12 +19,12 @@
   @Test
   public void aLateRequestWaitsLongerThanOneInTime() {
     assertTrue(
-        WaitLimit.nanos(Chance.LATE, 100, 300, 2_000)
-            > WaitLimit.nanos(Chance.IN_TIME, 100, 300, 2_000));
+        WaitLimit.nanos(Timeliness.LATE, 100, 300, 2_000)
+            > WaitLimit.nanos(Timeliness.IN_TIME, 100, 300, 2_000));
   }
 
   @Test
   public void aLateRequestNeverWaitsMostOfItsTime() {
-    assertTrue(WaitLimit.nanos(Chance.LATE, 100, 300, 2_000) <= 500);
+    assertTrue(WaitLimit.nanos(Timeliness.LATE, 100, 300, 2_000) <= 500);
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.RequestIdentity;
-import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.SuspicionLevel;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.testing.TestEnvironment;
 import org.testng.annotations.AfterClass;
@@ -133,7 +133,7 @@
     store.rows.add(now(ended("b")));
     store.rows.add(now(new CrashReport.Ended(REQUEST, "c", true)));
     onLoop(() -> archive.read());
-    assertEquals(environment.crashes().table().standing(REQUEST), Standing.CONFIRMED);
+    assertEquals(environment.crashes().table().standing(REQUEST), SuspicionLevel.CONFIRMED);
   }
 
   /** An operator removes the rows of a request, since its servers are mended. */
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -20,11 +20,11 @@
 import java.util.function.Consumer;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.RequestIdentity;
-import org.magnoliaswitch.core.crash.Standing;
+import org.magnoliaswitch.core.crash.SuspicionLevel;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.load.InstancePlace;
-import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
@@ -81,7 +81,7 @@
   /** The parts of an instance that learn, without callers. */
   private static final class Learner {
     private final Environment environment;
-    private final Beliefs beliefs;
+    private final KnownState knownState;
     private final Loop control = Loop.start();
 
     Learner(int peersPort, List<InetSocketAddress> seeds, Source source) {
@@ -89,7 +89,7 @@
       EventLog log = new EventLog(clocks);
       Loop requests = Loop.start();
       Random random = new Random(1);
-      RepeatBudget.Limits repeats = RepeatBudget.Limits.DEFAULT;
+      SharedRetryBudget.Limits repeats = SharedRetryBudget.Limits.DEFAULT;
       FrontSettings settings = TestEnvironment.settings(at(peersPort), seeds, repeats);
       AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
       InstanceCount instances = new InstanceCount(1, clocks);
@@ -117,12 +117,12 @@
               log,
               new FrontMetrics(),
               new CrashWatch(clocks));
-      beliefs = new Beliefs(environment.routes(), servers, requests, log);
-      new News(environment, beliefs, control, source).start();
+      knownState = new KnownState(environment.routes(), servers, requests, log);
+      new News(environment, knownState, control, source).start();
     }
 
     void awaitVersion(long version) {
-      while (beliefs.routesVersion() < version || beliefs.servers().version() < version) {
+      while (knownState.routesVersion() < version || knownState.servers().version() < version) {
         Thread.onSpinWait();
       }
     }
@@ -165,7 +165,7 @@
       seed.control.execute(
           () -> good.waits.removeFirst().accept(new NewsSource.Read.Known<>(declared(4))));
       alone.awaitVersion(4);
-      assertEquals(alone.beliefs.servers().servers().keySet(), Set.of("a", "b"));
+      assertEquals(alone.knownState.servers().servers().keySet(), Set.of("a", "b"));
       assertEquals(alone.environment.instances().count(), 2);
     }
 
@@ -191,10 +191,10 @@
         RequestIdentity request = new RequestIdentity(1, i);
         reporter.environment.crashes().ended(List.of(request), "a@0", false);
       }
-      while (other.environment.crashes().table().count(Standing.UNSUSPECTED) < count) {
+      while (other.environment.crashes().table().count(SuspicionLevel.UNSUSPECTED) < count) {
         Thread.onSpinWait();
       }
-      assertEquals(seed.environment.crashes().table().count(Standing.UNSUSPECTED), count);
+      assertEquals(seed.environment.crashes().table().count(SuspicionLevel.UNSUSPECTED), count);
       assertTrue(heard.get() < count / 2, heard + " messages");
     }
 
@@ -239,7 +239,7 @@
   /** Data centres that operators evacuate. */
   public static final class Evacuated {
     private static void await(Learner learner, String... dataCentres) {
-      while (!learner.beliefs.evacuations().dataCentres().equals(Set.of(dataCentres))) {
+      while (!learner.knownState.evacuations().dataCentres().equals(Set.of(dataCentres))) {
         Thread.onSpinWait();
       }
     }
@@ -275,8 +275,8 @@
     @Test
     public void anOlderReadTakesNothingBack() throws IOException {
       Learner learner = new Learner(freePort(), List.of(), new Source());
-      learner.beliefs.offer(evacuations(7, "here"), "test");
-      learner.beliefs.offer(evacuations(6), "test");
+      learner.knownState.offer(evacuations(7, "here"), "test");
+      learner.knownState.offer(evacuations(6), "test");
       await(learner, "here");
     }
 
@@ -284,11 +284,11 @@
     @Test
     public void withoutThemAnInstanceIsNotReady() throws IOException {
       Learner learner = new Learner(freePort(), List.of(), new Source());
-      learner.beliefs.offer(table(1), "test");
-      learner.beliefs.offer(new ServerList(1, Map.of()));
-      assertFalse(learner.beliefs.complete());
-      learner.beliefs.offer(evacuations(1), "test");
-      assertTrue(learner.beliefs.complete());
+      learner.knownState.offer(table(1), "test");
+      learner.knownState.offer(new ServerList(1, Map.of()));
+      assertFalse(learner.knownState.complete());
+      learner.knownState.offer(evacuations(1), "test");
+      assertTrue(learner.knownState.complete());
     }
   }
 
@@ -321,7 +321,7 @@
       while (source.reads.get() < before + 2) {
         Thread.onSpinWait();
       }
-      assertEquals(learner.beliefs.routesVersion(), 9);
+      assertEquals(learner.knownState.routesVersion(), 9);
     }
 
     @Test
--- a/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
@@ -15,10 +15,10 @@
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.connection.CallerAnswer;
 import org.magnoliaswitch.front.connection.CallerRequest;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.TestEnvironment;
@@ -50,7 +50,7 @@
   private record LateFinder(ServerState first, ServerState second, int[] searches, int fullSearches)
       implements ServerFinder {
     @Override
-    public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
+    public void search(ServerQuery wanted, Set<String> excluded, Consumer<Result> found) {
       int search = searches[0]++;
       if (search == 0) {
         found.accept(new Result.Chosen(first));
@@ -62,12 +62,12 @@
     }
 
     @Override
-    public void sought(String service, Chance chance, boolean found) {
+    public void sought(String service, Timeliness timeliness, boolean found) {
       // Nothing is learnt from one request.
     }
 
     @Override
-    public boolean suits(ServerState server, Wanted wanted) {
+    public boolean suits(ServerState server, ServerQuery wanted) {
       return false;
     }
   }
@@ -94,7 +94,7 @@
           new Exchange(
               environment,
               finder,
-              new WaitingLine<>(Mechanisms.ALL),
+              new PendingQueue<>(Mechanisms.ALL),
               request(environment),
               answers::add);
       environment.loop().execute(() -> exchange.start(() -> Optional.of(ROUTE)));
@@ -120,7 +120,7 @@
           new Exchange(
               environment,
               finder,
-              new WaitingLine<>(Mechanisms.ALL),
+              new PendingQueue<>(Mechanisms.ALL),
               request(environment),
               answers::add);
       environment.loop().execute(() -> exchange.start(() -> Optional.of(SHORT_ROUTE)));
--- a/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
@@ -14,10 +14,10 @@
 import java.util.function.Consumer;
 import org.magnoliaswitch.front.connection.CallerAnswer;
 import org.magnoliaswitch.front.connection.CallerRequest;
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.ServerState;
-import org.magnoliaswitch.front.load.WaitingLine;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.TestEnvironment;
@@ -37,18 +37,18 @@
     private final CountDownLatch second = new CountDownLatch(2);
 
     @Override
-    public void search(Wanted wanted, Set<String> excluded, Consumer<Result> found) {
+    public void search(ServerQuery wanted, Set<String> excluded, Consumer<Result> found) {
       searches.add(found);
       second.countDown();
     }
 
     @Override
-    public void sought(String service, Chance chance, boolean found) {
+    public void sought(String service, Timeliness timeliness, boolean found) {
       // Nothing is learnt from one request.
     }
 
     @Override
-    public boolean suits(ServerState server, Wanted wanted) {
+    public boolean suits(ServerState server, ServerQuery wanted) {
       return true;
     }
   }
@@ -76,8 +76,8 @@
               false,
               "127.0.0.1");
       Consumer<CallerAnswer> answer = given -> answered.countDown();
-      WaitingLine<Placing> line = new WaitingLine<>(Mechanisms.ALL);
-      Exchange exchange = new Exchange(environment, finder, line, request, answer);
+      PendingQueue<Placing> pending = new PendingQueue<>(Mechanisms.ALL);
+      Exchange exchange = new Exchange(environment, finder, pending, request, answer);
       environment
           .loop()
           .execute(
@@ -90,7 +90,7 @@
           .loop()
           .execute(
               () -> {
-                line.first("s").orElseThrow().offered(state);
+                pending.first("s").orElseThrow().offered(state);
                 finder.searches.getLast().accept(new ServerFinder.Result.Chosen(state));
               });
       answered.await();
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -18,7 +18,7 @@
 import org.magnoliaswitch.front.FrontProcess;
 import org.magnoliaswitch.front.load.ColdShare;
 import org.magnoliaswitch.front.load.Mechanisms;
-import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
 import org.magnoliaswitch.front.process.Front;
 import org.magnoliaswitch.front.process.FrontSettings;
 import org.magnoliaswitch.front.process.NewsSource;
@@ -45,8 +45,8 @@
           "Load",
           "Server-Id",
           "Warmup-Left");
-  private static final RepeatBudget.Limits REPEATS =
-      new RepeatBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
+  private static final SharedRetryBudget.Limits REPEATS =
+      new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
 
   private final Front front;
 
--- a/front/src/test/java/org/magnoliaswitch/front/testing/Servers.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/Servers.java
@@ -1,11 +1,11 @@
 package org.magnoliaswitch.front.testing;
 
-import org.magnoliaswitch.front.load.Chance;
 import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Mechanisms;
 import org.magnoliaswitch.front.load.PlacementContext;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.ServiceLoad;
+import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.version.ServerEntry;
 
 /** Backend servers for tests of decisions. */
@@ -35,15 +35,19 @@
   }
 
   /** The choice for a request of which nothing but this matters. */
-  public static PlacementContext context(Chance chance, ServiceLoad load, long nowNanos) {
-    return context(1, Long.MAX_VALUE, chance, load, nowNanos);
+  public static PlacementContext context(Timeliness timeliness, ServiceLoad load, long nowNanos) {
+    return context(1, Long.MAX_VALUE, timeliness, load, nowNanos);
   }
 
   /** The choice for a request at an instance in the servers' data centre. */
   public static PlacementContext context(
-      double expectedNanos, long allowedNanos, Chance chance, ServiceLoad load, long nowNanos) {
+      double expectedNanos,
+      long allowedNanos,
+      Timeliness timeliness,
+      ServiceLoad load,
+      long nowNanos) {
     return new PlacementContext(
-        expectedNanos, allowedNanos, chance, load, "here", Mechanisms.ALL, nowNanos);
+        expectedNanos, allowedNanos, timeliness, load, "here", Mechanisms.ALL, nowNanos);
   }
 
   /** A server that has told its load just now. */
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -12,7 +12,7 @@
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.load.ColdShare;
 import org.magnoliaswitch.front.load.Mechanisms;
-import org.magnoliaswitch.front.load.RepeatBudget;
+import org.magnoliaswitch.front.load.SharedRetryBudget;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.ColdSends;
 import org.magnoliaswitch.front.process.Environment;
@@ -72,13 +72,14 @@
   /** Settings of an instance without peers. */
   public static FrontSettings settings() {
     InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-    RepeatBudget.Limits repeats = new RepeatBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
+    SharedRetryBudget.Limits repeats =
+        new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
     return settings(any, List.of(), repeats);
   }
 
   /** Settings of an instance that listens to seeds. */
   public static FrontSettings settings(
-      InetSocketAddress peers, List<InetSocketAddress> seeds, RepeatBudget.Limits repeats) {
+      InetSocketAddress peers, List<InetSocketAddress> seeds, SharedRetryBudget.Limits repeats) {
     InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
     return new FrontSettings(
         "t",
