Log what servers ask for in their answers

Changed: three headers of an answer are read (leaving, limit of requests a second, Retry-After of a request that was turned away) and told once for each change: server_leaving, server_limit, server_limit_lifted, server_pause; metric magnolia_server_notices_total. No decision changes.

Tests: NoticeHeadersTest (values that are no number, Retry-After only of 429 and 503).

--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -19,6 +19,7 @@
 import org.magnoliaswitch.front.process.NewsSource;
 import org.magnoliaswitch.front.process.RouteState;
 import org.magnoliaswitch.front.process.ServerDirectory;
+import org.magnoliaswitch.front.process.ServerNotices;
 import org.magnoliaswitch.front.request.FrontDispatcher;
 import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -67,6 +68,7 @@
             new RouteState(random, settings.repeats()),
             instances,
             coldSends,
+            new ServerNotices(log, metrics),
             log,
             metrics,
             crashes);
--- a/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -18,6 +18,7 @@
  * @param routeState what outlives a configuration version
  * @param instances how many instances serve, as far as known
  * @param coldSends what may be sent to servers whose caches are cold
+ * @param notices what servers ask of their callers
  * @param crashes requests under which servers end
  */
 public record Environment(
@@ -31,6 +32,7 @@
     RouteState routeState,
     InstanceCount instances,
     ColdSends coldSends,
+    ServerNotices notices,
     EventLog log,
     FrontMetrics metrics,
     CrashWatch crashes) {}
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -231,6 +231,7 @@
   }
 
   private void whole(ServerReply.Whole whole) {
+    environment.notices().take(pool.state(), NoticeHeaders.read(whole, environment.names()));
     learnLoad(whole);
     int status = whole.status().code();
     if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -214,6 +214,7 @@
             .write();
         return;
       }
+      environment.notices().take(pool.state(), NoticeHeaders.read(whole, environment.names()));
       learnWarmup(whole.headers().get(environment.names().warmupLeft()));
       String load = whole.headers().get(environment.names().load());
       if (load == null) {
--- a/front/src/main/java/org/magnoliaswitch/front/version/HeaderNames.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/HeaderNames.java
@@ -10,6 +10,8 @@
  * @param load load report of a backend server
  * @param serverId id of the incarnation that answers a health check
  * @param warmupLeft milliseconds that the server which answers a health check stays cold
+ * @param leaving present on the answers of a server that leaves
+ * @param requestLimit requests a second that the answering server takes from all instances together
  */
 public record HeaderNames(
     String requestId,
@@ -18,4 +20,6 @@
     String notExecuted,
     String load,
     String serverId,
-    String warmupLeft) {}
+    String warmupLeft,
+    String leaving,
+    String requestLimit) {}
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -39,7 +39,8 @@
 
 /** How instances learn from the platform and from each other. */
 public final class NewsTest {
-  private static final HeaderNames NAMES = new HeaderNames("a", "b", "c", "d", "e", "f", "g");
+  private static final HeaderNames NAMES =
+      new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i");
 
   /** A platform whose answers a test sets. */
   private static final class Source implements NewsSource {
@@ -102,6 +103,7 @@
               settings,
               instances,
               coldSends);
+      FrontMetrics metrics = new FrontMetrics();
       environment =
           new Environment(
               settings,
@@ -114,8 +116,9 @@
               new RouteState(random, repeats),
               instances,
               coldSends,
+              new ServerNotices(log, metrics),
               log,
-              new FrontMetrics(),
+              metrics,
               new CrashWatch(clocks));
       knownState = new KnownState(environment.routes(), servers, requests, log);
       new News(environment, knownState, control, source).start();
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
@@ -33,7 +33,8 @@
 
 /** Which servers get work as lists come in. */
 public final class ServerDirectoryTest {
-  private static final HeaderNames NAMES = new HeaderNames("a", "b", "c", "d", "e", "f", "g");
+  private static final HeaderNames NAMES =
+      new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i");
 
   private static ServerDirectory directory() {
     return directory(Clocks.system(), Warmup.UNLIMITED);
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -44,7 +44,9 @@
           "Not-Run",
           "Load",
           "Server-Id",
-          "Warmup-Left");
+          "Warmup-Left",
+          "Leaving",
+          "Request-Limit");
   private static final SharedRetryBudget.Limits REPEATS =
       new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
 
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -22,6 +22,7 @@
 import org.magnoliaswitch.front.process.InstanceCount;
 import org.magnoliaswitch.front.process.RouteState;
 import org.magnoliaswitch.front.process.ServerDirectory;
+import org.magnoliaswitch.front.process.ServerNotices;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.Route;
@@ -44,9 +45,19 @@
   public static Environment unknowing() {
     Clocks clocks = Clocks.system();
     EventLog log = new EventLog(clocks);
+    FrontMetrics metrics = new FrontMetrics();
     Loop loop = Loop.start();
     HeaderNames names =
-        new HeaderNames("Request-Id", "D", "E", "Not-Run", "Load", "Server-Id", "Warmup-Left");
+        new HeaderNames(
+            "Request-Id",
+            "D",
+            "E",
+            "Not-Run",
+            "Load",
+            "Server-Id",
+            "Warmup-Left",
+            "Leaving",
+            "Request-Limit");
     Random random = new Random(1);
     FrontSettings settings = settings();
     AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
@@ -64,8 +75,9 @@
         new RouteState(random, settings.repeats()),
         instances,
         coldSends,
+        new ServerNotices(log, metrics),
         log,
-        new FrontMetrics(),
+        metrics,
         new CrashWatch(clocks));
   }
 
