Failing test: a server in need gets the load of all instances

What callers and operators saw: two servers of a read service named a limit of about five requests a second, and got 8 to 20 in single seconds afterwards; more than half as much again as they had asked for.

The test brings it about: three instances, two servers, one of which names one request a second in each answer and looks idle. The log has event=server_limit once at each of the three instances, so each of them had read the limit before its second request: what is missing is anything that heeds it.

--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
@@ -0,0 +1,70 @@
+package org.magnoliaswitch.front.request;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.testing.RunningFront;
+import org.magnoliaswitch.front.testing.ScriptedServer;
+import org.testng.annotations.Test;
+
+/** A server in need names the requests a second that it takes from all instances together. */
+public final class LimitedServerTest {
+  private static final double LIMIT_PER_SECOND = 1;
+  private static final long SPAN_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** What the server bears in any such span: half as much again and five requests. */
+  private static final long MOST_IN_SPAN = (long) (1.5 * 4 * LIMIT_PER_SECOND) + 5;
+
+  private static final int INSTANCES = 3;
+  private static final int REQUESTS = 300;
+
+  private final Clocks clocks = Clocks.system();
+  private final List<Long> arrivals = new CopyOnWriteArrayList<>();
+
+  private boolean limited(ScriptedServer.Received request) throws IOException {
+    if (!request.line().contains("/health")) {
+      arrivals.add(clocks.nanos());
+    }
+    return answer(request, "Request-Limit: %s\r\nLoad: 0,0,6,100\r\n".formatted(LIMIT_PER_SECOND));
+  }
+
+  private static boolean half(ScriptedServer.Received request) throws IOException {
+    return answer(request, "Load: 3,0,6,100\r\n");
+  }
+
+  private static boolean answer(ScriptedServer.Received request, String headers)
+      throws IOException {
+    request.write(
+        "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+            .formatted(request.header("Request-Id"), headers));
+    return true;
+  }
+
+  private long mostInASpan() {
+    long most = 0;
+    for (long first : arrivals) {
+      long end = first + SPAN_NANOS;
+      most = Math.max(most, arrivals.stream().filter(at -> at >= first && at < end).count());
+    }
+    return most;
+  }
+
+  /** Guards against a server in need that gets the load of all instances because it looks idle. */
+  @Test
+  public void allInstancesTogetherKeepTheLimitOfAServer() throws IOException {
+    try (ScriptedServer limited = new ScriptedServer("a", this::limited);
+        ScriptedServer other = new ScriptedServer("b", LimitedServerTest::half)) {
+      List<RunningFront> fronts = RunningFront.group(INSTANCES, 10_000, limited, other);
+      for (int i = 0; i < REQUESTS; i++) {
+        String answer = fronts.get(i % INSTANCES).ask("GET", "/safe/" + i, 10_000);
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+      }
+      assertTrue(mostInASpan() <= MOST_IN_SPAN, mostInASpan() + " in a span");
+      fronts.forEach(front -> front.stop(() -> {}));
+    }
+  }
+}
