Keep the request limits that servers name

Cause: nothing heeded the limit. Class: a server's word in an answer that no decision reads; a server in need looks idle by its load report and even attracts requests.

Change: Backpressure holds what an incarnation asked for; RateLimitShare works out an instance's part of a limit over any four seconds; SendQuotas decides for every place that sends, beside cold servers: ranking, offers to waiting requests, further sends and hedges, and once more right before a request is written. The draw of senders moved out of ColdShare (SenderDraw), which two limits now use. When nothing but limited servers is left, a request that they cannot take in time is refused at once.

--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -18,6 +18,7 @@
 import org.magnoliaswitch.front.process.News;
 import org.magnoliaswitch.front.process.NewsSource;
 import org.magnoliaswitch.front.process.RouteState;
+import org.magnoliaswitch.front.process.SendQuotas;
 import org.magnoliaswitch.front.process.ServerDirectory;
 import org.magnoliaswitch.front.process.ServerNotices;
 import org.magnoliaswitch.front.request.FrontDispatcher;
@@ -67,8 +68,8 @@
             servers,
             new RouteState(random, settings.repeats()),
             instances,
-            coldSends,
-            new ServerNotices(log, metrics),
+            new SendQuotas(settings, clocks, instances, coldSends, servers::part),
+            new ServerNotices(clocks, log, metrics),
             log,
             metrics,
             crashes);
--- a/front/src/main/java/org/magnoliaswitch/front/load/ColdShare.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ColdShare.java
@@ -15,9 +15,7 @@
  * pass it by. A bucket of a fraction of a request a second would not do: every instance starts with
  * the same right to a first request, and all use it at once.
  *
- * <p>Who sends is drawn for each server's incarnation. An instance that has a place among all of
- * them draws an exact number of senders. One without hashes its name, and so few are drawn on
- * average that a draw of more than the bound is most unlikely; most of the bound is not used then.
+ * <p>Who sends is drawn for each server's incarnation ({@link SenderDraw}).
  *
  * @param mostPerSecond sends of this instance to the server in any second; 0 if it may not send
  */
@@ -25,18 +23,6 @@
   /** Part of the slack that is planned with; the rest covers a wrong count of instances. */
   private static final double SLACK_SHARE = 0.5;
 
-  /**
-   * Part of the planned senders that places draw. While a seed ends, some instances have their
-   * places from it and others from the next one: the two draws of a server add up.
-   */
-  private static final double PLACED_SHARE = 0.75;
-
-  /** Standard deviations of the number of drawn instances that lie below the bound. */
-  private static final double DRAW_MARGIN = 3;
-
-  /** An instance that knows of no other may just not have heard of it. */
-  private static final int LEAST_SHARERS = 2;
-
   /** No limit at all. */
   private static final ColdShare UNLIMITED = new ColdShare(Integer.MAX_VALUE);
 
@@ -75,29 +61,10 @@
       return UNLIMITED;
     }
     double planned = bounds.plannedPerSecond(warmup);
-    int sharers = Math.max(LEAST_SHARERS, instances);
-    if (sharers <= planned) {
-      return new ColdShare((int) (planned / sharers));
+    SenderDraw draw = new SenderDraw(instance, incarnation, instances, place);
+    if (draw.sharers() <= planned) {
+      return new ColdShare((int) (planned / draw.sharers()));
     }
-    boolean drawn =
-        place
-            .map(known -> known.drawn(incarnation, placedSenders(planned)))
-            .orElseGet(() -> draw(instance, incarnation) < meanSenders(planned) / sharers);
-    return new ColdShare(drawn ? 1 : 0);
-  }
-
-  private static int placedSenders(double planned) {
-    return (int) Math.max(Math.min(1, planned), PLACED_SHARE * planned);
-  }
-
-  /** Mean number of senders at which the planned sum lies the margin above it. */
-  private static double meanSenders(double planned) {
-    double root = (Math.sqrt(DRAW_MARGIN * DRAW_MARGIN + 4 * planned) - DRAW_MARGIN) / 2;
-    return root * root;
-  }
-
-  /** A number from 0 to 1 that depends on both names only. */
-  private static double draw(String instance, String incarnation) {
-    return (NameHash.of(instance, incarnation) >>> 11) * 0x1.0p-53;
+    return new ColdShare(draw.drawn(planned) ? 1 : 0);
   }
 }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RateLimitShare.java
@@ -0,0 +1,42 @@
+package org.magnoliaswitch.front.load;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How much one instance may send to one server that limits the requests a second that it takes from
+ * all instances together; pure.
+ *
+ * <p>Load pattern: a server in need names a rate far below what it gets. Every instance learns of
+ * it with the next answer, has callers for the server all the time, and does not see what others
+ * send there; it looks idle and would get even more.
+ *
+ * <p>The limit is kept over a span of some seconds, since most instances would have no part of a
+ * second's requests. Each instance gets an even part of the span's requests. What is left of the
+ * division goes to instances that are drawn for the server, one request each.
+ *
+ * @param mostInSpan sends of this instance to the server in any span of {@link #SPAN_NANOS}
+ */
+public record RateLimitShare(int mostInSpan) {
+  /** Span over which the limit is kept. */
+  public static final long SPAN_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  /** Hashing puts more instances on one server than on others. */
+  private static final double PART_MARGIN = 1.6;
+
+  /**
+   * The share of one instance.
+   *
+   * @param perSecond requests a second that the server takes from all instances
+   * @param part share of the service's servers that each instance sends to
+   */
+  public static RateLimitShare of(double perSecond, SenderDraw draw, double part) {
+    double planned = perSecond * SPAN_NANOS / NANOS_PER_SECOND;
+    double senders = Math.max(1, draw.sharers() * Math.min(1, PART_MARGIN * part));
+    double even = planned / senders;
+    int whole = (int) even;
+    boolean oneMore = draw.drawn((even - whole) * draw.sharers());
+    return new RateLimitShare(whole + (oneMore ? 1 : 0));
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -41,6 +41,11 @@
    */
   private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** A time that never comes. */
+  public static final long NEVER = Long.MAX_VALUE;
+
+  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private ServerEntry entry;
   private long coldUntilNanos;
   private int inFlight;
@@ -58,7 +63,8 @@
   private boolean gone;
   private boolean evacuated;
   private boolean coldnessTold = true;
-  private final SendWindow written = new SendWindow();
+  private final SendWindow written = new SendWindow(RateLimitShare.SPAN_NANOS);
+  private final Backpressure backpressure = new Backpressure();
 
   public ServerState(ServerEntry entry, long nowNanos) {
     this.entry = entry;
@@ -108,7 +114,19 @@
 
   /** Whether it is warm, or got less in the last second than a share allows. */
   public boolean bears(ColdShare share, long nowNanos) {
-    return !cold(nowNanos) || written.size(nowNanos) < share.mostPerSecond();
+    return !cold(nowNanos) || written.size(SECOND_NANOS, nowNanos) < share.mostPerSecond();
+  }
+
+  /** Time until it may get a request as far as a share of its rate limit decides it; 0 for now. */
+  public long waitNanos(RateLimitShare share, long nowNanos) {
+    return share.mostInSpan() == 0
+        ? NEVER
+        : written.untilFewerThan(share.mostInSpan(), RateLimitShare.SPAN_NANOS, nowNanos);
+  }
+
+  /** What it asks of its callers. */
+  public Backpressure backpressure() {
+    return backpressure;
   }
 
   /** Sets whether its data centre is evacuated. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -17,7 +17,7 @@
  * @param servers backend servers
  * @param routeState what outlives a configuration version
  * @param instances how many instances serve, as far as known
- * @param coldSends what may be sent to servers whose caches are cold
+ * @param quotas what may be sent to servers that take few requests
  * @param notices what servers ask of their callers
  * @param crashes requests under which servers end
  */
@@ -31,7 +31,7 @@
     ServerDirectory servers,
     RouteState routeState,
     InstanceCount instances,
-    ColdSends coldSends,
+    SendQuotas quotas,
     ServerNotices notices,
     EventLog log,
     FrontMetrics metrics,
--- a/front/src/main/java/org/magnoliaswitch/front/process/InstanceCount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/InstanceCount.java
@@ -59,6 +59,11 @@
 
   /** Whether there was time to find the others. */
   public boolean settled() {
-    return clocks.nanos() - startedNanos >= SETTLE_NANOS;
+    return settlesInNanos() == 0;
+  }
+
+  /** Time until the others should have been found; 0 if there was enough. */
+  long settlesInNanos() {
+    return Math.max(0, startedNanos + SETTLE_NANOS - clocks.nanos());
   }
 }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SendQuotas.java
@@ -0,0 +1,113 @@
+package org.magnoliaswitch.front.process;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.load.InstancePlace;
+import org.magnoliaswitch.front.load.RateLimitShare;
+import org.magnoliaswitch.front.load.SenderDraw;
+import org.magnoliaswitch.front.load.ServerState;
+
+/**
+ * What this instance may send to servers that take fewer requests than they could run: while their
+ * caches are cold, or because they asked for it; used by one thread.
+ */
+public final class SendQuotas {
+  /**
+   * After this time without a word of its server a limit is put to the test with one request, or an
+   * instance without a share would never hear that it has ended.
+   */
+  private static final long LIMIT_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  private static final RateLimitShare TRIAL = new RateLimitShare(1);
+
+  /** Shares kept: a share is looked up in each search, and takes a while to work out. */
+  private static final int MOST_SHARES = 2_000;
+
+  private final FrontSettings settings;
+  private final Clocks clocks;
+  private final InstanceCount instances;
+  private final ColdSends coldSends;
+  private final ToDoubleFunction<String> part;
+  private final Map<Limit, RateLimitShare> shares = new HashMap<>();
+  private Basis basis = new Basis(0, Optional.empty());
+
+  /** What all shares are worked out from. */
+  private record Basis(int instances, Optional<InstancePlace> place) {}
+
+  /** What the share of one server is worked out from besides. */
+  private record Limit(String incarnation, double perSecond, double part) {}
+
+  /**
+   * Creates one without limits.
+   *
+   * @param part share of a service's servers that each instance sends to
+   */
+  public SendQuotas(
+      FrontSettings settings,
+      Clocks clocks,
+      InstanceCount instances,
+      ColdSends coldSends,
+      ToDoubleFunction<String> part) {
+    this.settings = settings;
+    this.clocks = clocks;
+    this.instances = instances;
+    this.coldSends = coldSends;
+    this.part = part;
+  }
+
+  /** Whether a request may be sent to a server now. */
+  public boolean allowed(ServerState server) {
+    return coldSends.allowed(server) && limitWaitNanos(server) == 0;
+  }
+
+  /**
+   * Least time until a server that gets nothing now may get a request of this instance; {@link
+   * ServerState#NEVER} if that cannot be foreseen.
+   */
+  public long waitNanos(ServerState server) {
+    return coldSends.drawn(server) ? limitWaitNanos(server) : ServerState.NEVER;
+  }
+
+  private long limitWaitNanos(ServerState server) {
+    OptionalDouble perSecond = server.backpressure().requestsPerSecond();
+    if (perSecond.isEmpty()) {
+      return 0;
+    }
+    // An instance that knows of few others would take far too large a share.
+    long unsettled = instances.settlesInNanos();
+    return unsettled > 0
+        ? unsettled
+        : server.waitNanos(share(server, perSecond.getAsDouble()), clocks.nanos());
+  }
+
+  private RateLimitShare share(ServerState server, double perSecond) {
+    RateLimitShare share = share(limit(server, perSecond));
+    boolean unheard = server.backpressure().limitAgeNanos(clocks.nanos()) > LIMIT_TRIAL_NANOS;
+    return unheard && share.mostInSpan() == 0 ? TRIAL : share;
+  }
+
+  private Limit limit(ServerState server, double perSecond) {
+    double used = part.applyAsDouble(server.entry().service());
+    return new Limit(server.entry().incarnation(), perSecond, used);
+  }
+
+  private RateLimitShare share(Limit limit) {
+    Basis now = new Basis(instances.count(), instances.place());
+    if (!now.equals(basis) || shares.size() >= MOST_SHARES) {
+      shares.clear();
+      basis = now;
+    }
+    return shares.computeIfAbsent(
+        limit,
+        key -> {
+          SenderDraw draw =
+              new SenderDraw(settings.instance(), key.incarnation(), now.instances(), now.place());
+          return RateLimitShare.of(key.perSecond(), draw, key.part());
+        });
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
@@ -1,36 +1,58 @@
 package org.magnoliaswitch.front.process;
 
-import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.load.Backpressure;
 import org.magnoliaswitch.front.load.ServerNotice;
 import org.magnoliaswitch.front.load.ServerState;
 
-/** Tells what backend servers ask of their callers, whenever it changes; used by one thread. */
+/**
+ * Takes what backend servers ask of their callers, and tells when it changes; used by one thread.
+ */
 public final class ServerNotices {
+  private final Clocks clocks;
   private final EventLog log;
   private final FrontMetrics metrics;
-  private final Map<ServerState, ServerNotice> last = new WeakHashMap<>();
 
-  public ServerNotices(EventLog log, FrontMetrics metrics) {
+  public ServerNotices(Clocks clocks, EventLog log, FrontMetrics metrics) {
+    this.clocks = clocks;
     this.log = log;
     this.metrics = metrics;
   }
 
-  /** Takes the notice in an answer of a server. */
-  public void take(ServerState server, ServerNotice notice) {
-    ServerNotice before = last.getOrDefault(server, ServerNotice.NONE);
-    if (notice.equals(before)) {
-      return;
+  /**
+   * Takes the notice in the answer to a request.
+   *
+   * @param sentNanos when the request was sent
+   */
+  public void answered(ServerState server, ServerNotice notice, long sentNanos) {
+    Backpressure backpressure = server.backpressure();
+    OptionalDouble limit = backpressure.requestsPerSecond();
+    backpressure.answered(notice, sentNanos, clocks.nanos());
+    tellChanges(server, notice, limit);
+  }
+
+  /**
+   * Takes the notice in the answer to a health check.
+   *
+   * @param sentNanos when the check was sent
+   */
+  public void checked(ServerState server, ServerNotice notice, long sentNanos) {
+    Backpressure backpressure = server.backpressure();
+    OptionalDouble limit = backpressure.requestsPerSecond();
+    backpressure.checked(notice, sentNanos, clocks.nanos());
+    tellChanges(server, notice, limit);
+  }
+
+  private void tellChanges(ServerState server, ServerNotice notice, OptionalDouble limitBefore) {
+    OptionalDouble limit = server.backpressure().requestsPerSecond();
+    if (!limit.equals(limitBefore)) {
+      tellLimit(server, limit);
     }
-    last.put(server, notice);
-    if (notice.leaving() && !before.leaving()) {
+    if (notice.leaving()) {
       tell("server_leaving", server).write();
     }
-    if (!notice.requestsPerSecond().equals(before.requestsPerSecond())) {
-      tellLimit(server, notice.requestsPerSecond());
-    }
     if (notice.pauseNanos() > 0) {
       tell("server_pause", server)
           .add("pause_ms", TimeUnit.NANOSECONDS.toMillis(notice.pauseNanos()))
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -162,7 +162,7 @@
       exchange.unreachable(this, "deadline");
       return;
     }
-    if (!environment.coldSends().allowed(pool.state())) {
+    if (!environment.quotas().allowed(pool.state())) {
       pool.giveBack(target);
       end();
       exchange.heldBack(this);
@@ -231,7 +231,9 @@
   }
 
   private void whole(ServerReply.Whole whole) {
-    environment.notices().take(pool.state(), NoticeHeaders.read(whole, environment.names()));
+    environment
+        .notices()
+        .answered(pool.state(), NoticeHeaders.read(whole, environment.names()), sentNanos);
     learnLoad(whole);
     int status = whole.status().code();
     if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Placing.java
@@ -163,16 +163,16 @@
     }
     switch (result) {
       case ServerFinder.Result.Chosen chosen -> take(chosen.server());
-      case ServerFinder.Result.Full full -> waitForRoom();
+      case ServerFinder.Result.Full full -> waitForRoom(full.waitNanos());
       case ServerFinder.Result.None none -> owner.giveUp("no_server", RetryAfter.Cause.BUSY);
     }
   }
 
-  private void waitForRoom() {
+  private void waitForRoom(long leastNanos) {
     double limit =
         WaitLimit.nanos(
             times.timeliness(), times.usualNanos(), route.objectiveNanos(), times.patienceNanos());
-    if (times.waitedNanos() > limit || !mechanisms.on(Mechanism.WAITING)) {
+    if (times.waitedNanos() + leastNanos > limit || !mechanisms.on(Mechanism.WAITING)) {
       owner.giveUp("no_room", RetryAfter.Cause.BUSY);
       return;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -157,6 +157,7 @@
     private final Round round;
     private final ServerPool pool;
     private final ServerConnection connection;
+    private final long sentNanos = environment.clocks().nanos();
     private boolean ended;
 
     Question(Round round, ServerPool pool, ServerConnection connection) {
@@ -214,7 +215,9 @@
             .write();
         return;
       }
-      environment.notices().take(pool.state(), NoticeHeaders.read(whole, environment.names()));
+      environment
+          .notices()
+          .checked(pool.state(), NoticeHeaders.read(whole, environment.names()), sentNanos);
       learnWarmup(whole.headers().get(environment.names().warmupLeft()));
       String load = whole.headers().get(environment.names().load());
       if (load == null) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerFinder.java
@@ -12,8 +12,12 @@
     /** A server with room. */
     record Chosen(ServerState server) implements Result {}
 
-    /** There are servers, and all of them are busy. */
-    record Full() implements Result {}
+    /**
+     * There are servers, and none of them takes a request now.
+     *
+     * @param waitNanos least time until one may; 0 if that depends on answers of busy ones
+     */
+    record Full(long waitNanos) implements Result {}
 
     /** No server may get the request. */
     record None() implements Result {}
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -56,8 +56,8 @@
       Selection.Step step = Selection.next(ranked, context(query), round, askable);
       if (step instanceof Selection.Step.Ask ask && policy.isPresent()) {
         ask(ask.servers(), policy.get(), round + 1);
-      } else if (step instanceof Selection.Step.None && someRest(query, excluded)) {
-        found.accept(new Result.Full());
+      } else if (step instanceof Selection.Step.None) {
+        found.accept(heldBack(query, excluded));
       } else {
         found.accept(result(step));
       }
@@ -88,9 +88,9 @@
   private static Result result(Selection.Step step) {
     return switch (step) {
       case Selection.Step.Send send -> new Result.Chosen(send.server());
-      case Selection.Step.Full full -> new Result.Full();
+      case Selection.Step.Full full -> new Result.Full(0);
       case Selection.Step.None none -> new Result.None();
-      case Selection.Step.Ask ask -> new Result.Full();
+      case Selection.Step.Ask ask -> new Result.Full(0);
     };
   }
 
@@ -105,7 +105,7 @@
   public boolean suits(ServerState server, ServerQuery query) {
     PlacementContext context = context(query);
     return mayGet(server, query)
-        && environment.coldSends().allowed(server)
+        && environment.quotas().allowed(server)
         && Placement.fits(server, context)
         && (AdmissionLimit.hasRoom(server, context) || AdmissionLimit.mayFill(server, context));
   }
@@ -115,22 +115,23 @@
     for (ServerPool pool : environment.servers().of(query.service())) {
       ServerState server = pool.state();
       boolean known = excluded.contains(server.entry().id());
-      if (!known && mayGet(server, query) && environment.coldSends().allowed(server)) {
+      if (!known && mayGet(server, query) && environment.quotas().allowed(server)) {
         eligible.add(server);
       }
     }
     return Placement.rank(eligible, context(query), environment.random());
   }
 
-  /** Whether some server will take a request of this instance within a second, for it is cold. */
-  private boolean someRest(ServerQuery query, Set<String> excluded) {
-    return environment.servers().of(query.service()).stream()
-        .map(ServerPool::state)
-        .anyMatch(
-            server ->
-                !excluded.contains(server.entry().id())
-                    && mayGet(server, query)
-                    && environment.coldSends().drawn(server));
+  /** No server may get a request now; when the first one may, as far as that can be foreseen. */
+  private Result heldBack(ServerQuery query, Set<String> excluded) {
+    long wait = ServerState.NEVER;
+    for (ServerPool pool : environment.servers().of(query.service())) {
+      ServerState server = pool.state();
+      if (!excluded.contains(server.entry().id()) && mayGet(server, query)) {
+        wait = Math.min(wait, environment.quotas().waitNanos(server));
+      }
+    }
+    return wait == ServerState.NEVER ? new Result.None() : new Result.Full(wait);
   }
 
   private boolean mayGet(ServerState server, ServerQuery query) {
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/load/BackpressureTest.java
@@ -0,0 +1,54 @@
+package org.magnoliaswitch.front.load;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.OptionalDouble;
+import org.testng.annotations.Test;
+
+/** What a server asks of its callers, as its answers come in. */
+public final class BackpressureTest {
+  private static final ServerNotice LIMITED = new ServerNotice(false, OptionalDouble.of(4.6), 0);
+
+  /** Limits of requests a second. */
+  public static final class Limit {
+    private static final OptionalDouble FREE = OptionalDouble.empty();
+
+    @Test
+    public void holdsUntilAnAnswerToALaterRequestNamesNone() {
+      Backpressure server = new Backpressure();
+      server.answered(LIMITED, 0, 100);
+      assertEquals(server.requestsPerSecond(), LIMITED.requestsPerSecond());
+      server.answered(ServerNotice.NONE, 101, 200);
+      assertEquals(server.requestsPerSecond(), FREE);
+    }
+
+    /** Guards against a limit that is dropped because an older answer arrived after a newer one. */
+    @Test
+    public void anAnswerToAnEarlierRequestDoesNotLiftIt() {
+      Backpressure server = new Backpressure();
+      server.answered(LIMITED, 50, 100);
+      server.answered(ServerNotice.NONE, 0, 110);
+      assertEquals(server.requestsPerSecond(), LIMITED.requestsPerSecond());
+    }
+
+    /** Guards against servers whose health checks say nothing of their limit. */
+    @Test
+    public void aHealthCheckLiftsItOnlyIfHealthChecksNameIt() {
+      Backpressure server = new Backpressure();
+      server.answered(LIMITED, 0, 100);
+      server.checked(ServerNotice.NONE, 110, 120);
+      assertEquals(server.requestsPerSecond(), LIMITED.requestsPerSecond());
+      server.checked(LIMITED, 130, 140);
+      server.checked(ServerNotice.NONE, 150, 160);
+      assertEquals(server.requestsPerSecond(), FREE);
+    }
+
+    @Test
+    public void knowsWhenItWasLastNamed() {
+      Backpressure server = new Backpressure();
+      server.answered(LIMITED, 0, 100);
+      server.answered(LIMITED, 110, 200);
+      assertEquals(server.limitAgeNanos(250), 50);
+    }
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
@@ -207,7 +207,7 @@
       Drawn(Random random) {
         server = "i-" + random.nextInt();
         for (int i = 0; i < INSTANCES; i++) {
-          windows.add(new SendWindow());
+          windows.add(new SendWindow(TimeUnit.SECONDS.toNanos(1)));
         }
       }
 
@@ -216,7 +216,7 @@
         ColdShare share =
             ColdShare.of(WARMUP, BOUNDS, "front-" + instance, server, INSTANCES, NOWHERE);
         SendWindow window = windows.get(instance);
-        if (window.size(nowNanos) >= share.mostPerSecond()) {
+        if (window.size(TimeUnit.SECONDS.toNanos(1), nowNanos) >= share.mostPerSecond()) {
           return false;
         }
         window.add(nowNanos);
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -115,8 +115,8 @@
               servers,
               new RouteState(random, repeats),
               instances,
-              coldSends,
-              new ServerNotices(log, metrics),
+              new SendQuotas(settings, clocks, instances, coldSends, servers::part),
+              new ServerNotices(clocks, log, metrics),
               log,
               metrics,
               new CrashWatch(clocks));
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/process/SendQuotasTest.java
@@ -0,0 +1,130 @@
+package org.magnoliaswitch.front.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.magnoliaswitch.front.load.InstancePlace;
+import org.magnoliaswitch.front.load.ServerNotice;
+import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.testing.PausedClock;
+import org.magnoliaswitch.front.testing.Servers;
+import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What one instance sends to servers that ask for fewer requests. */
+public final class SendQuotasTest {
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+  /** Longer than an instance needs to find the others. */
+  private static final long SETTLED = 10 * SECOND;
+
+  private PausedClock time;
+  private InstanceCount instances;
+  private SendQuotas quotas;
+  private ServerState server;
+
+  /** Two instances, both of which send to all servers. */
+  @BeforeMethod
+  public void start() {
+    time = new PausedClock();
+    instances = new InstanceCount(2, time.clocks());
+    FrontSettings settings = TestEnvironment.settings();
+    AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
+    ColdSends coldSends = new ColdSends(settings, time.clocks(), routes, instances);
+    quotas = new SendQuotas(settings, time.clocks(), instances, coldSends, service -> 1);
+    server = new ServerState(Servers.entry("a", false), time.read());
+  }
+
+  private void limit(double perSecond) {
+    ServerNotice notice = new ServerNotice(false, OptionalDouble.of(perSecond), 0);
+    server.backpressure().answered(notice, time.read(), time.read());
+  }
+
+  private int sendAll(long spanNanos) {
+    int sent = 0;
+    for (long passed = 0; passed < spanNanos; passed += MILLI) {
+      if (quotas.allowed(server)) {
+        server.written(time.read());
+        sent++;
+      }
+      time.advance(MILLI);
+    }
+    return sent;
+  }
+
+  /** Guards against a server in need that gets all that callers have for it. */
+  @Test
+  public void aLimitedServerGetsTheShareOfASpan() {
+    time.advance(SETTLED);
+    limit(3);
+    assertEquals(sendAll(4 * SECOND), 6);
+    assertEquals(sendAll(4 * SECOND), 6);
+  }
+
+  /** Guards against a burst at the moment in which the limit becomes known. */
+  @Test
+  public void whatWasSentBeforeTheLimitCounts() {
+    time.advance(SETTLED);
+    for (int i = 0; i < 5; i++) {
+      server.written(time.read());
+    }
+    limit(3);
+    assertEquals(sendAll(4 * SECOND), 1);
+  }
+
+  @Test
+  public void onceTheLimitHasEndedTheServerGetsAll() {
+    time.advance(SETTLED);
+    limit(3);
+    time.advance(SECOND);
+    server.backpressure().answered(ServerNotice.NONE, time.read(), time.read());
+    assertEquals(sendAll(SECOND), SECOND / MILLI);
+  }
+
+  /** Guards against shares that are too large while an instance knows of few others. */
+  @Test
+  public void rightAfterTheStartALimitedServerGetsNothing() {
+    limit(3);
+    assertFalse(quotas.allowed(server));
+    assertTrue(quotas.waitNanos(server) > 0);
+    time.advance(2 * SECOND);
+    assertTrue(quotas.allowed(server));
+  }
+
+  /** Guards against callers that wait for a server which takes nothing before they have left. */
+  @Test
+  public void tellsWhenTheServerTakesARequestAgain() {
+    time.advance(SETTLED);
+    limit(0.5);
+    assertEquals(sendAll(SECOND), 1);
+    assertTrue(quotas.waitNanos(server) > 2 * SECOND);
+  }
+
+  /** Guards against an instance without a share that never hears that the limit has ended. */
+  @Test
+  public void aLimitNotHeardOfForLongIsPutToTheTest() {
+    instances.learnt(100);
+    instances.placed(placeWithoutShare());
+    time.advance(SETTLED);
+    limit(0.5);
+    assertEquals(sendAll(20 * SECOND), 0);
+    assertEquals(sendAll(12 * SECOND), 1);
+  }
+
+  private InstancePlace placeWithoutShare() {
+    for (int index = 0; index < 100; index++) {
+      InstancePlace place = new InstancePlace(index, 100);
+      if (!place.drawn(server.entry().incarnation(), 3)) {
+        return place;
+      }
+    }
+    throw new AssertionError("all have a share");
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/OverdueReadTest.java
@@ -55,7 +55,7 @@
       if (search == 0) {
         found.accept(new Result.Chosen(first));
       } else if (search <= fullSearches) {
-        found.accept(new Result.Full());
+        found.accept(new Result.Full(0));
       } else {
         found.accept(new Result.Chosen(second));
       }
--- a/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
@@ -83,7 +83,7 @@
           .execute(
               () -> {
                 exchange.start(() -> Optional.of(ROUTE));
-                finder.searches.getFirst().accept(new ServerFinder.Result.Full());
+                finder.searches.getFirst().accept(new ServerFinder.Result.Full(0));
               });
       finder.second.await();
       environment
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -21,6 +21,7 @@
 import org.magnoliaswitch.front.process.FrontSettings;
 import org.magnoliaswitch.front.process.InstanceCount;
 import org.magnoliaswitch.front.process.RouteState;
+import org.magnoliaswitch.front.process.SendQuotas;
 import org.magnoliaswitch.front.process.ServerDirectory;
 import org.magnoliaswitch.front.process.ServerNotices;
 import org.magnoliaswitch.front.version.CallerLimits;
@@ -63,6 +64,9 @@
     AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
     InstanceCount instances = new InstanceCount(1, clocks);
     ColdSends coldSends = new ColdSends(settings, clocks, routes, instances);
+    ServerDirectory servers =
+        new ServerDirectory(
+            new ServerConnector(loop, clocks, names), clocks, log, settings, instances, coldSends);
     return new Environment(
         settings,
         names,
@@ -70,12 +74,11 @@
         loop,
         random,
         routes,
-        new ServerDirectory(
-            new ServerConnector(loop, clocks, names), clocks, log, settings, instances, coldSends),
+        servers,
         new RouteState(random, settings.repeats()),
         instances,
-        coldSends,
-        new ServerNotices(log, metrics),
+        new SendQuotas(settings, clocks, instances, coldSends, servers::part),
+        new ServerNotices(clocks, log, metrics),
         log,
         metrics,
         new CrashWatch(clocks));
