Send nothing new to servers that say they leave

Callers and operators saw: requests reached a server seconds after an answer had told the sending instance that it leaves, while the platform's store was away.

Cause: departures were learnt from discovery alone. Class: as with request limits, a server's word in an answer that no decision reads. A second fault of the same kind lay behind it: what is learnt of a server went with its entry, and entries lapse while the store is away.

Change: the word is held with the incarnation (Backpressure) and asked for in ServerState.acceptsWork, the one method that every place which sends already asks: ranking, waiting requests, further sends, hedges, health checks, connections that have just been opened, the grouping of servers. Its next incarnation starts without it. The entry (core) already learns departures from load reports and tells other entries.

--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -69,7 +69,7 @@
             new RouteState(random, settings.repeats()),
             instances,
             new SendQuotas(settings, clocks, instances, coldSends, servers::part),
-            new ServerNotices(clocks, log, metrics),
+            new ServerNotices(servers, clocks, log, metrics),
             log,
             metrics,
             crashes);
--- a/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
@@ -7,6 +7,7 @@
  * instance; used by one thread only.
  */
 public final class Backpressure {
+  private boolean leaving;
   private OptionalDouble requestsPerSecond = OptionalDouble.empty();
   private long limitHeardNanos;
   private boolean checksNameLimits;
@@ -17,6 +18,15 @@
    * @param sentNanos when the request was sent
    */
   public void answered(ServerNotice notice, long sentNanos, long nowNanos) {
+    takeLasting(notice);
+    takeLimit(notice, sentNanos, nowNanos);
+  }
+
+  private void takeLasting(ServerNotice notice) {
+    leaving |= notice.leaving();
+  }
+
+  private void takeLimit(ServerNotice notice, long sentNanos, long nowNanos) {
     if (notice.requestsPerSecond().isPresent()) {
       requestsPerSecond = notice.requestsPerSecond();
       limitHeardNanos = nowNanos;
@@ -33,12 +43,18 @@
    * @param sentNanos when the check was sent
    */
   public void checked(ServerNotice notice, long sentNanos, long nowNanos) {
+    takeLasting(notice);
     checksNameLimits |= notice.requestsPerSecond().isPresent();
     if (checksNameLimits) {
-      answered(notice, sentNanos, nowNanos);
+      takeLimit(notice, sentNanos, nowNanos);
     }
   }
 
+  /** Whether the server leaves; it never comes back from that, only its next incarnation does. */
+  public boolean leaving() {
+    return leaving;
+  }
+
   /** Requests a second that the server takes from all instances together, if it limits them. */
   public OptionalDouble requestsPerSecond() {
     return requestsPerSecond;
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerState.java
@@ -64,10 +64,16 @@
   private boolean evacuated;
   private boolean coldnessTold = true;
   private final SendWindow written = new SendWindow(RateLimitShare.SPAN_NANOS);
-  private final Backpressure backpressure = new Backpressure();
+  private final Backpressure backpressure;
 
   public ServerState(ServerEntry entry, long nowNanos) {
+    this(entry, new Backpressure(), nowNanos);
+  }
+
+  /** Creates the state of a server that has asked for something before it was listed (again). */
+  public ServerState(ServerEntry entry, Backpressure backpressure, long nowNanos) {
     this.entry = entry;
+    this.backpressure = backpressure;
     this.sample = new LoadSample(0, 0, Math.max(1, entry.slots()), 1);
     this.sampleNanos = nowNanos;
     this.failureNanos = nowNanos;
@@ -162,7 +168,7 @@
 
   /** Whether new requests may go there. */
   public boolean acceptsWork() {
-    return !gone && !evacuated && !entry.draining();
+    return !gone && !evacuated && !entry.draining() && !backpressure.leaving();
   }
 
   /** Counts a request that is about to be sent. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -30,6 +30,7 @@
   private final ColdSends coldSends;
   private final Map<String, ServerPool> byId = new HashMap<>();
   private final ServerGroups groups;
+  private final BackpressureMemory backpressure = new BackpressureMemory();
   private ServerList current = ServerList.EMPTY;
   private Set<String> evacuated = Set.of();
 
@@ -138,6 +139,12 @@
     }
   }
 
+  /** A server has said that it leaves: nothing new goes there, and others take its place. */
+  void leaving(ServerState state) {
+    poolOf(state).closeIdle();
+    groups.form(byId.values());
+  }
+
   /** Notes a failure of a server, and tells when it makes the server suspect. */
   public void failed(ServerState state, String reason) {
     long now = clocks.nanos();
@@ -183,7 +190,7 @@
   }
 
   private ServerPool newPool(ServerEntry entry, long now) {
-    ServerState state = new ServerState(entry, now);
+    ServerState state = new ServerState(entry, backpressure.of(entry), now);
     state.evacuated(evacuated.contains(entry.dataCentre()));
     return new ServerPool(state, connector, clocks);
   }
@@ -246,6 +253,7 @@
       ServerEntry entry = pool.state().entry();
       if (!current.servers().containsKey(entry.id())) {
         pools.remove();
+        backpressure.keep(pool.state());
         leave(pool);
         told("server_gone", entry);
       }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
@@ -11,11 +11,13 @@
  * Takes what backend servers ask of their callers, and tells when it changes; used by one thread.
  */
 public final class ServerNotices {
+  private final ServerDirectory servers;
   private final Clocks clocks;
   private final EventLog log;
   private final FrontMetrics metrics;
 
-  public ServerNotices(Clocks clocks, EventLog log, FrontMetrics metrics) {
+  public ServerNotices(ServerDirectory servers, Clocks clocks, EventLog log, FrontMetrics metrics) {
+    this.servers = servers;
     this.clocks = clocks;
     this.log = log;
     this.metrics = metrics;
@@ -27,10 +29,9 @@
    * @param sentNanos when the request was sent
    */
   public void answered(ServerState server, ServerNotice notice, long sentNanos) {
-    Backpressure backpressure = server.backpressure();
-    OptionalDouble limit = backpressure.requestsPerSecond();
-    backpressure.answered(notice, sentNanos, clocks.nanos());
-    tellChanges(server, notice, limit);
+    Before before = new Before(server.backpressure());
+    server.backpressure().answered(notice, sentNanos, clocks.nanos());
+    taken(server, notice, before);
   }
 
   /**
@@ -39,18 +40,25 @@
    * @param sentNanos when the check was sent
    */
   public void checked(ServerState server, ServerNotice notice, long sentNanos) {
-    Backpressure backpressure = server.backpressure();
-    OptionalDouble limit = backpressure.requestsPerSecond();
-    backpressure.checked(notice, sentNanos, clocks.nanos());
-    tellChanges(server, notice, limit);
+    Before before = new Before(server.backpressure());
+    server.backpressure().checked(notice, sentNanos, clocks.nanos());
+    taken(server, notice, before);
   }
 
-  private void tellChanges(ServerState server, ServerNotice notice, OptionalDouble limitBefore) {
+  /** What a server asked for before an answer. */
+  private record Before(boolean leaving, OptionalDouble limit) {
+    Before(Backpressure backpressure) {
+      this(backpressure.leaving(), backpressure.requestsPerSecond());
+    }
+  }
+
+  private void taken(ServerState server, ServerNotice notice, Before before) {
     OptionalDouble limit = server.backpressure().requestsPerSecond();
-    if (!limit.equals(limitBefore)) {
+    if (!limit.equals(before.limit())) {
       tellLimit(server, limit);
     }
-    if (notice.leaving()) {
+    if (server.backpressure().leaving() && !before.leaving()) {
+      servers.leaving(server);
       tell("server_leaving", server).write();
     }
     if (notice.pauseNanos() > 0) {
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -116,7 +116,7 @@
               new RouteState(random, repeats),
               instances,
               new SendQuotas(settings, clocks, instances, coldSends, servers::part),
-              new ServerNotices(clocks, log, metrics),
+              new ServerNotices(servers, clocks, log, metrics),
               log,
               metrics,
               new CrashWatch(clocks));
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -78,7 +78,7 @@
         new RouteState(random, settings.repeats()),
         instances,
         new SendQuotas(settings, clocks, instances, coldSends, servers::part),
-        new ServerNotices(clocks, log, metrics),
+        new ServerNotices(servers, clocks, log, metrics),
         log,
         metrics,
         new CrashWatch(clocks));
