Failing tests: requests at servers that asked for a pause

What callers and operators saw: servers that turned requests away with 503 and a Retry-After of 3 s got three and more requests from the same instance within these 3 s, and turned them away too; their callers were refused after two useless sends each.

Hypotheses before: (1) nothing reads Retry-After of servers; (2) it is read but another place sends all the same (a further send, a waiting request); (3) each server is asked within its pause by several instances, each of which may. The users count each instance for itself, so (3) is no fault; the tests have one instance and no further sends are needed to see it, so (1) suffices.

--- a/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
@@ -122,6 +122,19 @@
       }
     }
 
+    /** Guards against requests that go on reaching a server which asked to be left alone. */
+    @Test
+    public void aServerThatAsksForAPauseGetsNothingMeanwhile() throws Exception {
+      Answer shed =
+          new Answer.Send("HTTP/1.1 503 Full\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n");
+      try (Bench bench = new Bench(1, n -> shed)) {
+        for (int i = 0; i < 5; i++) {
+          assertEquals(bench.send(Declarations.READ, 500).outcome(), Outcome.NOT_EXECUTED);
+        }
+        assertEquals(bench.requests(), 1);
+      }
+    }
+
     /** The port is bound but nobody listens, so that no other process can take it meanwhile. */
     @Test
     public void nothingListeningIsNotExecuted() throws Exception {
