Leave servers alone for the time that they ask for

Callers and operators saw: servers that turned a request away with Retry-After got three and four requests more from the same instance within that time; each was turned away again, and its caller refused.

Cause: Retry-After of servers was not read. A rejection counted against the server (its failure share), which fades within seconds and only makes others preferred; where all servers of a service reject, it changes nothing. Class: a server's word in an answer that no decision reads, the third of its kind.

Change: the pause is part of Backpressure, the longest one counts; SendQuotas decides for every place that sends, once more right before a request is written, and health checks of servers whose warmth is not known leave paused ones out. When all servers pause for longer than a request can wait it is refused at once. The same in the entry: Pause in ServerLoad, asked for where servers are chosen and by the prober; time line event SERVER_PAUSED. One reader of the header serves both.

The entry defines no request limit in its servers' load reports, so there is none to heed.

--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -77,13 +77,16 @@
     return (long) (TimeUnit.MILLISECONDS.toNanos(budget.windowMillis()) * factor);
   }
 
-  /** A server that is full gets no probe: it would take capacity from callers. */
+  /** A server that is full or asked to be left alone gets no probe: that would take capacity. */
   private static boolean wanted(ServerHandle handle, long now, long window) {
     ServerLoad load = handle.load();
     boolean quiet = now - load.lastHeardNanos() > Math.min(QUIET_NANOS, window);
     LoadReport last = load.lastReport().report();
     boolean full = load.inFlight() > 0 && last.requests() >= last.slots();
-    return handle.server().state() == ServerState.ACTIVE && quiet && !full;
+    return handle.server().state() == ServerState.ACTIVE
+        && quiet
+        && !full
+        && !load.pause().active(now);
   }
 
   private void probe(ServiceState service, ServerHandle handle) {
--- a/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
@@ -43,6 +43,7 @@
   private final AtomicLong lastHeardNanos;
   private final AtomicLong lastProbeNanos = new AtomicLong(Long.MIN_VALUE);
   private final AtomicReference<Ejection> ejection = new AtomicReference<>(Ejection.NONE);
+  private final AtomicReference<Pause> pause = new AtomicReference<>(Pause.NONE);
 
   public ServerLoad(BackendServer server, long nowNanos) {
     this.serverId = server.id();
@@ -110,6 +111,16 @@
     return ejection.get();
   }
 
+  /** The server asks to be left alone for a time; the longest it asked for counts. */
+  public void pause(long forNanos, long nowNanos) {
+    pause.updateAndGet(before -> before.orUntil(nowNanos + forNanos));
+  }
+
+  /** The pause in force or last in force. */
+  public Pause pause() {
+    return pause.get();
+  }
+
   /** Requests of this instance now at the server. */
   public int inFlight() {
     return inFlight.get();
--- a/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpException;
 import org.jspecify.annotations.Nullable;
@@ -15,6 +16,7 @@
 import org.magnoliaswitch.core.process.LeavingServers;
 import org.magnoliaswitch.core.process.LoadReport;
 import org.magnoliaswitch.core.process.RequestCrashes;
+import org.magnoliaswitch.core.process.RetryAfterHeader;
 import org.magnoliaswitch.core.process.ServerHandle;
 import org.magnoliaswitch.core.process.Timeline;
 
@@ -122,9 +124,11 @@
         }
         report(head);
         Reply reply = exchange.receive(head, request.method());
-        return request.service().profile().refusalStatuses().contains(reply.status())
-            ? new AttemptResult.Refused(reply.status())
-            : new AttemptResult.Answered(reply);
+        if (!request.service().profile().refusalStatuses().contains(reply.status())) {
+          return new AttemptResult.Answered(reply);
+        }
+        notePause(head);
+        return new AttemptResult.Refused(reply.status());
       } catch (IOException | HttpException e) {
         exchange.fail();
         return failure(e);
@@ -175,6 +179,15 @@
           });
     }
 
+    private void notePause(Exchange.Head head) {
+      var header = head.response().getFirstHeader(RetryAfterHeader.NAME);
+      OptionalLong nanos = RetryAfterHeader.nanos(header == null ? null : header.getValue());
+      if (nanos.isPresent()) {
+        server.load().pause(nanos.getAsLong(), clocks.nanos());
+        event(EventKind.SERVER_PAUSED, "ms=" + TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong()));
+      }
+    }
+
     private void learn(AttemptResult result, long started) {
       long now = clocks.nanos();
       switch (result) {
--- a/core/src/main/java/org/magnoliaswitch/core/request/Dispatcher.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Dispatcher.java
@@ -332,6 +332,7 @@
       boolean may =
           handle.server().state() == ServerState.ACTIVE
               && !leaving.leaving(handle.id())
+              && !handle.load().pause().active(now)
               && !tried.contains(handle.id());
       if (may && handle.load().ejection().active(now)) {
         ejected.add(handle);
--- a/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
@@ -8,6 +8,8 @@
  */
 public final class Backpressure {
   private boolean leaving;
+  private boolean paused;
+  private long pausedUntilNanos;
   private OptionalDouble requestsPerSecond = OptionalDouble.empty();
   private long limitHeardNanos;
   private boolean checksNameLimits;
@@ -18,14 +20,23 @@
    * @param sentNanos when the request was sent
    */
   public void answered(ServerNotice notice, long sentNanos, long nowNanos) {
-    takeLasting(notice);
+    takeLeaving(notice);
+    takePause(notice, nowNanos);
     takeLimit(notice, sentNanos, nowNanos);
   }
 
-  private void takeLasting(ServerNotice notice) {
+  private void takeLeaving(ServerNotice notice) {
     leaving |= notice.leaving();
   }
 
+  /** The longest pause counts: a server that is asked once more may name less than what is left. */
+  private void takePause(ServerNotice notice, long nowNanos) {
+    if (notice.pauseNanos() > pauseLeftNanos(nowNanos)) {
+      paused = true;
+      pausedUntilNanos = nowNanos + notice.pauseNanos();
+    }
+  }
+
   private void takeLimit(ServerNotice notice, long sentNanos, long nowNanos) {
     if (notice.requestsPerSecond().isPresent()) {
       requestsPerSecond = notice.requestsPerSecond();
@@ -43,7 +54,8 @@
    * @param sentNanos when the check was sent
    */
   public void checked(ServerNotice notice, long sentNanos, long nowNanos) {
-    takeLasting(notice);
+    takeLeaving(notice);
+    takePause(notice, nowNanos);
     checksNameLimits |= notice.requestsPerSecond().isPresent();
     if (checksNameLimits) {
       takeLimit(notice, sentNanos, nowNanos);
@@ -55,6 +67,12 @@
     return leaving;
   }
 
+  /** Time for which the server wants nothing from this instance; 0 once that has passed. */
+  public long pauseLeftNanos(long nowNanos) {
+    paused &= pausedUntilNanos - nowNanos > 0;
+    return paused ? pausedUntilNanos - nowNanos : 0;
+  }
+
   /** Requests a second that the server takes from all instances together, if it limits them. */
   public OptionalDouble requestsPerSecond() {
     return requestsPerSecond;
--- a/front/src/main/java/org/magnoliaswitch/front/process/SendQuotas.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SendQuotas.java
@@ -62,7 +62,7 @@
 
   /** Whether a request may be sent to a server now. */
   public boolean allowed(ServerState server) {
-    return coldSends.allowed(server) && limitWaitNanos(server) == 0;
+    return coldSends.allowed(server) && askedWaitNanos(server) == 0;
   }
 
   /**
@@ -70,7 +70,13 @@
    * ServerState#NEVER} if that cannot be foreseen.
    */
   public long waitNanos(ServerState server) {
-    return coldSends.drawn(server) ? limitWaitNanos(server) : ServerState.NEVER;
+    return coldSends.drawn(server) ? askedWaitNanos(server) : ServerState.NEVER;
+  }
+
+  /** The same as far as what the server asked for decides it. */
+  private long askedWaitNanos(ServerState server) {
+    long pause = server.backpressure().pauseLeftNanos(clocks.nanos());
+    return Math.max(pause, limitWaitNanos(server));
   }
 
   private long limitWaitNanos(ServerState server) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/NoticeHeaders.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/NoticeHeaders.java
@@ -1,12 +1,12 @@
 package org.magnoliaswitch.front.request;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.concurrent.TimeUnit;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.core.process.RetryAfterHeader;
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.ServerNotice;
 import org.magnoliaswitch.front.version.HeaderNames;
@@ -14,7 +14,6 @@
 /** Reads what a backend server asks of its callers from the headers of its answer. */
 final class NoticeHeaders {
   private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}([.][0-9]{1,9})?");
-  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private NoticeHeaders() {}
 
@@ -22,14 +21,12 @@
   static ServerNotice read(ServerReply.Whole answer, HeaderNames names) {
     boolean leaving = answer.headers().contains(names.leaving());
     Optional<Double> limit = decimal(answer.headers().get(names.requestLimit()));
-    Optional<Double> pause =
+    OptionalLong pause =
         turnedAway(answer)
-            ? decimal(answer.headers().get(HttpHeaderNames.RETRY_AFTER))
-            : Optional.empty();
+            ? RetryAfterHeader.nanos(answer.headers().get(RetryAfterHeader.NAME))
+            : OptionalLong.empty();
     return new ServerNotice(
-        leaving,
-        limit.map(OptionalDouble::of).orElseGet(OptionalDouble::empty),
-        (long) (pause.orElse(0.0) * NANOS_PER_SECOND));
+        leaving, limit.map(OptionalDouble::of).orElseGet(OptionalDouble::empty), pause.orElse(0));
   }
 
   private static boolean turnedAway(ServerReply.Whole answer) {
--- a/front/src/test/java/org/magnoliaswitch/front/process/SendQuotasTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/SendQuotasTest.java
@@ -118,6 +118,32 @@
     assertEquals(sendAll(12 * SECOND), 1);
   }
 
+  private void pause(long nanos) {
+    ServerNotice notice = new ServerNotice(false, OptionalDouble.empty(), nanos);
+    server.backpressure().answered(notice, time.read(), time.read());
+  }
+
+  /** Guards against requests at a server that asked to be left alone. */
+  @Test
+  public void aServerGetsNothingDuringItsPause() {
+    time.advance(SETTLED);
+    pause(3 * SECOND);
+    assertEquals(quotas.waitNanos(server), 3 * SECOND);
+    assertEquals(sendAll(3 * SECOND), 0);
+    assertTrue(quotas.allowed(server));
+  }
+
+  /** Guards against a pause that is cut short by the answer to a request under way. */
+  @Test
+  public void theLongestPauseCounts() {
+    time.advance(SETTLED);
+    pause(3 * SECOND);
+    time.advance(SECOND);
+    pause(SECOND);
+    server.backpressure().answered(ServerNotice.NONE, time.read(), time.read());
+    assertEquals(quotas.waitNanos(server), 2 * SECOND);
+  }
+
   private InstancePlace placeWithoutShare() {
     for (int index = 0; index < 100; index++) {
       InstancePlace place = new InstancePlace(index, 100);
