Others take the place of servers that want a pause

Of a large service an instance sends to a part of the servers. When most of those have asked for a pause, its callers would be refused while servers outside of the part are idle. Paused servers are now treated like those that cannot be reached: others take their place until six can be used, and the instance returns to its own when the pause has ended.

Test: ServerDirectoryTest.othersTakeThePlaceOfServersThatWantAPause; without the change two servers are left of those in use, now six.

--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -121,6 +121,10 @@
   /** Closes connections that the servers would soon close themselves. */
   public void sweep() {
     byId.values().forEach(pool -> pool.sweep(MAX_IDLE_NANOS));
+    replaceUnavailable();
+  }
+
+  private void replaceUnavailable() {
     if (groups.outdated(byId.values())) {
       groups.form(byId.values());
     }
@@ -134,9 +138,7 @@
     failed(state, "unreachable");
     coldSends.unreachable(state);
     state.unreachable(clocks.nanos());
-    if (groups.outdated(byId.values())) {
-      groups.form(byId.values());
-    }
+    replaceUnavailable();
   }
 
   /** A server has said that it leaves: nothing new goes there, and others take its place. */
@@ -145,6 +147,11 @@
     groups.form(byId.values());
   }
 
+  /** A server wants nothing from this instance for a while: others take its place meanwhile. */
+  void paused() {
+    replaceUnavailable();
+  }
+
   /** Notes a failure of a server, and tells when it makes the server suspect. */
   public void failed(ServerState state, String reason) {
     long now = clocks.nanos();
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerGroups.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerGroups.java
@@ -12,6 +12,7 @@
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Mechanisms;
+import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.ServerSubset;
 
 /** Which servers of each service this instance sends to; used by one thread. */
@@ -22,7 +23,7 @@
   private final ColdSends coldSends;
   private final Map<String, List<ServerPool>> byService = new HashMap<>();
   private final Map<String, Double> parts = new HashMap<>();
-  private Set<ServerPool> unreachable = Set.of();
+  private Set<ServerPool> unavailable = Set.of();
 
   ServerGroups(
       FrontSettings settings, Clocks clocks, InstanceCount instances, ColdSends coldSends) {
@@ -42,18 +43,23 @@
     return parts.getOrDefault(service, 1.0);
   }
 
-  /** Whether the servers that can be reached are others than when the groups were formed. */
+  /** Whether the servers whose place others take differ from when the groups were formed. */
   boolean outdated(Collection<ServerPool> all) {
-    return !unreachable(all).equals(unreachable);
+    return !unavailable(all).equals(unavailable);
   }
 
-  private Set<ServerPool> unreachable(Collection<ServerPool> all) {
-    long now = clocks.nanos();
+  private Set<ServerPool> unavailable(Collection<ServerPool> all) {
     return all.stream()
-        .filter(pool -> pool.state().unreachableLately(now))
+        .filter(pool -> unavailable(pool.state()))
         .collect(Collectors.toUnmodifiableSet());
   }
 
+  /** Whether it cannot be reached, or wants nothing from this instance for a while. */
+  private boolean unavailable(ServerState server) {
+    long now = clocks.nanos();
+    return server.unreachableLately(now) || server.backpressure().pauseLeftNanos(now) > 0;
+  }
+
   /**
    * Forms the groups anew. Those that leave are kept beside the part in use, since requests may
    * still be at work there.
@@ -65,7 +71,7 @@
       var group = pool.state().acceptsWork() ? accepting : leaving;
       group.computeIfAbsent(pool.state().entry().service(), name -> new ArrayList<>()).add(pool);
     }
-    unreachable = unreachable(all);
+    unavailable = unavailable(all);
     byService.clear();
     parts.clear();
     accepting.forEach(
@@ -95,7 +101,7 @@
 
   private List<ServerPool> used(List<ServerPool> pools) {
     Mechanisms mechanisms = settings.mechanisms();
-    Set<ServerPool> avoided = mechanisms.on(Mechanism.REPLACEMENTS) ? unreachable : Set.of();
+    Set<ServerPool> avoided = mechanisms.on(Mechanism.REPLACEMENTS) ? unavailable : Set.of();
     return mechanisms.on(Mechanism.SUBSET)
         ? ServerSubset.withReplacements(pools, avoided, this::subset)
         : pools;
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
@@ -62,6 +62,7 @@
       tell("server_leaving", server).write();
     }
     if (notice.pauseNanos() > 0) {
+      servers.paused();
       tell("server_pause", server)
           .add("pause_ms", TimeUnit.NANOSECONDS.toMillis(notice.pauseNanos()))
           .write();
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -15,6 +16,7 @@
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.load.LoadSample;
+import org.magnoliaswitch.front.load.ServerNotice;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.testing.PausedClock;
@@ -168,6 +170,22 @@
       assertEquals(used(), before);
     }
 
+    /** Guards against callers refused beside idle servers while those in use want a pause. */
+    @Test
+    public void othersTakeThePlaceOfServersThatWantAPause() {
+      List<ServerState> before = used();
+      List<ServerState> paused = before.subList(0, before.size() - 2);
+      ServerNotice notice = new ServerNotice(false, OptionalDouble.empty(), 3 * SECOND);
+      paused.forEach(state -> state.backpressure().answered(notice, time.read(), time.read()));
+      directory.paused();
+      List<ServerState> during = new ArrayList<>(used());
+      during.removeAll(paused);
+      assertEquals(during.size(), 6);
+      time.advance(3 * SECOND);
+      directory.sweep();
+      assertEquals(used(), before);
+    }
+
     /** It tells its load: whoever could not reach it a moment ago can do so now. */
     @Test
     public void oneThatAnswersIsUsedAgain() {
