Failing test: health checks at a server in need

What operators saw: the server with a limit of 5.5 requests a second is said to have got 39 requests in four seconds, while the figures by second show 21 requests there in that time. Our logs show a health check right before nearly each of them (sample_age_ms=0 to 5). So checks count as requests, as they cost one; with the limit kept for requests alone, a server may still get twice its share.

On this code a server whose first check named a limit is asked again before the request that its share allows: two checks, one expected.

--- a/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
@@ -1,14 +1,24 @@
 package org.magnoliaswitch.front.request;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.testing.Requests;
 import org.magnoliaswitch.front.testing.RunningFront;
 import org.magnoliaswitch.front.testing.ScriptedServer;
+import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.Warmup;
 import org.testng.annotations.Test;
 
 /** A server in need names the requests a second that it takes from all instances together. */
@@ -67,4 +77,29 @@
       fronts.forEach(front -> front.stop(() -> {}));
     }
   }
+
+  /** Guards against health checks, each a request too, that double what a server in need gets. */
+  @Test
+  public void isNotAskedForItsLoad() throws IOException {
+    AtomicInteger checks = new AtomicInteger();
+    ScriptedServer.Script script =
+        request -> {
+          if (request.line().contains("/health")) {
+            checks.incrementAndGet();
+          }
+          return limited(request);
+        };
+    try (ScriptedServer server = new ScriptedServer("a", script)) {
+      Route route = Requests.route(true);
+      Environment environment = TestEnvironment.with(route, server);
+      ServicePolicy askable = new ServicePolicy("s", "/health", 9, Warmup.UNLIMITED);
+      environment
+          .routes()
+          .set(new RouteTable(2, List.of(route), List.of(askable), CallerLimits.DEFAULT));
+      assertEquals(Requests.ask(environment).join().status().code(), 200);
+      assertEquals(server.received().size(), 1);
+      assertEquals(checks.get(), 1, "more than the one that named the limit");
+      environment.loop().stop();
+    }
+  }
 }
