Send no health checks to servers that limit their requests

Cause: requests were held against the limit, health checks not, though each is a request to the server.

Change: Backpressure.allowsChecks is asked in the one place that sends checks; a pause forbids them as well. Selection takes a server with a limit without asking, where it passed over what it had not heard of just now, so that the server is not left idle. A health check without a limit lifts none, since none is sent while there is one.

Weighed: counting checks against the share, which halves the requests served.

--- a/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
@@ -12,7 +12,6 @@
   private long pausedUntilNanos;
   private OptionalDouble requestsPerSecond = OptionalDouble.empty();
   private long limitHeardNanos;
-  private boolean checksNameLimits;
 
   /**
    * Takes the notice in the answer to a request.
@@ -48,17 +47,14 @@
   }
 
   /**
-   * Takes the notice in the answer to a health check. Servers may leave limits out of these, so
-   * that one without a limit says something only if others had one.
-   *
-   * @param sentNanos when the check was sent
+   * Takes the notice in the answer to a health check. One without a limit does not lift it: servers
+   * may leave limits out of these, and one that has a limit gets no checks.
    */
-  public void checked(ServerNotice notice, long sentNanos, long nowNanos) {
+  public void checked(ServerNotice notice, long nowNanos) {
     takeLeaving(notice);
     takePause(notice, nowNanos);
-    checksNameLimits |= notice.requestsPerSecond().isPresent();
-    if (checksNameLimits) {
-      takeLimit(notice, sentNanos, nowNanos);
+    if (notice.requestsPerSecond().isPresent()) {
+      takeLimit(notice, nowNanos, nowNanos);
     }
   }
 
@@ -78,6 +74,14 @@
     return requestsPerSecond;
   }
 
+  /**
+   * Whether the server may be asked for its load. A health check is a request, too, and would
+   * double what a server gets that asked for less.
+   */
+  public boolean allowsChecks(long nowNanos) {
+    return requestsPerSecond.isEmpty() && pauseLeftNanos(nowNanos) == 0;
+  }
+
   /** Time since the server last named its limit. */
   public long limitAgeNanos(long nowNanos) {
     return nowNanos - limitHeardNanos;
--- a/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Selection.java
@@ -86,16 +86,16 @@
     List<ServerState> unsure =
         ranked.stream()
             .map(Ranked::server)
-            .filter(server -> !fresh(server, nowNanos))
+            .filter(server -> !known(server, nowNanos))
             .limit(rounds.get(round))
             .toList();
     return unsure.isEmpty() ? step : new Step.Ask(unsure);
   }
 
-  /** The decision among the servers heard of just now; the other one if there are none. */
+  /** The decision among the servers that are known well; the other one if there are none. */
   private static Step amongKnown(List<Ranked> ranked, PlacementContext context, Step otherwise) {
     List<Ranked> known =
-        ranked.stream().filter(one -> fresh(one.server(), context.nowNanos())).toList();
+        ranked.stream().filter(one -> known(one.server(), context.nowNanos())).toList();
     return known.isEmpty() ? otherwise : decided(known, context);
   }
 
@@ -116,6 +116,13 @@
     return servers.stream().filter(wanted).findFirst();
   }
 
+  /**
+   * Whether asking tells nothing more: a server with a limit has room for what its limit allows.
+   */
+  private static boolean known(ServerState server, long nowNanos) {
+    return fresh(server, nowNanos) || server.backpressure().requestsPerSecond().isPresent();
+  }
+
   private static boolean confirmed(ServerState server, long nowNanos) {
     return fresh(server, nowNanos) && server.sample().slowness() <= UNDISTURBED;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
@@ -34,14 +34,10 @@
     taken(server, notice, before);
   }
 
-  /**
-   * Takes the notice in the answer to a health check.
-   *
-   * @param sentNanos when the check was sent
-   */
-  public void checked(ServerState server, ServerNotice notice, long sentNanos) {
+  /** Takes the notice in the answer to a health check. */
+  public void checked(ServerState server, ServerNotice notice) {
     Before before = new Before(server.backpressure());
-    server.backpressure().checked(notice, sentNanos, clocks.nanos());
+    server.backpressure().checked(notice, clocks.nanos());
     taken(server, notice, before);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -72,6 +72,9 @@
 
   private boolean allowed(ServerPool pool) {
     long now = environment.clocks().nanos();
+    if (!pool.state().backpressure().allowsChecks(now)) {
+      return false;
+    }
     double perSecond =
         ProbeShare.perSecond(
             environment.settings().probesPerServer(),
@@ -157,7 +160,6 @@
     private final Round round;
     private final ServerPool pool;
     private final ServerConnection connection;
-    private final long sentNanos = environment.clocks().nanos();
     private boolean ended;
 
     Question(Round round, ServerPool pool, ServerConnection connection) {
@@ -215,9 +217,7 @@
             .write();
         return;
       }
-      environment
-          .notices()
-          .checked(pool.state(), NoticeHeaders.read(whole, environment.names()), sentNanos);
+      environment.notices().checked(pool.state(), NoticeHeaders.read(whole, environment.names()));
       learnWarmup(whole.headers().get(environment.names().warmupLeft()));
       String load = whole.headers().get(environment.names().load());
       if (load == null) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -78,7 +78,6 @@
     List<ServerPool> unknown =
         environment.servers().of(query.service()).stream()
             .filter(pool -> mayGet(pool.state(), query) && pool.state().coldnessUnknown(now))
-            .filter(pool -> pool.state().backpressure().pauseLeftNanos(now) == 0)
             .limit(UNKNOWN_ASKED)
             .toList();
     if (!unknown.isEmpty()) {
--- a/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/SelectionTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.magnoliaswitch.front.load.Placement.Ranked;
@@ -62,6 +63,15 @@
     assertTrue(Selection.next(ranked, CONTEXT, 3, true) instanceof Selection.Step.Send);
   }
 
+  /** Guards against health checks at a server that asked for fewer requests. */
+  @Test
+  public void aServerWithALimitIsTakenWithoutAsking() {
+    ServerState limited = Servers.told("a", 1, 1, LONG_AGO);
+    ServerNotice notice = new ServerNotice(false, OptionalDouble.of(4.6), 0);
+    limited.backpressure().answered(notice, LONG_AGO, LONG_AGO);
+    assertEquals(next(true, limited), new Selection.Step.Send(limited));
+  }
+
   @Test
   public void aSlowServerIsTakenWhenAllHaveJustSaidSo() {
     ServerState slow = Servers.told("a", 1, 4, NOW);
