--- a/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.testing.Bursts;
 import org.magnoliaswitch.front.version.Warmup;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -172,13 +173,8 @@
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long SPAN_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** Whether an instance may send now. */
-    private interface Way {
-      boolean send(int instance, long nowNanos);
-    }
-
     /** Each instance holds a bucket that fills at an even part of the limit. */
-    private static final class Buckets implements Way {
+    private static final class Buckets implements Bursts.Way {
       private final List<RateLimit> buckets = new ArrayList<>();
       private final double perSecond;
 
@@ -200,7 +196,7 @@
     }
 
     /** Few instances are drawn. */
-    private static final class Drawn implements Way {
+    private static final class Drawn implements Bursts.Way {
       private final List<SendWindow> windows = new ArrayList<>();
       private final String server;
 
@@ -224,26 +220,9 @@
       }
     }
 
-    /** Sends of a burst in which each instance has a request at each moment. */
-    private static List<Long> play(Way way) {
-      List<Long> sends = new ArrayList<>();
-      for (long now = 0; now < SPAN_NANOS; now += STEP_NANOS) {
-        for (int instance = 0; instance < INSTANCES; instance++) {
-          if (way.send(instance, now)) {
-            sends.add(now);
-          }
-        }
-      }
-      return sends;
-    }
-
-    private static long mostInASecond(List<Long> sends) {
-      long most = 0;
-      for (long first : sends) {
-        long end = first + TimeUnit.SECONDS.toNanos(1);
-        most = Math.max(most, sends.stream().filter(at -> at >= first && at < end).count());
-      }
-      return most;
+    private static long worst(Bursts.Way way) {
+      List<Long> sends = Bursts.play(way, INSTANCES, 0, SPAN_NANOS, STEP_NANOS);
+      return Bursts.mostInSpan(sends, TimeUnit.SECONDS.toNanos(1));
     }
 
     /**
@@ -256,8 +235,8 @@
       long worstBuckets = 0;
       long worstDrawn = 0;
       for (int seed = 0; seed < SEEDS; seed++) {
-        worstBuckets = Math.max(worstBuckets, mostInASecond(play(new Buckets(new Random(seed)))));
-        worstDrawn = Math.max(worstDrawn, mostInASecond(play(new Drawn(new Random(seed)))));
+        worstBuckets = Math.max(worstBuckets, worst(new Buckets(new Random(seed))));
+        worstDrawn = Math.max(worstDrawn, worst(new Drawn(new Random(seed))));
       }
       assertTrue(worstBuckets > MOST_PER_SECOND, "buckets " + worstBuckets);
       assertTrue(worstDrawn <= MOST_PER_SECOND, "drawn " + worstDrawn);
--- a/front/src/test/java/org/magnoliaswitch/front/load/RateLimitShareTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/RateLimitShareTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.testing.Bursts;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -100,13 +101,8 @@
     /** Calm before callers come, in which a bucket fills. */
     private static final long CALM_NANOS = TimeUnit.SECONDS.toNanos(60);
 
-    /** Whether an instance may send now. */
-    private interface Way {
-      boolean send(int instance, long nowNanos);
-    }
-
     /** Each instance holds a bucket of one request that fills at an even part of the limit. */
-    private record Buckets(List<RateLimit> buckets, double perSecond) implements Way {
+    private record Buckets(List<RateLimit> buckets, double perSecond) implements Bursts.Way {
       static Buckets of(int instances, double perSecond) {
         List<RateLimit> buckets = new ArrayList<>();
         for (int i = 0; i < instances; i++) {
@@ -122,7 +118,8 @@
     }
 
     /** Each instance has its share of each span. */
-    private record Shares(List<SendWindow> windows, List<RateLimitShare> shares) implements Way {
+    private record Shares(List<SendWindow> windows, List<RateLimitShare> shares)
+        implements Bursts.Way {
       static Shares of(int instances, double perSecond, String server) {
         List<SendWindow> windows = new ArrayList<>();
         List<RateLimitShare> shares = new ArrayList<>();
@@ -145,26 +142,12 @@
       }
     }
 
-    /** A burst after a calm time, in which each instance has a request at each moment. */
-    private static List<Long> play(Way way, int instances) {
-      List<Long> sends = new ArrayList<>();
-      for (long now = CALM_NANOS; now < CALM_NANOS + PLAYED_NANOS; now += STEP_NANOS) {
-        for (int instance = 0; instance < instances; instance++) {
-          if (way.send(instance, now)) {
-            sends.add(now);
-          }
-        }
-      }
-      return sends;
+    private static List<Long> play(Bursts.Way way, int instances) {
+      return Bursts.play(way, instances, CALM_NANOS, PLAYED_NANOS, STEP_NANOS);
     }
 
     private static long mostInASpan(List<Long> sends) {
-      long most = 0;
-      for (long first : sends) {
-        long end = first + RateLimitShare.SPAN_NANOS;
-        most = Math.max(most, sends.stream().filter(at -> at >= first && at < end).count());
-      }
-      return most;
+      return Bursts.mostInSpan(sends, RateLimitShare.SPAN_NANOS);
     }
 
     @DataProvider
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -28,6 +28,7 @@
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.testing.TestHeaders;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.HeaderNames;
@@ -39,8 +40,7 @@
 
 /** How instances learn from the platform and from each other. */
 public final class NewsTest {
-  private static final HeaderNames NAMES =
-      new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i");
+  private static final HeaderNames NAMES = TestHeaders.NAMES;
 
   /** A platform whose answers a test sets. */
   private static final class Source implements NewsSource {
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
@@ -22,6 +22,7 @@
 import org.magnoliaswitch.front.testing.PausedClock;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.testing.TestHeaders;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.HeaderNames;
@@ -35,8 +36,7 @@
 
 /** Which servers get work as lists come in. */
 public final class ServerDirectoryTest {
-  private static final HeaderNames NAMES =
-      new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i");
+  private static final HeaderNames NAMES = TestHeaders.NAMES;
 
   private static ServerDirectory directory() {
     return directory(Clocks.system(), Warmup.UNLIMITED);
--- a/front/src/test/java/org/magnoliaswitch/front/request/LeavingServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LeavingServerTest.java
@@ -23,20 +23,12 @@
   private static final Route READ = Requests.route(true);
 
   private static boolean leaving(ScriptedServer.Received request) throws IOException {
-    return answer(request, "Leaving: 1\r\nLoad: 0,0,6,100\r\n");
+    return request.answerWith(200, "Leaving: 1", "Load: 0,0,6,100");
   }
 
   /** Looks busier than the one that leaves. */
   private static boolean staying(ScriptedServer.Received request) throws IOException {
-    return answer(request, "Load: 3,0,6,100\r\n");
-  }
-
-  private static boolean answer(ScriptedServer.Received request, String headers)
-      throws IOException {
-    request.write(
-        "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
-            .formatted(request.header("Request-Id"), headers));
-    return true;
+    return request.answerWith(200, "Load: 3,0,6,100");
   }
 
   private static void list(Environment environment, long version, ServerEntry... entries)
--- a/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.testing.Bursts;
 import org.magnoliaswitch.front.testing.Requests;
 import org.magnoliaswitch.front.testing.RunningFront;
 import org.magnoliaswitch.front.testing.ScriptedServer;
@@ -39,28 +40,11 @@
     if (!request.line().contains("/health")) {
       arrivals.add(clocks.nanos());
     }
-    return answer(request, "Request-Limit: %s\r\nLoad: 0,0,6,100\r\n".formatted(LIMIT_PER_SECOND));
+    return request.answerWith(200, "Request-Limit: " + LIMIT_PER_SECOND, "Load: 0,0,6,100");
   }
 
   private static boolean half(ScriptedServer.Received request) throws IOException {
-    return answer(request, "Load: 3,0,6,100\r\n");
-  }
-
-  private static boolean answer(ScriptedServer.Received request, String headers)
-      throws IOException {
-    request.write(
-        "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
-            .formatted(request.header("Request-Id"), headers));
-    return true;
-  }
-
-  private long mostInASpan() {
-    long most = 0;
-    for (long first : arrivals) {
-      long end = first + SPAN_NANOS;
-      most = Math.max(most, arrivals.stream().filter(at -> at >= first && at < end).count());
-    }
-    return most;
+    return request.answerWith(200, "Load: 3,0,6,100");
   }
 
   /** Guards against a server in need that gets the load of all instances because it looks idle. */
@@ -73,7 +57,8 @@
         String answer = fronts.get(i % INSTANCES).ask("GET", "/safe/" + i, 10_000);
         assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
       }
-      assertTrue(mostInASpan() <= MOST_IN_SPAN, mostInASpan() + " in a span");
+      long most = Bursts.mostInSpan(arrivals, SPAN_NANOS);
+      assertTrue(most <= MOST_IN_SPAN, most + " in a span");
       fronts.forEach(front -> front.stop(() -> {}));
     }
   }
--- a/front/src/test/java/org/magnoliaswitch/front/request/NoticeHeadersTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/NoticeHeadersTest.java
@@ -9,19 +9,18 @@
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.connection.ServerReply;
 import org.magnoliaswitch.front.load.ServerNotice;
-import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.testing.TestHeaders;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** What a server asks for in the headers of its answers. */
 public final class NoticeHeadersTest {
-  private static final HeaderNames NAMES =
-      new HeaderNames("a", "b", "c", "d", "e", "f", "g", "Leaving", "Request-Limit");
   private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private static ServerNotice read(int status, HttpHeaders headers) {
     HttpResponseStatus answered = HttpResponseStatus.valueOf(status);
-    return NoticeHeaders.read(new ServerReply.Whole(answered, headers, new byte[0]), NAMES);
+    return NoticeHeaders.read(
+        new ServerReply.Whole(answered, headers, new byte[0]), TestHeaders.NAMES);
   }
 
   private static ServerNotice with(int status, String name, String value) {
--- a/front/src/test/java/org/magnoliaswitch/front/request/PausedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/PausedServerTest.java
@@ -22,17 +22,9 @@
   private static final Route ONCE = Requests.route(false);
 
   private static boolean shedding(ScriptedServer.Received request) throws IOException {
-    boolean check = request.line().contains("/health");
-    String shed = "Not-Run: 1\r\nRetry-After: 60\r\n";
-    return answer(request, check ? 200 : 503, (check ? "" : shed) + "Load: 0,0,6,100\r\n");
-  }
-
-  private static boolean answer(ScriptedServer.Received request, int status, String headers)
-      throws IOException {
-    request.write(
-        "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
-            .formatted(status, request.header("Request-Id"), headers));
-    return true;
+    return request.line().contains("/health")
+        ? request.answerWith(200, "Load: 0,0,6,100")
+        : request.answerWith(503, "Not-Run: 1", "Retry-After: 60", "Load: 0,0,6,100");
   }
 
   private static void assertLeftAlone(ScriptedServer server) {
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -24,7 +24,6 @@
 import org.magnoliaswitch.front.process.NewsSource;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
-import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.OperatorState;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -36,17 +35,6 @@
 
 /** An instance on free ports with a fixed configuration: {@code /safe/} and {@code /once/}. */
 public final class RunningFront {
-  private static final HeaderNames NAMES =
-      new HeaderNames(
-          "Request-Id",
-          "Deadline-Millis",
-          "Expected-Server",
-          "Not-Run",
-          "Load",
-          "Server-Id",
-          "Warmup-Left",
-          "Leaving",
-          "Request-Limit");
   private static final SharedRetryBudget.Limits REPEATS =
       new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
 
@@ -110,7 +98,9 @@
             Mechanisms.ALL);
     front =
         FrontProcess.start(
-            settings, NAMES, (loop, log, metrics) -> new Fixed(routes, new ServerList(1, entries)));
+            settings,
+            TestHeaders.NAMES,
+            (loop, log, metrics) -> new Fixed(routes, new ServerList(1, entries)));
     String answer = "503";
     while (answer.contains("no_configuration") || answer.equals("503")) {
       answer = ask("GET", "/none/", 100);
--- a/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.magnoliaswitch.front.version.ServerEntry;
 
 /** A backend server that does to each request what a test says, down to the bytes. */
@@ -62,6 +64,15 @@
       return true;
     }
 
+    /** Writes an answer without a body that echoes the request's id and has further headers. */
+    public boolean answerWith(int status, String... headers) throws IOException {
+      String lines = Stream.of(headers).map(line -> line + "\r\n").collect(Collectors.joining());
+      write(
+          "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+              .formatted(status, header("Request-Id"), lines));
+      return true;
+    }
+
     /** Ends the connection with a reset. */
     public boolean reset() throws IOException {
       socket.setSoLinger(true, 0);
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -48,17 +48,7 @@
     EventLog log = new EventLog(clocks);
     FrontMetrics metrics = new FrontMetrics();
     Loop loop = Loop.start();
-    HeaderNames names =
-        new HeaderNames(
-            "Request-Id",
-            "D",
-            "E",
-            "Not-Run",
-            "Load",
-            "Server-Id",
-            "Warmup-Left",
-            "Leaving",
-            "Request-Limit");
+    HeaderNames names = TestHeaders.NAMES;
     Random random = new Random(1);
     FrontSettings settings = settings();
     AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestHeaders.java
@@ -0,0 +1,21 @@
+package org.magnoliaswitch.front.testing;
+
+import org.magnoliaswitch.front.version.HeaderNames;
+
+/** Headers that tests use between callers, instances and backend servers. */
+public final class TestHeaders {
+  /** Their names. */
+  public static final HeaderNames NAMES =
+      new HeaderNames(
+          "Request-Id",
+          "Deadline-Millis",
+          "Expected-Server",
+          "Not-Run",
+          "Load",
+          "Server-Id",
+          "Warmup-Left",
+          "Leaving",
+          "Request-Limit");
+
+  private TestHeaders() {}
+}
