Shares of what all instances may send are kept in one place

Cold servers and request limits each kept their shares until the count or place of the instances changes; now ShareCache does it for both, and ColdShare takes the draw of senders as RateLimitShare does.

--- a/front/src/main/java/org/magnoliaswitch/front/load/ColdShare.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ColdShare.java
@@ -1,6 +1,5 @@
 package org.magnoliaswitch.front.load;
 
-import java.util.Optional;
 import org.magnoliaswitch.front.version.Warmup;
 
 /**
@@ -42,26 +41,12 @@
     }
   }
 
-  /**
-   * The share of one instance.
-   *
-   * @param instance its name
-   * @param incarnation names the server and its start
-   * @param instances how many instances serve, as far as known
-   * @param place the instance's place among them, if it has one
-   */
-  public static ColdShare of(
-      Warmup warmup,
-      Bounds bounds,
-      String instance,
-      String incarnation,
-      int instances,
-      Optional<InstancePlace> place) {
+  /** The share of one instance. */
+  public static ColdShare of(Warmup warmup, Bounds bounds, SenderDraw draw) {
     if (!warmup.limited()) {
       return UNLIMITED;
     }
     double planned = bounds.plannedPerSecond(warmup);
-    SenderDraw draw = new SenderDraw(instance, incarnation, instances, place);
     if (draw.sharers() <= planned) {
       return new ColdShare((int) (planned / draw.sharers()));
     }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ColdSends.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ColdSends.java
@@ -1,29 +1,23 @@
 package org.magnoliaswitch.front.process;
 
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.load.ColdShare;
-import org.magnoliaswitch.front.load.InstancePlace;
+import org.magnoliaswitch.front.load.SenderDraw;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.Warmup;
 
 /** What this instance may send to servers whose caches are cold; used by one thread. */
 public final class ColdSends {
-  /** Shares kept: a share is looked up for each cold server in each search, and takes a while. */
-  private static final int MOST_SHARES = 2_000;
-
   private final FrontSettings settings;
   private final Clocks clocks;
   private final AtomicReference<RouteTable> routes;
   private final InstanceCount instances;
-  private final Map<String, ColdShare> shares = new HashMap<>();
-  private Basis basis = new Basis(0, 0, Optional.empty());
+  private final ShareCache<Cold, ColdShare> shares;
 
-  /** What shares are worked out from. */
-  private record Basis(long routesVersion, int instances, Optional<InstancePlace> place) {}
+  /** A server and what its service's servers bear while they are cold. */
+  private record Cold(String incarnation, Warmup warmup) {}
 
   public ColdSends(
       FrontSettings settings,
@@ -34,6 +28,7 @@
     this.clocks = clocks;
     this.routes = routes;
     this.instances = instances;
+    this.shares = new ShareCache<>(instances, this::share);
   }
 
   /** How long servers of a service stay cold. */
@@ -63,22 +58,12 @@
   }
 
   private ColdShare share(ServerState server) {
-    Basis now = new Basis(routes.get().version(), instances.count(), instances.place());
-    if (!now.equals(basis) || shares.size() >= MOST_SHARES) {
-      shares.clear();
-      basis = now;
-    }
-    return shares.computeIfAbsent(
-        server.entry().incarnation(), incarnation -> share(server.entry().service(), incarnation));
+    Warmup warmup = routes.get().warmup(server.entry().service());
+    return shares.of(new Cold(server.entry().incarnation(), warmup));
   }
 
-  private ColdShare share(String service, String incarnation) {
-    return ColdShare.of(
-        routes.get().warmup(service),
-        settings.coldSends(),
-        settings.instance(),
-        incarnation,
-        instances.count(),
-        instances.place());
+  private ColdShare share(Cold cold) {
+    SenderDraw draw = instances.draw(settings.instance(), cold.incarnation());
+    return ColdShare.of(cold.warmup(), settings.coldSends(), draw);
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/InstanceCount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/InstanceCount.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.load.InstancePlace;
+import org.magnoliaswitch.front.load.SenderDraw;
 
 /**
  * How many instances serve and which of their places this one has, as far as it knows; safe for
@@ -57,6 +58,16 @@
     place.set(Optional.of(told));
   }
 
+  /**
+   * Draws senders to a server as far as the instances are known now.
+   *
+   * @param instance name of this instance
+   * @param incarnation names the server and its start
+   */
+  SenderDraw draw(String instance, String incarnation) {
+    return new SenderDraw(instance, incarnation, count(), place());
+  }
+
   /** Whether there was time to find the others. */
   public boolean settled() {
     return settlesInNanos() == 0;
--- a/front/src/main/java/org/magnoliaswitch/front/process/SendQuotas.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SendQuotas.java
@@ -1,13 +1,9 @@
 package org.magnoliaswitch.front.process;
 
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 import org.magnoliaswitch.core.clock.Clocks;
-import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.load.RateLimitShare;
 import org.magnoliaswitch.front.load.SenderDraw;
 import org.magnoliaswitch.front.load.ServerState;
@@ -25,21 +21,14 @@
 
   private static final RateLimitShare TRIAL = new RateLimitShare(1);
 
-  /** Shares kept: a share is looked up in each search, and takes a while to work out. */
-  private static final int MOST_SHARES = 2_000;
-
   private final FrontSettings settings;
   private final Clocks clocks;
   private final InstanceCount instances;
   private final ColdSends coldSends;
   private final ToDoubleFunction<String> part;
-  private final Map<Limit, RateLimitShare> shares = new HashMap<>();
-  private Basis basis = new Basis(0, Optional.empty());
-
-  /** What all shares are worked out from. */
-  private record Basis(int instances, Optional<InstancePlace> place) {}
+  private final ShareCache<Limit, RateLimitShare> shares;
 
-  /** What the share of one server is worked out from besides. */
+  /** The limit of a server, and the part of its service's servers that each instance sends to. */
   private record Limit(String incarnation, double perSecond, double part) {}
 
   /**
@@ -58,6 +47,7 @@
     this.instances = instances;
     this.coldSends = coldSends;
     this.part = part;
+    this.shares = new ShareCache<>(instances, this::share);
   }
 
   /** Whether a request may be sent to a server now. */
@@ -92,7 +82,7 @@
   }
 
   private RateLimitShare share(ServerState server, double perSecond) {
-    RateLimitShare share = share(limit(server, perSecond));
+    RateLimitShare share = shares.of(limit(server, perSecond));
     boolean unheard = server.backpressure().limitAgeNanos(clocks.nanos()) > LIMIT_TRIAL_NANOS;
     return unheard && share.mostInSpan() == 0 ? TRIAL : share;
   }
@@ -103,17 +93,7 @@
   }
 
   private RateLimitShare share(Limit limit) {
-    Basis now = new Basis(instances.count(), instances.place());
-    if (!now.equals(basis) || shares.size() >= MOST_SHARES) {
-      shares.clear();
-      basis = now;
-    }
-    return shares.computeIfAbsent(
-        limit,
-        key -> {
-          SenderDraw draw =
-              new SenderDraw(settings.instance(), key.incarnation(), now.instances(), now.place());
-          return RateLimitShare.of(key.perSecond(), draw, key.part());
-        });
+    SenderDraw draw = instances.draw(settings.instance(), limit.incarnation());
+    return RateLimitShare.of(limit.perSecond(), draw, limit.part());
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ColdShareTest.java
@@ -29,7 +29,9 @@
   private static int sharesOf(String server, int instances, int believed) {
     int sum = 0;
     for (int i = 0; i < instances; i++) {
-      sum += ColdShare.of(WARMUP, BOUNDS, "front-" + i, server, believed, NOWHERE).mostPerSecond();
+      sum +=
+          ColdShare.of(WARMUP, BOUNDS, new SenderDraw("front-" + i, server, believed, NOWHERE))
+              .mostPerSecond();
     }
     return sum;
   }
@@ -77,7 +79,8 @@
 
   @Test
   public void aServiceThatDeclaresNothingIsNotLimited() {
-    ColdShare share = ColdShare.of(Warmup.UNLIMITED, BOUNDS, "a", "i@0", 100, NOWHERE);
+    ColdShare share =
+        ColdShare.of(Warmup.UNLIMITED, BOUNDS, new SenderDraw("a", "i@0", 100, NOWHERE));
     assertEquals(share.mostPerSecond(), Integer.MAX_VALUE);
   }
 
@@ -87,7 +90,8 @@
 
     private static int share(String server, int place, int places) {
       Optional<InstancePlace> known = Optional.of(new InstancePlace(place, places));
-      return ColdShare.of(WARMUP, BOUNDS, "front", server, places, known).mostPerSecond();
+      return ColdShare.of(WARMUP, BOUNDS, new SenderDraw("front", server, places, known))
+          .mostPerSecond();
     }
 
     /** What the instances send whose places a list names, in a second. */
@@ -144,7 +148,7 @@
         int named = 0;
         for (int k = 0; k < 2 * INSTANCES / 3; k++) {
           named +=
-              ColdShare.of(WARMUP, BOUNDS, "front-" + k, server, INSTANCES, NOWHERE)
+              ColdShare.of(WARMUP, BOUNDS, new SenderDraw("front-" + k, server, INSTANCES, NOWHERE))
                   .mostPerSecond();
         }
         int all = named + sum(server, shuffled(3).subList(0, INSTANCES / 3));
@@ -160,7 +164,8 @@
       for (int place = 0; place < INSTANCES; place++) {
         Optional<InstancePlace> known = Optional.of(new InstancePlace(place, INSTANCES));
         senders +=
-            ColdShare.of(one, ColdShare.Bounds.NONE, "a", "i@0", INSTANCES, known).mostPerSecond();
+            ColdShare.of(one, ColdShare.Bounds.NONE, new SenderDraw("a", "i@0", INSTANCES, known))
+                .mostPerSecond();
       }
       assertEquals(senders, 1);
     }
@@ -210,7 +215,8 @@
       @Override
       public boolean send(int instance, long nowNanos) {
         ColdShare share =
-            ColdShare.of(WARMUP, BOUNDS, "front-" + instance, server, INSTANCES, NOWHERE);
+            ColdShare.of(
+                WARMUP, BOUNDS, new SenderDraw("front-" + instance, server, INSTANCES, NOWHERE));
         SendWindow window = windows.get(instance);
         if (window.size(TimeUnit.SECONDS.toNanos(1), nowNanos) >= share.mostPerSecond()) {
           return false;
