A refusal does not lift a server's request limit

Only answers to requests that the server has run lift a limit now; refusals and health checks may name one. An answer from whoever has the address since (421) says nothing of the server at all. A server may say that it does not leave ("0").

--- a/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
@@ -14,18 +14,29 @@
   private long limitHeardNanos;
 
   /**
-   * Takes the notice in the answer to a request.
+   * Takes the notice in the answer to a request that the server has run.
    *
    * @param sentNanos when the request was sent
    */
   public void answered(ServerNotice notice, long sentNanos, long nowNanos) {
-    takeLeaving(notice);
-    takePause(notice, nowNanos);
-    takeLimit(notice, sentNanos, nowNanos);
+    take(notice, nowNanos);
+    // Answers overtake each other: only one to a later request shows that the limit has ended.
+    if (notice.requestsPerSecond().isEmpty() && sentNanos - limitHeardNanos > 0) {
+      requestsPerSecond = OptionalDouble.empty();
+    }
   }
 
-  private void takeLeaving(ServerNotice notice) {
+  /**
+   * Takes the notice in the answer to a health check or to a request that was turned away. It does
+   * not lift a limit: a server may leave the limit out of such answers.
+   */
+  public void take(ServerNotice notice, long nowNanos) {
     leaving |= notice.leaving();
+    takePause(notice, nowNanos);
+    if (notice.requestsPerSecond().isPresent()) {
+      requestsPerSecond = notice.requestsPerSecond();
+      limitHeardNanos = nowNanos;
+    }
   }
 
   /** The longest pause counts: a server that is asked once more may name less than what is left. */
@@ -36,28 +47,6 @@
     }
   }
 
-  private void takeLimit(ServerNotice notice, long sentNanos, long nowNanos) {
-    if (notice.requestsPerSecond().isPresent()) {
-      requestsPerSecond = notice.requestsPerSecond();
-      limitHeardNanos = nowNanos;
-    } else if (sentNanos - limitHeardNanos > 0) {
-      // Answers overtake each other: only one to a later request shows that the limit has ended.
-      requestsPerSecond = OptionalDouble.empty();
-    }
-  }
-
-  /**
-   * Takes the notice in the answer to a health check. One without a limit does not lift it: servers
-   * may leave limits out of these, and one that has a limit gets no checks.
-   */
-  public void checked(ServerNotice notice, long nowNanos) {
-    takeLeaving(notice);
-    takePause(notice, nowNanos);
-    if (notice.requestsPerSecond().isPresent()) {
-      takeLimit(notice, nowNanos, nowNanos);
-    }
-  }
-
   /** Whether the server leaves; it never comes back from that, only its next incarnation does. */
   public boolean leaving() {
     return leaving;
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerNotices.java
@@ -24,7 +24,7 @@
   }
 
   /**
-   * Takes the notice in the answer to a request.
+   * Takes the notice in the answer to a request that the server has run.
    *
    * @param sentNanos when the request was sent
    */
@@ -34,10 +34,10 @@
     taken(server, notice, before);
   }
 
-  /** Takes the notice in the answer to a health check. */
-  public void checked(ServerState server, ServerNotice notice) {
+  /** Takes the notice in the answer to a health check or to a request that was turned away. */
+  public void heard(ServerState server, ServerNotice notice) {
     Before before = new Before(server.backpressure());
-    server.backpressure().checked(notice, clocks.nanos());
+    server.backpressure().take(notice, clocks.nanos());
     taken(server, notice, before);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -17,6 +17,7 @@
 import org.magnoliaswitch.front.load.LoadSample;
 import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Placement;
+import org.magnoliaswitch.front.load.ServerNotice;
 import org.magnoliaswitch.front.load.ServiceLoad;
 import org.magnoliaswitch.front.process.Environment;
 
@@ -231,9 +232,6 @@
   }
 
   private void whole(ServerReply.Whole whole) {
-    environment
-        .notices()
-        .answered(pool.state(), NoticeHeaders.read(whole, environment.names()), sentNanos);
     learnLoad(whole);
     int status = whole.status().code();
     if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
@@ -241,15 +239,21 @@
       environment.log().belief("server_replaced").add("server", serverId()).write();
       exchange.rejected(this, status);
     } else if (whole.headers().contains(environment.names().notExecuted())) {
+      environment.notices().heard(pool.state(), notice(whole));
       environment.servers().failed(pool.state(), "rejected");
       exchange.rejected(this, status);
     } else {
+      environment.notices().answered(pool.state(), notice(whole), sentNanos);
       exchange.guard().answered(pool, sentNanos);
       judge(status);
       exchange.answered(this, whole);
     }
   }
 
+  private ServerNotice notice(ServerReply.Whole whole) {
+    return NoticeHeaders.read(whole, environment.names());
+  }
+
   private void judge(int status) {
     if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
       environment.servers().failed(pool.state(), "error");
--- a/front/src/main/java/org/magnoliaswitch/front/request/NoticeHeaders.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/NoticeHeaders.java
@@ -13,13 +13,16 @@
 
 /** Reads what a backend server asks of its callers from the headers of its answer. */
 final class NoticeHeaders {
+  /** How a server may say that it does not leave. */
+  private static final String NO = "0";
+
   private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}([.][0-9]{1,9})?");
 
   private NoticeHeaders() {}
 
   /** The notice in an answer; a value that is no number asks for nothing. */
   static ServerNotice read(ServerReply.Whole answer, HeaderNames names) {
-    boolean leaving = answer.headers().contains(names.leaving());
+    boolean leaving = !answer.headers().get(names.leaving(), NO).equals(NO);
     Optional<Double> limit = decimal(answer.headers().get(names.requestLimit()));
     OptionalLong pause =
         turnedAway(answer)
--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -217,7 +217,7 @@
             .write();
         return;
       }
-      environment.notices().checked(pool.state(), NoticeHeaders.read(whole, environment.names()));
+      environment.notices().heard(pool.state(), NoticeHeaders.read(whole, environment.names()));
       learnWarmup(whole.headers().get(environment.names().warmupLeft()));
       String load = whole.headers().get(environment.names().load());
       if (load == null) {
--- a/front/src/test/java/org/magnoliaswitch/front/load/BackpressureTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/BackpressureTest.java
@@ -33,13 +33,13 @@
       assertEquals(server.requestsPerSecond(), LIMITED.requestsPerSecond());
     }
 
-    /** Guards against servers whose health checks say nothing of their limit. */
+    /** Guards against servers whose health checks and refusals say nothing of their limit. */
     @Test
-    public void aHealthCheckNamesItButDoesNotLiftIt() {
+    public void aHealthCheckOrRefusalNamesItButDoesNotLiftIt() {
       Backpressure server = new Backpressure();
-      server.checked(LIMITED, 100);
+      server.take(LIMITED, 100);
       assertEquals(server.requestsPerSecond(), LIMITED.requestsPerSecond());
-      server.checked(ServerNotice.NONE, 120);
+      server.take(ServerNotice.NONE, 120);
       assertEquals(server.requestsPerSecond(), LIMITED.requestsPerSecond());
     }
 
--- a/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.testing.Bursts;
 import org.magnoliaswitch.front.testing.Requests;
@@ -63,6 +64,27 @@
     }
   }
 
+  /**
+   * Guards against a limit that ends because the server turned a request away without naming it.
+   */
+  @Test
+  public void keepsItsLimitWhenItTurnsARequestAway() throws IOException {
+    AtomicInteger requests = new AtomicInteger();
+    ScriptedServer.Script script =
+        request -> {
+          boolean first = requests.getAndIncrement() == 0;
+          return first ? limited(request) : request.answerWith(503, "Not-Run: 1");
+        };
+    try (ScriptedServer server = new ScriptedServer("a", script)) {
+      Environment environment = TestEnvironment.with(Requests.route(true), server);
+      assertEquals(Requests.ask(environment).join().status().code(), 200);
+      assertEquals(Requests.ask(environment).join().status().code(), 503);
+      ServerState state = environment.servers().of("s").getFirst().state();
+      assertTrue(state.backpressure().requestsPerSecond().isPresent());
+      environment.loop().stop();
+    }
+  }
+
   /** Guards against health checks, each a request too, that double what a server in need gets. */
   @Test
   public void isNotAskedForItsLoad() throws IOException {
--- a/front/src/test/java/org/magnoliaswitch/front/request/NoticeHeadersTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/NoticeHeadersTest.java
@@ -43,6 +43,11 @@
     assertEquals(read(503, headers), expected);
   }
 
+  @Test
+  public void oneThatSaysNoDoesNotLeave() {
+    assertEquals(with(200, "Leaving", "0"), ServerNotice.NONE);
+  }
+
   /** A server that answers a request has not turned it away, whatever it tells its caller. */
   @Test
   public void onlyARequestThatIsTurnedAwayBringsAPause() {
