Failing test: a health check that was under way when its server asked for a pause

A check whose connection is being opened goes out although the server has named a pause or a limit meanwhile: one check, none expected.

--- a/front/src/test/java/org/magnoliaswitch/front/request/PausedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/PausedServerTest.java
@@ -4,12 +4,23 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.magnoliaswitch.front.connection.CallerAnswer;
+import org.magnoliaswitch.front.load.ServerNotice;
+import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.testing.Requests;
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.Warmup;
 import org.testng.annotations.Test;
 
 /** Servers that turn a request away and ask for a pause. */
@@ -61,4 +72,36 @@
       environment.loop().stop();
     }
   }
+
+  /**
+   * Guards against a health check whose connection was being opened when the pause was asked for.
+   */
+  @Test
+  public void getNoHealthCheckThatWasUnderWay() throws IOException {
+    AtomicInteger checks = new AtomicInteger();
+    ScriptedServer.Script counting =
+        request -> {
+          checks.incrementAndGet();
+          return request.answerWith(200, "Load: 0,0,6,100");
+        };
+    try (ScriptedServer server = new ScriptedServer("a", counting)) {
+      Environment environment = TestEnvironment.with(ONCE, server);
+      ServicePolicy askable = new ServicePolicy("s", "/health", 9, Warmup.UNLIMITED);
+      environment
+          .routes()
+          .set(new RouteTable(2, List.of(ONCE), List.of(askable), CallerLimits.DEFAULT));
+      CompletableFuture<CallerAnswer> answer = Requests.ask(environment);
+      environment.loop().execute(() -> pause(environment));
+      assertEquals(answer.join().status().code(), 503);
+      assertEquals(checks.get(), 0);
+      environment.loop().stop();
+    }
+  }
+
+  private static void pause(Environment environment) {
+    ServerState state = environment.servers().of("s").getFirst().state();
+    ServerNotice notice =
+        new ServerNotice(false, OptionalDouble.empty(), TimeUnit.MINUTES.toNanos(2));
+    state.backpressure().take(notice, environment.clocks().nanos());
+  }
 }
