A health check is not sent if its server asked for a pause meanwhile

Cause: whether a server may be checked was asked before a connection for the check was opened, and afterwards only whether it accepts work. A server that named a pause or a limit in that time got one more request from each instance that was opening a connection.

Change: both moments ask the same question, Probes.allowsChecks.

Before: 1 check at a server in its pause; after: 0.

--- a/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Probes.java
@@ -72,7 +72,7 @@
 
   private boolean allowed(ServerPool pool) {
     long now = environment.clocks().nanos();
-    if (!pool.state().backpressure().allowsChecks(now)) {
+    if (!allowsChecks(pool.state())) {
       return false;
     }
     double perSecond =
@@ -85,6 +85,11 @@
         .take(perSecond, now);
   }
 
+  /** Whether a server may be checked now; asked again once a connection for the check is open. */
+  private boolean allowsChecks(ServerState server) {
+    return server.acceptsWork() && server.backpressure().allowsChecks(environment.clocks().nanos());
+  }
+
   /** One set of questions. */
   private final class Round {
     private final Runnable choose;
@@ -112,7 +117,7 @@
     }
 
     private void connected(ServerPool pool, ServerConnection opened, String healthPath) {
-      if (pool.state().acceptsWork()) {
+      if (allowsChecks(pool.state())) {
         ask(pool, opened, healthPath);
       } else {
         pool.giveBack(opened);
