--- a/core/src/main/java/org/magnoliaswitch/core/process/Pause.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Pause.java
@@ -1,7 +1,7 @@
 package org.magnoliaswitch.core.process;
 
 /**
- * A time in which a server wants nothing from this instance, as it asked.
+ * The time for which a server has asked this instance to send it nothing.
  *
  * @param untilNanos monotonic end
  * @param asked whether it has ever asked for one
--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -77,7 +77,7 @@
     return (long) (TimeUnit.MILLISECONDS.toNanos(budget.windowMillis()) * factor);
   }
 
-  /** A server that is full or asked to be left alone gets no probe: that would take capacity. */
+  /** A server that is full or has asked for a pause gets no probe: that would take capacity. */
   private static boolean wanted(ServerHandle handle, long now, long window) {
     ServerLoad load = handle.load();
     boolean quiet = now - load.lastHeardNanos() > Math.min(QUIET_NANOS, window);
--- a/core/src/main/java/org/magnoliaswitch/core/process/RetryAfterHeader.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/RetryAfterHeader.java
@@ -5,7 +5,7 @@
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
-/** Reads the header by which a server asks to be left alone for some seconds. */
+/** Reads the header by which a server asks for a pause of some seconds. */
 public final class RetryAfterHeader {
   /** Name of the header. */
   public static final String NAME = "Retry-After";
--- a/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
@@ -111,7 +111,7 @@
     return ejection.get();
   }
 
-  /** The server asks to be left alone for a time; the longest it asked for counts. */
+  /** The server asks for a pause; the one that ends last counts. */
   public void pause(long forNanos, long nowNanos) {
     pause.updateAndGet(before -> before.orUntil(nowNanos + forNanos));
   }
--- a/core/src/test/java/org/magnoliaswitch/core/process/RetryAfterHeaderTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/process/RetryAfterHeaderTest.java
@@ -7,7 +7,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Values of the header by which servers ask to be left alone. */
+/** Values of the header by which servers ask for a pause. */
 public final class RetryAfterHeaderTest {
   private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
--- a/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
@@ -122,7 +122,7 @@
       }
     }
 
-    /** Guards against requests that go on reaching a server which asked to be left alone. */
+    /** Guards against requests that go on reaching a server that asked for a pause. */
     @Test
     public void aServerThatAsksForAPauseGetsNothingMeanwhile() throws Exception {
       Answer shed =
--- a/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Backpressure.java
@@ -52,7 +52,7 @@
     return leaving;
   }
 
-  /** Time for which the server wants nothing from this instance; 0 once that has passed. */
+  /** Time left of the pause that the server asked this instance for; 0 once it has passed. */
   public long pauseLeftNanos(long nowNanos) {
     paused &= pausedUntilNanos - nowNanos > 0;
     return paused ? pausedUntilNanos - nowNanos : 0;
--- a/front/src/main/java/org/magnoliaswitch/front/load/RateLimitShare.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/RateLimitShare.java
@@ -6,13 +6,11 @@
  * How much one instance may send to one server that limits the requests a second that it takes from
  * all instances together; pure.
  *
- * <p>Load pattern: a server in need names a rate far below what it gets. Every instance learns of
- * it with the next answer, has callers for the server all the time, and does not see what others
- * send there; it looks idle and would get even more.
+ * <p>Load pattern: an overloaded server names a rate far below what it gets, looks idle to all
+ * instances, and none of them sees what the others send.
  *
- * <p>The limit is kept over a span of some seconds, since most instances would have no part of a
- * second's requests. Each instance gets an even part of the span's requests. What is left of the
- * division goes to instances that are drawn for the server, one request each.
+ * <p>Each instance gets an even part of a span's requests; instances that are drawn for the server
+ * share what is left of the division. In a span of a second most would have no part.
  *
  * @param mostInSpan sends of this instance to the server in any span of {@link #SPAN_NANOS}
  */
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerNotice.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerNotice.java
@@ -8,7 +8,7 @@
  * @param leaving whether it leaves and takes no new work
  * @param requestsPerSecond requests a second that it takes from all instances together, if it
  *     limits them
- * @param pauseNanos time for which it wants nothing from this instance; 0 if it asks for none
+ * @param pauseNanos time for which this instance is to send it nothing; 0 if it asks for no pause
  */
 public record ServerNotice(boolean leaving, OptionalDouble requestsPerSecond, long pauseNanos) {
   /** Asks for nothing. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -147,7 +147,7 @@
     groups.form(byId.values());
   }
 
-  /** A server wants nothing from this instance for a while: others take its place meanwhile. */
+  /** A server has asked for a pause: others take its place meanwhile. */
   void paused() {
     replaceUnavailable();
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerGroups.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerGroups.java
@@ -54,7 +54,7 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  /** Whether it cannot be reached, or wants nothing from this instance for a while. */
+  /** Whether it cannot be reached, or has asked this instance for a pause. */
   private boolean unavailable(ServerState server) {
     long now = clocks.nanos();
     return server.unreachableLately(now) || server.backpressure().pauseLeftNanos(now) > 0;
--- a/front/src/test/java/org/magnoliaswitch/front/load/RateLimitShareTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/RateLimitShareTest.java
@@ -55,7 +55,7 @@
     return rows.toArray(Object[][]::new);
   }
 
-  /** Guards against shares that add up to more than a server in need bears. */
+  /** Guards against shares that add up to more than an overloaded server bears. */
   @Test(dataProvider = "sizes")
   public void sharesAddUpToNoMoreThanIsBorne(
       int instances, double perSecond, double part, boolean placed) {
--- a/front/src/test/java/org/magnoliaswitch/front/process/BackpressureMemoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/BackpressureMemoryTest.java
@@ -1,9 +1,11 @@
 package org.magnoliaswitch.front.process;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.OptionalDouble;
+import org.magnoliaswitch.front.load.Backpressure;
 import org.magnoliaswitch.front.load.ServerNotice;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.testing.Servers;
@@ -35,6 +37,17 @@
     assertTrue(memory.of(ENTRY).leaving());
   }
 
+  /** Guards against a limit or a pause that is forgotten when the list of servers is rebuilt. */
+  @Test
+  public void keepsLimitsAndPauses() {
+    ServerState state = new ServerState(ENTRY, 0);
+    state.backpressure().answered(new ServerNotice(false, OptionalDouble.of(4.6), 100), 0, 0);
+    memory.keep(state);
+    Backpressure kept = memory.of(ENTRY);
+    assertTrue(kept.requestsPerSecond().isPresent());
+    assertEquals(kept.pauseLeftNanos(40), 60);
+  }
+
   /** Guards against a server that gets nothing because the process before it left. */
   @Test
   public void doesNotHoldForTheNextIncarnation() {
--- a/front/src/test/java/org/magnoliaswitch/front/process/SendQuotasTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/SendQuotasTest.java
@@ -59,7 +59,7 @@
     return sent;
   }
 
-  /** Guards against a server in need that gets all that callers have for it. */
+  /** Guards against an overloaded server that gets all that callers have for it. */
   @Test
   public void aLimitedServerGetsTheShareOfASpan() {
     time.advance(SETTLED);
@@ -123,7 +123,7 @@
     server.backpressure().answered(notice, time.read(), time.read());
   }
 
-  /** Guards against requests at a server that asked to be left alone. */
+  /** Guards against requests at a server that asked for a pause. */
   @Test
   public void aServerGetsNothingDuringItsPause() {
     time.advance(SETTLED);
--- a/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LimitedServerTest.java
@@ -23,7 +23,7 @@
 import org.magnoliaswitch.front.version.Warmup;
 import org.testng.annotations.Test;
 
-/** A server in need names the requests a second that it takes from all instances together. */
+/** An overloaded server names the requests a second that it takes from all instances together. */
 public final class LimitedServerTest {
   private static final double LIMIT_PER_SECOND = 1;
   private static final long SPAN_NANOS = TimeUnit.SECONDS.toNanos(4);
@@ -48,7 +48,9 @@
     return request.answerWith(200, "Load: 3,0,6,100");
   }
 
-  /** Guards against a server in need that gets the load of all instances because it looks idle. */
+  /**
+   * Guards against an overloaded server that gets the load of all instances because it looks idle.
+   */
   @Test
   public void allInstancesTogetherKeepTheLimitOfAServer() throws IOException {
     try (ScriptedServer limited = new ScriptedServer("a", this::limited);
@@ -85,7 +87,9 @@
     }
   }
 
-  /** Guards against health checks, each a request too, that double what a server in need gets. */
+  /**
+   * Guards against health checks, each a request too, that double what an overloaded server gets.
+   */
   @Test
   public void isNotAskedForItsLoad() throws IOException {
     AtomicInteger checks = new AtomicInteger();
--- a/front/src/test/java/org/magnoliaswitch/front/request/PausedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/PausedServerTest.java
@@ -43,7 +43,7 @@
     assertTrue(reached <= 1 + MOST_DURING_PAUSE, reached + " reached " + server.entry().id());
   }
 
-  /** Guards against requests that go on reaching servers which asked to be left alone. */
+  /** Guards against requests that go on reaching servers that asked for a pause. */
   @Test
   public void getNoMoreBeforeThePauseHasEnded() throws IOException {
     try (ScriptedServer first = new ScriptedServer("a", PausedServerTest::shedding);
