--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -70,6 +71,8 @@
   private final Consumer<List<CrashReport>> reported;
   private final Set<Listener> listeners = new HashSet<>();
   private final BitSet taken = new BitSet();
+  private final LongAdder bytesTold = new LongAdder();
+  private final LongAdder listenersDropped = new LongAdder();
   private @Nullable Encoded last;
 
   /**
@@ -103,6 +106,16 @@
     return listeners.size() + 1;
   }
 
+  /** Bytes told to all listeners since the start. */
+  public long bytesTold() {
+    return bytesTold.sum();
+  }
+
+  /** Listeners that were disconnected because they did not read, since the start. */
+  public long listenersDropped() {
+    return listenersDropped.sum();
+  }
+
   /** This instance's own place among those that listen to it. */
   public InstancePlace ownPlace() {
     return placeAt(OWN_PLACE);
@@ -233,6 +246,10 @@
     void tell(Knowledge now, List<CrashReport> crashes) {
       if (!channel.isWritable()) {
         // It does not read: holding ever more news for it would fill the memory.
+        listenersDropped.increment();
+        logger.atInfo().log(
+            "event=listener_dropped peer=%s unsent_bytes=%d told_version=%d",
+            channel.remoteAddress(), channel.bytesBeforeWritable(), toldRoutes);
         Channels.close(channel);
         return;
       }
@@ -240,6 +257,7 @@
       toldRoutes = Math.max(toldRoutes, now.routes().version());
       toldServers = now.servers();
       byte[] own = PeerNewsCodec.encodePlace(placeAt(place));
+      bytesTold.add(message.length + own.length);
       Channels.write(channel, Unpooled.wrappedBuffer(message, own));
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -91,6 +91,11 @@
     reader.start();
     environment.metrics().gauge("configuration.version", knownState::routesVersion);
     environment.metrics().gauge("knowledge.age.milliseconds", reader::ageMillis);
+    environment
+        .metrics()
+        .gauge("configuration.own.confirmation.age.milliseconds", reader::ownConfirmationMillis);
+    environment.metrics().gauge("peer.bytes.told", hub::bytesTold);
+    environment.metrics().gauge("peer.listeners.dropped", hub::listenersDropped);
     environment.metrics().gauge("instances", () -> environment.instances().count());
     environment
         .metrics()
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -40,9 +40,11 @@
   private final CrashArchive archive;
   private final DiscoveryKeeper keeper = new DiscoveryKeeper();
   private final Freshness freshness = new Freshness();
+  private final Freshness ownConfirmation = new Freshness();
   private final long startedNanos;
   private boolean waitHealthy;
   private boolean sourceLost;
+  private long waitingSinceNanos;
 
   /**
    * Creates a reader.
@@ -84,6 +86,11 @@
     return freshness.ageMillis(clocks.nanos());
   }
 
+  /** Time since an own read or wait last told which configuration is the newest. */
+  public long ownConfirmationMillis() {
+    return ownConfirmation.ageMillis(clocks.nanos());
+  }
+
   /** Takes what a peer knows. */
   public void heard(PeerNews news, ServerList servers) {
     long now = clocks.nanos();
@@ -136,25 +143,41 @@
 
   private void configurationRead(NewsSource.Read<OperatorState> read, long asOf) {
     if (read instanceof NewsSource.Read.Failed<OperatorState> failed) {
-      failed("configuration", failed.reason());
+      failed("configuration", failed.reason(), asOf);
       return;
     }
     take(read);
+    ownConfirmation.confirmed(asOf);
     if (plan.waitsForChanges()) {
       waitHealthy = true;
-      source.nextOperatorState(this::changeCame);
+      awaitChange();
     }
     source.servers(servers -> serversRead(servers, asOf));
   }
 
+  private void awaitChange() {
+    waitingSinceNanos = clocks.nanos();
+    source.nextOperatorState(this::changeCame);
+  }
+
   private void changeCame(NewsSource.Read<OperatorState> read) {
     if (read instanceof NewsSource.Read.Failed<OperatorState> failed) {
       waitHealthy = false;
-      log.belief("wait_failed").add("reason", failed.reason()).write();
+      log.belief("wait_failed")
+          .add("reason", failed.reason())
+          .add("took_ms", millisSince(waitingSinceNanos))
+          .add("age_ms", ageMillis())
+          .add("own_confirmation_ms", ownConfirmationMillis())
+          .write();
       return;
     }
     take(read);
-    source.nextOperatorState(this::changeCame);
+    ownConfirmation.confirmed(waitingSinceNanos);
+    awaitChange();
+  }
+
+  private long millisSince(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - nanos);
   }
 
   private void take(NewsSource.Read<OperatorState> read) {
@@ -181,11 +204,17 @@
         freshness.confirmed(asOf);
         check();
       }
-      case NewsSource.Read.Failed<ServerList> failed -> failed("servers", failed.reason());
+      case NewsSource.Read.Failed<ServerList> failed -> failed("servers", failed.reason(), asOf);
     }
   }
 
-  private void failed(String what, String reason) {
+  private void failed(String what, String reason, long asOf) {
+    log.belief("read_failed")
+        .add("reading", what)
+        .add("reason", reason)
+        .add("took_ms", millisSince(asOf))
+        .add("own_confirmation_ms", ownConfirmationMillis())
+        .write();
     environment.metrics().count("platform.reads", "", "failed");
     keeper.failed();
     if (!sourceLost) {
