A configuration has an age of its own

Callers got 404 for routes added seconds before, or were sent to a service that only an older version allows, at all instances at once.

Cause: one age stood for all that an instance knows. While the first seed waited for changes it read only the servers, and each such read renewed the age of the configuration too; when the wait went deaf it was given up after 3.1 s, and until then every instance took the old configuration for fresh and none read.

Change: what operators declared and the servers are confirmed apart, and an instance is as fresh as the older. The wait for changes ends shortly before the servers are read (0.7 s instead of 2.5 s), so the age that its answers renew stays below the second seed's second. An answer vouches for the end of its wait, not for its arrival. A wait that failed is followed by a read at once, since earlier answers may have left changes out.

Why it works: worst sum from a change to its read elsewhere is 1.0 s (second seed) plus one read, 1.2 and 1.4 to 1.7 s if the seeds fail one after the other. It costs one small call to the store in 0.7 s instead of one in 2.5 s.

--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -91,9 +91,8 @@
     reader.start();
     environment.metrics().gauge("configuration.version", knownState::routesVersion);
     environment.metrics().gauge("knowledge.age.milliseconds", reader::ageMillis);
-    environment
-        .metrics()
-        .gauge("configuration.own.confirmation.age.milliseconds", reader::ownConfirmationMillis);
+    environment.metrics().gauge("configuration.age.milliseconds", reader::operatorStateAgeMillis);
+    environment.metrics().gauge("servers.age.milliseconds", reader::serversAgeMillis);
     environment.metrics().gauge("peer.bytes.told", hub::bytesTold);
     environment.metrics().gauge("peer.listeners.dropped", hub::listenersDropped);
     environment.metrics().gauge("instances", () -> environment.instances().count());
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -15,8 +15,10 @@
  * Keeps what this instance believes fresh: from peers, and by reading the platform when the {@link
  * ReadingPlan} says so. Runs on the control loop.
  *
- * <p>One instance waits for changes of the configuration; a wait can go deaf, so it is short, and
- * while it fails the configuration is read like the servers.
+ * <p>What operators declared and the servers are read apart and have ages of their own; an instance
+ * is as fresh as the older of the two. One instance waits for changes of what operators declared. A
+ * wait can go deaf while servers are still read, so it is short, and the age that only its answers
+ * renew makes another instance read.
  */
 public final class NewsReader {
   /** Spread of the wait after a failed read: instances must not ask a returning store together. */
@@ -39,12 +41,14 @@
   private final BooleanSupplier hearsPeers;
   private final CrashArchive archive;
   private final DiscoveryKeeper keeper = new DiscoveryKeeper();
-  private final Freshness freshness = new Freshness();
-  private final Freshness ownConfirmation = new Freshness();
+  private final Freshness operatorState = new Freshness();
+  private final Freshness servers = new Freshness();
   private final long startedNanos;
   private boolean waitHealthy;
+  private boolean changesMissed;
   private boolean sourceLost;
-  private long waitingSinceNanos;
+  private boolean reading;
+  private Loop.Timer nextCheck = () -> {};
 
   /**
    * Creates a reader.
@@ -81,26 +85,33 @@
     loop.execute(this::check);
   }
 
-  /** Age of what is believed. */
+  /** Age of what is believed: that of its oldest part. */
   public long ageMillis() {
-    return freshness.ageMillis(clocks.nanos());
+    return Math.max(operatorStateAgeMillis(), serversAgeMillis());
   }
 
-  /** Time since an own read or wait last told which configuration is the newest. */
-  public long ownConfirmationMillis() {
-    return ownConfirmation.ageMillis(clocks.nanos());
+  /** Time since the configuration and the evacuations were known to be the newest. */
+  public long operatorStateAgeMillis() {
+    return operatorState.ageMillis(clocks.nanos());
+  }
+
+  /** Time since the list of servers was known to be the newest. */
+  public long serversAgeMillis() {
+    return servers.ageMillis(clocks.nanos());
   }
 
   /** Takes what a peer knows. */
-  public void heard(PeerNews news, ServerList servers) {
+  public void heard(PeerNews news, ServerList list) {
     long now = clocks.nanos();
     offer(new OperatorState(news.routes().orElse(RouteTable.EMPTY), news.evacuations()), "peer");
-    if (servers.version() > knownState.servers().version()) {
-      keeper.adopt(servers, now);
-      knownState.offer(servers);
+    if (list.version() > knownState.servers().version()) {
+      keeper.adopt(list, now);
+      knownState.offer(list);
     }
-    if (servers.known() && news.evacuations().known()) {
-      freshness.confirmed(now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis()));
+    if (list.known() && news.evacuations().known()) {
+      long asOf = now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis());
+      operatorState.confirmed(asOf);
+      servers.confirmed(asOf);
     }
   }
 
@@ -115,14 +126,24 @@
 
   private void check() {
     long uptime = TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - startedNanos);
-    long wait = Math.min(plan.untilRead(ageMillis(), uptime), untilReleaseMillis());
-    if (wait <= 0) {
+    long wait = Math.min(plan.untilRead(ageOfOwnReadsMillis(), uptime), untilReleaseMillis());
+    if (wait <= 0 || changesMissed) {
       read();
     } else {
-      loop.afterMillis(Math.max(MIN_CHECK_MILLIS, wait), this::check);
+      checkAfterMillis(Math.max(MIN_CHECK_MILLIS, wait));
     }
   }
 
+  /** While a wait for changes is out, only the servers can be read. */
+  private long ageOfOwnReadsMillis() {
+    return waitHealthy ? serversAgeMillis() : ageMillis();
+  }
+
+  private void checkAfterMillis(long millis) {
+    nextCheck.cancel();
+    nextCheck = loop.afterMillis(millis, this::check);
+  }
+
   private long untilReleaseMillis() {
     OptionalLong nanos = keeper.untilReleaseNanos(clocks.nanos());
     if (nanos.isEmpty()) {
@@ -133,49 +154,63 @@
   }
 
   private void read() {
+    reading = true;
     long asOf = clocks.nanos();
     if (waitHealthy) {
       source.servers(read -> serversRead(read, asOf));
     } else {
-      source.operatorState(read -> configurationRead(read, asOf));
+      source.operatorState(read -> operatorStateRead(read, asOf));
     }
   }
 
-  private void configurationRead(NewsSource.Read<OperatorState> read, long asOf) {
+  private void operatorStateRead(NewsSource.Read<OperatorState> read, long asOf) {
     if (read instanceof NewsSource.Read.Failed<OperatorState> failed) {
       failed("configuration", failed.reason(), asOf);
       return;
     }
+    changesMissed = false;
+    operatorState.confirmed(asOf);
     take(read);
-    ownConfirmation.confirmed(asOf);
     if (plan.waitsForChanges()) {
       waitHealthy = true;
       awaitChange();
     }
-    source.servers(servers -> serversRead(servers, asOf));
+    source.servers(list -> serversRead(list, asOf));
   }
 
+  /** Waits until shortly before the next read of the servers, so that one message tells both. */
   private void awaitChange() {
-    waitingSinceNanos = clocks.nanos();
-    source.nextOperatorState(this::changeCame);
+    long begun = clocks.nanos();
+    long waitMillis = plan.waitMillis(serversAgeMillis());
+    source.nextOperatorState(waitMillis, read -> changeCame(read, begun, waitMillis));
   }
 
-  private void changeCame(NewsSource.Read<OperatorState> read) {
+  private void changeCame(NewsSource.Read<OperatorState> read, long begunNanos, long waitMillis) {
     if (read instanceof NewsSource.Read.Failed<OperatorState> failed) {
-      waitHealthy = false;
-      log.belief("wait_failed")
-          .add("reason", failed.reason())
-          .add("took_ms", millisSince(waitingSinceNanos))
-          .add("age_ms", ageMillis())
-          .add("own_confirmation_ms", ownConfirmationMillis())
-          .write();
+      waitFailed(failed.reason(), begunNanos);
       return;
     }
+    boolean waited = millisSince(begunNanos) >= waitMillis;
+    operatorState.confirmed(
+        waited ? begunNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis) : begunNanos);
     take(read);
-    ownConfirmation.confirmed(waitingSinceNanos);
     awaitChange();
   }
 
+  /** Earlier answers may have left changes out, so the next read does not wait for its time. */
+  private void waitFailed(String reason, long begunNanos) {
+    waitHealthy = false;
+    changesMissed = true;
+    log.belief("wait_failed")
+        .add("reason", reason)
+        .add("took_ms", millisSince(begunNanos))
+        .add("configuration_age_ms", operatorStateAgeMillis())
+        .write();
+    if (!reading) {
+      checkAfterMillis(plan.afterFailedWaitMillis(millisSince(begunNanos)));
+    }
+  }
+
   private long millisSince(long nanos) {
     return TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - nanos);
   }
@@ -187,6 +222,7 @@
   }
 
   private void serversRead(NewsSource.Read<ServerList> read, long asOf) {
+    reading = false;
     environment.metrics().count("platform.reads", "", "ended");
     switch (read) {
       case NewsSource.Read.Known<ServerList> known -> {
@@ -195,13 +231,13 @@
           sourceLost = false;
         }
         knownState.offer(keeper.read(known.value(), clocks.nanos()));
-        freshness.confirmed(asOf);
+        servers.confirmed(asOf);
         changed.run();
         archive.read();
         check();
       }
       case NewsSource.Read.Unchanged<ServerList> unchanged -> {
-        freshness.confirmed(asOf);
+        servers.confirmed(asOf);
         check();
       }
       case NewsSource.Read.Failed<ServerList> failed -> failed("servers", failed.reason(), asOf);
@@ -209,11 +245,12 @@
   }
 
   private void failed(String what, String reason, long asOf) {
+    reading = false;
     log.belief("read_failed")
         .add("reading", what)
         .add("reason", reason)
         .add("took_ms", millisSince(asOf))
-        .add("own_confirmation_ms", ownConfirmationMillis())
+        .add("configuration_age_ms", operatorStateAgeMillis())
         .write();
     environment.metrics().count("platform.reads", "", "failed");
     keeper.failed();
@@ -226,6 +263,6 @@
     }
     sourceLost = true;
     long wait = plan.retryMillis(knownState.complete(), hearsPeers.getAsBoolean());
-    loop.afterMillis(wait + random.nextLong(RETRY_SPAN_MILLIS), this::check);
+    checkAfterMillis(wait + random.nextLong(RETRY_SPAN_MILLIS));
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsSource.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsSource.java
@@ -47,8 +47,10 @@
    *
    * <p>The answer {@link Read.Unchanged} after the longest wait is usual; {@link Read.Failed} also
    * says that changes may have been missed.
+   *
+   * @param waitMillis longest wait for a change
    */
-  void nextOperatorState(Consumer<Read<OperatorState>> listener);
+  void nextOperatorState(long waitMillis, Consumer<Read<OperatorState>> listener);
 
   /** Where ends of servers under requests are kept. */
   default CrashStore crashes() {
--- a/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
@@ -23,6 +23,12 @@
   private static final long[] SEED_PATIENCE_MILLIS = {700, 1_000, 1_200};
   private static final long OTHER_PATIENCE_MILLIS = 1_400;
 
+  /** An answered wait precedes the read of the servers by so long. */
+  private static final long WAIT_LEAD_MILLIS = 60;
+
+  /** A wait shorter than this goes on until the read after the next. */
+  private static final long MIN_WAIT_MILLIS = 100;
+
   private static final long RETRY_MILLIS = 250;
   private static final long PATIENT_RETRY_MILLIS = 2_500;
 
@@ -38,6 +44,21 @@
     return rank == 0;
   }
 
+  /**
+   * How long to wait for changes, given the age of the servers: so that the answer comes shortly
+   * before they are read again. A longer wait would leave the configuration unconfirmed, and the
+   * next instance would read.
+   */
+  public long waitMillis(long serversAgeMillis) {
+    long untilRead = Math.max(0, patienceMillis() - serversAgeMillis) - WAIT_LEAD_MILLIS;
+    return untilRead < MIN_WAIT_MILLIS ? untilRead + patienceMillis() : untilRead;
+  }
+
+  /** Wait before the read that follows a failed wait; one that failed at once is not hurried. */
+  public long afterFailedWaitMillis(long tookMillis) {
+    return Math.max(0, RETRY_MILLIS - tookMillis);
+  }
+
   /** Milliseconds until the next own read, given the age of what is known and of the process. */
   public long untilRead(long ageMillis, long uptimeMillis) {
     long patience = patienceMillis();
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -68,7 +68,7 @@
     }
 
     @Override
-    public void nextOperatorState(Consumer<Read<OperatorState>> listener) {
+    public void nextOperatorState(long waitMillis, Consumer<Read<OperatorState>> listener) {
       waits.add(listener);
       waiting.countDown();
     }
@@ -312,6 +312,23 @@
       seed.awaitVersion(7);
     }
 
+    /** A deaf wait must not be taken for quiet while the servers are still read. */
+    @Test
+    public void aDeafWaitIsNoticedThoughServersAreRead() throws Exception {
+      List<InetSocketAddress> seeds = List.of(at(freePort()), at(freePort()));
+      Source deaf = new Source();
+      deaf.answer(6, "a");
+      Learner first = new Learner(seeds.getFirst().getPort(), seeds, deaf);
+      Source source = new Source();
+      source.answer(6, "a");
+      Learner second = new Learner(seeds.getLast().getPort(), seeds, source);
+      first.awaitVersion(6);
+      second.awaitVersion(6);
+      source.answer(7, "a");
+      first.awaitVersion(7);
+      assertTrue(deaf.waiting.getCount() == 0, "waits");
+    }
+
     /** The platform answers with an older version after a newer one: nothing may change. */
     @Test
     public void anOlderConfigurationChangesNothing() throws IOException {
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -179,7 +179,7 @@
     }
 
     @Override
-    public void nextOperatorState(Consumer<Read<OperatorState>> listener) {
+    public void nextOperatorState(long waitMillis, Consumer<Read<OperatorState>> listener) {
       // Nothing ever changes, so the wait never ends.
     }
 
