--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNewsCodec.java
@@ -0,0 +1,60 @@
+package org.magnoliaswitch.front.peer;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliaswitch.core.crash.CrashReport;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Writes and reads {@link ListenerNews} as MessagePack. Instances of an earlier release write and
+ * read the reports alone, and pass over what follows them.
+ */
+final class ListenerNewsCodec {
+  private static final List<HeldConfiguration.Supply> SUPPLIES =
+      List.of(
+          HeldConfiguration.Supply.FIRST,
+          HeldConfiguration.Supply.AT_ONCE,
+          HeldConfiguration.Supply.IN_RESERVE);
+
+  private ListenerNewsCodec() {}
+
+  static byte[] encode(ListenerNews news) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      CrashReportCodec.write(out, news.crashes());
+      if (news.held().isPresent()) {
+        HeldConfiguration held = news.held().get();
+        out.packLong(held.version());
+        out.packLong(held.lastUpdate());
+        out.packInt(SUPPLIES.indexOf(held.supply()));
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory does not fail", e);
+    }
+  }
+
+  /** Decodes a message; anything malformed is an {@link IOException}. */
+  static ListenerNews decode(byte[] bytes) throws IOException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      List<CrashReport> crashes = CrashReportCodec.read(in);
+      return new ListenerNews(crashes, in.hasNext() ? Optional.of(held(in)) : Optional.empty());
+    } catch (MessagePackException | IllegalArgumentException e) {
+      throw new IOException("malformed news of a listener", e);
+    }
+  }
+
+  private static HeldConfiguration held(MessageUnpacker in) throws IOException {
+    long version = in.unpackLong();
+    long lastUpdate = in.unpackLong();
+    int supply = in.unpackInt();
+    if (supply < 0 || supply >= SUPPLIES.size()) {
+      throw new IOException("supply " + supply + " is not known");
+    }
+    return new HeldConfiguration(version, lastUpdate, SUPPLIES.get(supply));
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -16,27 +16,33 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.CrashTable;
-import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.RouteHistory;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerList;
 
 /**
  * Tells other instances what this one knows: at once when it changes, and at short intervals so
- * that they know how fresh it is. Runs on the control loop.
+ * that they know how fresh it is. A listener whose link is busy is told less often, not more. Runs
+ * on the control loop.
  */
 public final class PeerHub {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -44,8 +50,15 @@
   /** Listeners that hear nothing for a few of these look elsewhere. */
   private static final long HEARTBEAT_MILLIS = 400;
 
+  /** A listener that has not said by then what it holds is of an earlier release. */
+  private static final long GREETING_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /** More than any version: nothing newer is told. */
+  private static final long ALL_VERSIONS = Long.MAX_VALUE;
+
   private static final int LENGTH_BYTES = 4;
   private static final int OWN_PLACE = 0;
+  private static final byte[] NO_UPDATE = RouteUpdateCodec.encode(Optional.empty());
 
   /** Longest message of a listener: reports of a full table of cases. */
   private static final int MAX_REPORTS_BYTES = 1 << 20;
@@ -67,13 +80,17 @@
       CrashTable crashes) {}
 
   private final Loop loop;
+  private final Clocks clocks;
   private final Supplier<Knowledge> knowledge;
   private final Consumer<List<CrashReport>> reported;
   private final Set<Listener> listeners = new HashSet<>();
   private final BitSet taken = new BitSet();
   private final LongAdder bytesTold = new LongAdder();
   private final LongAdder listenersDropped = new LongAdder();
+  private final RouteHistory history = new RouteHistory();
+  private final Map<Long, byte[]> updatesByBase = new HashMap<>();
   private @Nullable Encoded last;
+  private volatile long listenersBehind;
 
   /**
    * Creates one that nobody listens to yet.
@@ -81,8 +98,13 @@
    * @param knowledge what listeners are told
    * @param reported takes what they report
    */
-  public PeerHub(Loop loop, Supplier<Knowledge> knowledge, Consumer<List<CrashReport>> reported) {
+  public PeerHub(
+      Loop loop,
+      Clocks clocks,
+      Supplier<Knowledge> knowledge,
+      Consumer<List<CrashReport>> reported) {
     this.loop = loop;
+    this.clocks = clocks;
     this.knowledge = knowledge;
     this.reported = reported;
     taken.set(OWN_PLACE);
@@ -133,7 +155,25 @@
   /** Tells everyone now, and what is new about requests under which servers end. */
   public void tell(List<CrashReport> crashes) {
     Knowledge now = knowledge.get();
-    List.copyOf(listeners).forEach(listener -> listener.tell(now, crashes));
+    listeners.stream()
+        .sorted(Comparator.comparingInt(listener -> listener.updates.rank()))
+        .toList()
+        .forEach(listener -> listener.tell(now, crashes));
+    listenersBehind = listeners.stream().filter(listener -> listener.updates.behind()).count();
+  }
+
+  /** Listeners that lacked the configuration in force here when all were told last. */
+  public long listenersBehind() {
+    return listenersBehind;
+  }
+
+  /** What leads a listener from the version that it has to the one in force here. */
+  private byte[] update(RouteTable routes, long base) {
+    if (history.add(routes)) {
+      updatesByBase.clear();
+    }
+    return updatesByBase.computeIfAbsent(
+        base, from -> RouteUpdateCodec.encode(Optional.of(history.since(from))));
   }
 
   /**
@@ -165,6 +205,7 @@
               changes,
               now.evacuations(),
               crashes,
+              Optional.empty(),
               Optional.empty());
       last = new Encoded(told, PeerNewsCodec.encode(message));
     }
@@ -200,8 +241,14 @@
   /** An instance that listens, and what it has been told. */
   private final class Listener extends SimpleChannelInboundHandler<ByteBuf> {
     private final Channel channel;
+    private final UpdateFlow updates = new UpdateFlow();
+    private final StallWatch stall = new StallWatch();
+    private final long sinceNanos = clocks.nanos();
     private int place = OWN_PLACE;
     private ServerList toldServers = ServerList.EMPTY;
+    private boolean missedReports = true;
+
+    /** What was told to a listener of an earlier release. */
     private long toldRoutes;
 
     Listener(Channel channel) {
@@ -214,8 +261,7 @@
       // The lowest free one: who starts again takes the place that was left.
       place = taken.nextClearBit(OWN_PLACE);
       taken.set(place);
-      Knowledge now = knowledge.get();
-      tell(now, now.crashes().reports());
+      tell(knowledge.get(), List.of());
     }
 
     @Override
@@ -223,7 +269,12 @@
       byte[] bytes = new byte[message.readableBytes()];
       message.readBytes(bytes);
       try {
-        reported.accept(CrashReportCodec.decode(bytes));
+        ListenerNews news = ListenerNewsCodec.decode(bytes);
+        if (news.held().isPresent()) {
+          updates.holds(news.held().get(), clocks.nanos());
+          tellIfBehind();
+        }
+        reported.accept(news.crashes());
       } catch (IOException e) {
         logger.atWarning().withCause(e).log(
             "event=peer_report_malformed peer=%s", channel.remoteAddress());
@@ -231,6 +282,20 @@
       }
     }
 
+    private void tellIfBehind() {
+      Knowledge now = knowledge.get();
+      if (updates.heldVersion() < now.routes().version()) {
+        tell(now, List.of());
+      }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+      if (channel.isActive() && channel.isWritable()) {
+        tell(knowledge.get(), List.of());
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (listeners.remove(this)) {
@@ -245,20 +310,40 @@
 
     void tell(Knowledge now, List<CrashReport> crashes) {
       if (!channel.isWritable()) {
-        // It does not read: holding ever more news for it would fill the memory.
+        missedReports |= !crashes.isEmpty();
+        closeIfStalled();
+        return;
+      }
+      stall.flowing();
+      List<CrashReport> reports = missedReports ? now.crashes().reports() : crashes;
+      missedReports = false;
+      long version = now.routes().version();
+      boolean earlierRelease = !updates.known() && clocks.nanos() - sinceNanos >= GREETING_NANOS;
+      byte[] message =
+          message(now, toldServers, earlierRelease ? toldRoutes : ALL_VERSIONS, reports);
+      if (earlierRelease) {
+        toldRoutes = Math.max(toldRoutes, version);
+      }
+      toldServers = now.servers();
+      byte[] end = PeerNewsCodec.encodeEnd(placeAt(place), version);
+      byte[] update =
+          updates.send(version, clocks.nanos())
+              ? update(now.routes(), updates.heldVersion())
+              : NO_UPDATE;
+      bytesTold.add(message.length + end.length + update.length);
+      Channels.write(channel, Unpooled.wrappedBuffer(message, end, update));
+    }
+
+    /** What waits for it is bounded, since nothing is added while it is not writable. */
+    private void closeIfStalled() {
+      long unsent = channel.bytesBeforeWritable();
+      if (stall.stalled(unsent, clocks.nanos())) {
         listenersDropped.increment();
         logger.atInfo().log(
-            "event=listener_dropped peer=%s unsent_bytes=%d told_version=%d",
-            channel.remoteAddress(), channel.bytesBeforeWritable(), toldRoutes);
+            "event=listener_dropped peer=%s unsent_bytes=%d held_version=%d",
+            channel.remoteAddress(), unsent, updates.heldVersion());
         Channels.close(channel);
-        return;
       }
-      byte[] message = message(now, toldServers, toldRoutes, crashes);
-      toldRoutes = Math.max(toldRoutes, now.routes().version());
-      toldServers = now.servers();
-      byte[] own = PeerNewsCodec.encodePlace(placeAt(place));
-      bytesTold.add(message.length + own.length);
-      Channels.write(channel, Unpooled.wrappedBuffer(message, own));
     }
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNews.java
@@ -13,11 +13,14 @@
  * @param ageMillis how long ago the sender's knowledge was confirmed by the platform; grows when it
  *     is passed on, so news that circle between instances never look fresh
  * @param instances how many instances the sender knows of, itself included
- * @param routes the sender's configuration, when it changed since its last message
+ * @param routes the sender's whole configuration when it changed since its last message, in
+ *     messages to and from instances of an earlier release
  * @param servers what changed in the sender's list since its last message
  * @param evacuations the evacuated data centres
  * @param crashes what is new about requests under which servers end
  * @param place the listener's place among all that listen to the sender
+ * @param configuration the sender's configuration; absent in messages of an earlier release. Only
+ *     with a place
  */
 public record PeerNews(
     long ageMillis,
@@ -26,8 +29,12 @@
     ServerChanges servers,
     Evacuations evacuations,
     List<CrashReport> crashes,
-    Optional<InstancePlace> place) {
+    Optional<InstancePlace> place,
+    Optional<ConfigurationNews> configuration) {
   public PeerNews {
+    if (configuration.isPresent() && place.isEmpty()) {
+      throw new IllegalArgumentException("a configuration follows a place");
+    }
     crashes = List.copyOf(crashes);
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
@@ -9,14 +9,10 @@
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.load.InstancePlace;
-import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
-import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.RouteUpdate;
 import org.magnoliaswitch.front.version.ServerEntry;
-import org.magnoliaswitch.front.version.ServicePolicy;
-import org.magnoliaswitch.front.version.Warmup;
-import org.magnoliaswitch.front.version.WeightedService;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -38,7 +34,7 @@
       out.packInt(news.instances());
       out.packBoolean(news.routes().isPresent());
       if (news.routes().isPresent()) {
-        writeRoutes(out, news.routes().get());
+        RouteTableCodec.write(out, news.routes().get());
       }
       writeServers(out, news.servers());
       CrashReportCodec.write(out, news.crashes());
@@ -49,6 +45,11 @@
       if (news.place().isPresent()) {
         writePlace(out, news.place().get());
       }
+      if (news.configuration().isPresent()) {
+        ConfigurationNews configuration = news.configuration().get();
+        out.packLong(configuration.version());
+        out.addPayload(RouteUpdateCodec.encode(configuration.update()));
+      }
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory does not fail", e);
@@ -56,12 +57,15 @@
   }
 
   /**
-   * Encodes the end of a message without a place: all listeners get the same message, but each has
-   * a place of its own.
+   * Encodes the end of a message without a place, up to its {@link RouteUpdate}: all listeners get
+   * the same message, but each has a place of its own and lacks something else.
+   *
+   * @param version version of the configuration in force here
    */
-  static byte[] encodePlace(InstancePlace place) {
+  static byte[] encodeEnd(InstancePlace place, long version) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       writePlace(out, place);
+      out.packLong(version);
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory does not fail", e);
@@ -88,7 +92,7 @@
       long age = in.unpackLong();
       int instances = in.unpackInt();
       Optional<RouteTable> routes =
-          in.unpackBoolean() ? Optional.of(readRoutes(in)) : Optional.empty();
+          in.unpackBoolean() ? Optional.of(RouteTableCodec.read(in)) : Optional.empty();
       ServerChanges servers = readServers(in);
       // Instances of an earlier release write nothing more, and pass over what they do not know.
       List<CrashReport> crashes = in.hasNext() ? CrashReportCodec.read(in) : List.of();
@@ -97,7 +101,12 @@
         routes = Optional.of(RouteExtrasCodec.read(in, routes.get()));
       }
       Optional<InstancePlace> place = in.hasNext() ? Optional.of(readPlace(in)) : Optional.empty();
-      return new PeerNews(age, instances, routes, servers, evacuations, crashes, place);
+      Optional<ConfigurationNews> configuration =
+          in.hasNext()
+              ? Optional.of(new ConfigurationNews(in.unpackLong(), RouteUpdateCodec.read(in)))
+              : Optional.empty();
+      return new PeerNews(
+          age, instances, routes, servers, evacuations, crashes, place, configuration);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed news", e);
     }
@@ -121,79 +130,6 @@
     return new Evacuations(version, dataCentres);
   }
 
-  private static void writeRoutes(MessagePacker out, RouteTable table) throws IOException {
-    out.packLong(table.version());
-    List<Route> routes = table.routes();
-    out.packArrayHeader(routes.size());
-    for (Route route : routes) {
-      writeRoute(out, route);
-    }
-    out.packArrayHeader(table.services().size());
-    for (ServicePolicy service : table.services()) {
-      out.packString(service.name());
-      out.packString(service.healthPath());
-      out.packInt(service.maxConnections());
-    }
-    out.packInt(table.limits().maxHeaderBytes());
-    out.packLong(table.limits().maxBodyBytes());
-    out.packLong(table.limits().headerTimeoutNanos());
-    out.packLong(table.limits().idleTimeoutNanos());
-  }
-
-  private static RouteTable readRoutes(MessageUnpacker in) throws IOException {
-    long version = in.unpackLong();
-    List<Route> routes = new ArrayList<>();
-    for (int left = in.unpackArrayHeader(); left > 0; left--) {
-      routes.add(readRoute(in));
-    }
-    List<ServicePolicy> services = new ArrayList<>();
-    for (int left = in.unpackArrayHeader(); left > 0; left--) {
-      services.add(
-          new ServicePolicy(
-              in.unpackString(), in.unpackString(), in.unpackInt(), Warmup.UNLIMITED));
-    }
-    CallerLimits limits =
-        new CallerLimits(in.unpackInt(), in.unpackLong(), in.unpackLong(), in.unpackLong());
-    return new RouteTable(version, routes, services, limits);
-  }
-
-  private static void writeRoute(MessagePacker out, Route route) throws IOException {
-    out.packString(route.name());
-    out.packString(route.host());
-    out.packString(route.prefix());
-    out.packBoolean(route.idempotent());
-    out.packLong(route.timeoutNanos());
-    out.packLong(route.objectiveNanos());
-    out.packInt(route.priority());
-    out.packInt(route.maxServers());
-    out.packArrayHeader(route.parts().size());
-    for (WeightedService part : route.parts()) {
-      out.packString(part.service());
-      out.packDouble(part.weight());
-    }
-  }
-
-  private static Route readRoute(MessageUnpacker in) throws IOException {
-    return new Route(
-        in.unpackString(),
-        in.unpackString(),
-        in.unpackString(),
-        in.unpackBoolean(),
-        in.unpackLong(),
-        in.unpackLong(),
-        in.unpackInt(),
-        in.unpackInt(),
-        readParts(in));
-  }
-
-  private static List<WeightedService> readParts(MessageUnpacker in) throws IOException {
-    List<WeightedService> parts = new ArrayList<>();
-    for (int left = in.unpackArrayHeader(); left > 0; left--) {
-      parts.add(new WeightedService(in.unpackString(), in.unpackDouble()));
-    }
-    return parts;
-  }
-
   private static void writeServers(MessagePacker out, ServerChanges changes) throws IOException {
     out.packLong(changes.version());
     out.packArrayHeader(changes.changed().size());
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -13,12 +14,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.CrashReport;
-import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.ServerList;
@@ -35,7 +36,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final long CHECK_MILLIS = 500;
 
-  /** A connection without news for this long is taken for silent: four heartbeats. */
+  /** A connection on which nothing comes in for this long is silent: four heartbeats. */
   private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
 
   /** Takes news in the form in which they can be believed. */
@@ -55,7 +56,10 @@
   private final InetSocketAddress peer;
   private final Listener listener;
   private final Supplier<List<CrashReport>> known;
+  private final Supplier<HeldConfiguration> held;
   private @Nullable Channel channel;
+  private @Nullable HeldConfiguration toldHeld;
+  private long lastUpdate;
   private ServerList servers = ServerList.EMPTY;
   private boolean connecting;
   private boolean hearing;
@@ -65,14 +69,17 @@
    * Creates one that does not listen yet.
    *
    * @param known what the peer is told of requests under which servers end, once it is connected
+   * @param held what this instance has of the configuration, but for the last update
    */
   public PeerSubscription(
       Loop loop,
       Clocks clocks,
       InetSocketAddress peer,
       Listener listener,
-      Supplier<List<CrashReport>> known) {
+      Supplier<List<CrashReport>> known,
+      Supplier<HeldConfiguration> held) {
     this.known = known;
+    this.held = held;
     this.loop = loop;
     this.clocks = clocks;
     this.peer = peer;
@@ -99,12 +106,33 @@
       return;
     }
     if (channel.isWritable()) {
-      Channels.write(channel, Unpooled.wrappedBuffer(CrashReportCodec.encode(crashes)));
+      send(crashes, heldNow());
     } else {
       Channels.close(channel);
     }
   }
 
+  /** Tells the peer what this instance has of the configuration, if that is new to it. */
+  public void confirm() {
+    HeldConfiguration now = heldNow();
+    if (channel != null && channel.isWritable() && !now.equals(toldHeld)) {
+      send(List.of(), now);
+    }
+  }
+
+  private HeldConfiguration heldNow() {
+    HeldConfiguration own = held.get();
+    return new HeldConfiguration(own.version(), lastUpdate, own.supply());
+  }
+
+  private void send(List<CrashReport> crashes, HeldConfiguration now) {
+    toldHeld = now;
+    byte[] message = ListenerNewsCodec.encode(new ListenerNews(crashes, Optional.of(now)));
+    if (channel != null) {
+      Channels.write(channel, Unpooled.wrappedBuffer(message));
+    }
+  }
+
   private void check() {
     boolean silent = clocks.nanos() - lastHeardNanos > SILENT_NANOS;
     if (channel != null && (silent || !channel.isActive())) {
@@ -130,8 +158,9 @@
               if (done.isSuccess()) {
                 channel = future.channel();
                 servers = ServerList.EMPTY;
+                lastUpdate = 0;
                 lastHeardNanos = clocks.nanos();
-                report(known.get());
+                send(known.get(), heldNow());
               }
             });
   }
@@ -139,8 +168,10 @@
   private void heard(byte[] bytes) {
     try {
       PeerNews news = PeerNewsCodec.decode(bytes);
-      lastHeardNanos = clocks.nanos();
       servers = news.servers().applyTo(servers);
+      news.configuration()
+          .flatMap(ConfigurationNews::update)
+          .ifPresent(update -> lastUpdate = update.version());
       if (!hearing) {
         hearing = true;
         logger.atInfo().log("event=peer_heard peer=%s age_ms=%d", peer, news.ageMillis());
@@ -160,12 +191,22 @@
       opened
           .pipeline()
           .addLast(
+              new Arrivals(),
               new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
               new LengthFieldPrepender(LENGTH_BYTES));
       opened.pipeline().addLast(new Reader());
     }
   }
 
+  /** Notes that bytes come in: a large message on a narrow link takes longer than silence may. */
+  private final class Arrivals extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      lastHeardNanos = clocks.nanos();
+      context.fireChannelRead(message);
+    }
+  }
+
   private final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/RouteUpdateCodec.java
@@ -0,0 +1,152 @@
+package org.magnoliaswitch.front.peer;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.zip.Deflater;
+import java.util.zip.InflaterInputStream;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteChanges;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.RouteUpdate;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads {@link RouteUpdate}; large ones are compressed. */
+final class RouteUpdateCodec {
+  private static final int NONE = 0;
+  private static final int WHOLE = 1;
+  private static final int CHANGES = 2;
+
+  /** Shorter updates fit a packet or two as they are. */
+  private static final int COMPRESSED_FROM_BYTES = 2 << 10;
+
+  /** A longer update must not be given memory. */
+  private static final int MAX_UPDATE_BYTES = 32 << 20;
+
+  private RouteUpdateCodec() {}
+
+  /** Encodes an update, or that there is none. */
+  static byte[] encode(Optional<RouteUpdate> update) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packInt(update.map(RouteUpdateCodec::kind).orElse(NONE));
+      if (update.isPresent()) {
+        byte[] body = body(update.get());
+        boolean compressed = body.length >= COMPRESSED_FROM_BYTES;
+        byte[] sent = compressed ? deflated(body) : body;
+        out.packBoolean(compressed);
+        out.packBinaryHeader(sent.length);
+        out.writePayload(sent);
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory does not fail", e);
+    }
+  }
+
+  /** Reads an update, or that there is none; a kind of a later release is none. */
+  static Optional<RouteUpdate> read(MessageUnpacker in) throws IOException {
+    int kind = in.unpackInt();
+    if (kind == NONE) {
+      return Optional.empty();
+    }
+    boolean compressed = in.unpackBoolean();
+    int length = in.unpackBinaryHeader();
+    if (length > MAX_UPDATE_BYTES) {
+      throw new IOException("an update of " + length + " bytes is too long");
+    }
+    byte[] sent = in.readPayload(length);
+    try (MessageUnpacker body =
+        MessagePack.newDefaultUnpacker(compressed ? inflated(sent) : sent)) {
+      return switch (kind) {
+        case WHOLE -> Optional.of(new RouteUpdate.Whole(readTable(body)));
+        case CHANGES -> Optional.of(new RouteUpdate.Changes(readChanges(body)));
+        default -> Optional.empty();
+      };
+    }
+  }
+
+  private static int kind(RouteUpdate update) {
+    return switch (update) {
+      case RouteUpdate.Whole whole -> WHOLE;
+      case RouteUpdate.Changes changes -> CHANGES;
+    };
+  }
+
+  private static byte[] body(RouteUpdate update) throws IOException {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      switch (update) {
+        case RouteUpdate.Whole whole -> writeTable(out, whole.table());
+        case RouteUpdate.Changes changes -> writeChanges(out, changes.changes());
+      }
+      return out.toByteArray();
+    }
+  }
+
+  private static void writeTable(MessagePacker out, RouteTable table) throws IOException {
+    RouteTableCodec.write(out, table);
+    RouteExtrasCodec.write(out, table);
+  }
+
+  private static RouteTable readTable(MessageUnpacker in) throws IOException {
+    return RouteExtrasCodec.read(in, RouteTableCodec.read(in));
+  }
+
+  /** The changed part is written like a configuration that has nothing else. */
+  private static void writeChanges(MessagePacker out, RouteChanges changes) throws IOException {
+    out.packLong(changes.base());
+    out.packArrayHeader(changes.removed().size());
+    for (String name : changes.removed()) {
+      out.packString(name);
+    }
+    writeTable(
+        out,
+        new RouteTable(changes.version(), changes.changed(), changes.services(), changes.limits()));
+  }
+
+  private static RouteChanges readChanges(MessageUnpacker in) throws IOException {
+    long base = in.unpackLong();
+    Set<String> removed = new HashSet<>();
+    for (int left = in.unpackArrayHeader(); left > 0; left--) {
+      removed.add(in.unpackString());
+    }
+    RouteTable changed = readTable(in);
+    List<Route> routes = changed.routes();
+    return new RouteChanges(
+        base,
+        changed.version(),
+        routes,
+        removed,
+        List.copyOf(changed.services()),
+        changed.limits());
+  }
+
+  private static byte[] deflated(byte[] body) {
+    Deflater deflater = new Deflater();
+    try {
+      deflater.setInput(body);
+      deflater.finish();
+      byte[] buffer = new byte[body.length + COMPRESSED_FROM_BYTES];
+      int length = deflater.deflate(buffer);
+      return Arrays.copyOf(buffer, length);
+    } finally {
+      deflater.end();
+    }
+  }
+
+  private static byte[] inflated(byte[] sent) throws IOException {
+    try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(sent))) {
+      byte[] body = in.readNBytes(MAX_UPDATE_BYTES + 1);
+      if (body.length > MAX_UPDATE_BYTES) {
+        throw new IOException("an update is too long");
+      }
+      return body;
+    }
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
@@ -91,6 +91,11 @@
     return routes.get().known() && servers.get().known() && evacuations.get().known();
   }
 
+  /** The configuration in force. */
+  public RouteTable routes() {
+    return routes.get();
+  }
+
   /** Version of the configuration in force. */
   public long routesVersion() {
     return routes.get().version();
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -11,6 +11,7 @@
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.peer.HeldConfiguration;
 import org.magnoliaswitch.front.peer.PeerHub;
 import org.magnoliaswitch.front.peer.PeerNews;
 import org.magnoliaswitch.front.peer.PeerSubscription;
@@ -28,6 +29,9 @@
    */
   private static final long GATHER_MILLIS = 5;
 
+  /** Time between two looks at which seed is to send updates of the configuration at once. */
+  private static final long CONFIRM_MILLIS = 500;
+
   private final Environment environment;
   private final KnownState knownState;
   private final Loop loop;
@@ -58,6 +62,7 @@
     this.hub =
         new PeerHub(
             control,
+            environment.clocks(),
             () ->
                 new PeerHub.Knowledge(
                     reader.ageMillis(),
@@ -80,7 +85,8 @@
                 environment.clocks(),
                 seed,
                 (news, servers) -> heard(seed, news, servers),
-                () -> environment.crashes().table().reports());
+                () -> environment.crashes().table().reports(),
+                () -> held(seed));
         subscriptions.put(seed, subscription);
         subscription.start();
       }
@@ -88,6 +94,7 @@
     environment.crashes().listen(lesson -> loop.execute(() -> share(lesson)));
     environment.crashes().coordinateTrials(this::heardByOthers);
     loop.everyMillis(FORGET_MILLIS, environment.crashes()::forgetOutdated);
+    loop.everyMillis(CONFIRM_MILLIS, this::confirm);
     reader.start();
     environment.metrics().gauge("configuration.version", knownState::routesVersion);
     environment.metrics().gauge("knowledge.age.milliseconds", reader::ageMillis);
@@ -95,6 +102,7 @@
     environment.metrics().gauge("servers.age.milliseconds", reader::serversAgeMillis);
     environment.metrics().gauge("peer.bytes.told", hub::bytesTold);
     environment.metrics().gauge("peer.listeners.dropped", hub::listenersDropped);
+    environment.metrics().gauge("peer.listeners.behind", hub::listenersBehind);
     environment.metrics().gauge("instances", () -> environment.instances().count());
     environment
         .metrics()
@@ -141,12 +149,49 @@
     news.place().ifPresent(place -> placesBySeed.put(seed, place));
     learnInstances();
     reader.heard(news, servers);
+    confirm();
     environment.crashes().heard(news.crashes(), CrashWatch.Source.PEER);
   }
 
   private void tell() {
     learnInstances();
     hub.tellAll();
+    confirm();
+  }
+
+  private void confirm() {
+    subscriptions.values().forEach(PeerSubscription::confirm);
+  }
+
+  private HeldConfiguration held(InetSocketAddress seed) {
+    return new HeldConfiguration(knownState.routesVersion(), 0, supply(seed));
+  }
+
+  /**
+   * Seeds share the work: a large configuration from each of them to each instance would keep
+   * narrow links busy for seconds. Seeds themselves take it from whoever has it first.
+   */
+  private HeldConfiguration.Supply supply(InetSocketAddress seed) {
+    FrontSettings settings = environment.settings();
+    if (settings.seeds().contains(settings.peers())) {
+      return HeldConfiguration.Supply.FIRST;
+    }
+    return seed.equals(supplier())
+        ? HeldConfiguration.Supply.AT_ONCE
+        : HeldConfiguration.Supply.IN_RESERVE;
+  }
+
+  /** The first seed that is heard, in an order that differs between instances. */
+  private InetSocketAddress supplier() {
+    List<InetSocketAddress> seeds = environment.settings().seeds();
+    int start = Math.floorMod(environment.settings().instance().hashCode(), seeds.size());
+    for (int i = 0; i < seeds.size(); i++) {
+      InetSocketAddress seed = seeds.get((start + i) % seeds.size());
+      if (subscriptions.get(seed) instanceof PeerSubscription heard && heard.hearing()) {
+        return seed;
+      }
+    }
+    return seeds.get(start);
   }
 
   private void placed(InstancePlace place) {
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.peer.ConfigurationNews;
 import org.magnoliaswitch.front.peer.PeerNews;
 import org.magnoliaswitch.front.version.OperatorState;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -103,18 +104,30 @@
   /** Takes what a peer knows. */
   public void heard(PeerNews news, ServerList list) {
     long now = clocks.nanos();
-    offer(new OperatorState(news.routes().orElse(RouteTable.EMPTY), news.evacuations()), "peer");
+    offer(new OperatorState(routes(news), news.evacuations()), "peer");
     if (list.version() > knownState.servers().version()) {
       keeper.adopt(list, now);
       knownState.offer(list);
     }
     if (list.known() && news.evacuations().known()) {
       long asOf = now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis());
-      operatorState.confirmed(asOf);
       servers.confirmed(asOf);
+      long version = news.configuration().map(ConfigurationNews::version).orElse(0L);
+      if (version <= knownState.routesVersion()) {
+        operatorState.confirmed(asOf);
+      }
     }
   }
 
+  /** The configuration that a peer's news lead to; empty if that is the one in force. */
+  private RouteTable routes(PeerNews news) {
+    return news.configuration()
+        .flatMap(ConfigurationNews::update)
+        .flatMap(update -> update.applyTo(knownState.routes()))
+        .or(news::routes)
+        .orElse(RouteTable.EMPTY);
+  }
+
   /** Evacuations go first: a request that finds its route must not find an evacuated server. */
   private void offer(OperatorState state, String told) {
     boolean evacuationsChanged = knownState.offer(state.evacuations(), told);
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerHubTest.java
@@ -0,0 +1,174 @@
+package org.magnoliaswitch.front.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.process.CrashWatch;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.peer.HeldConfiguration.Supply;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.RouteUpdate;
+import org.magnoliaswitch.front.version.ServerList;
+import org.magnoliaswitch.front.version.WeightedService;
+import org.testng.annotations.Test;
+
+/** What listeners get of an instance's configuration. */
+public final class PeerHubTest {
+  private static final int ROUTES = 30_000;
+
+  /** An instance whose configuration a test sets. */
+  private static final class Hub implements AutoCloseable {
+    private final AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
+    private final Loop loop = Loop.start();
+    private final InetSocketAddress address;
+    private final PeerHub hub;
+
+    Hub(RouteTable first) throws IOException {
+      routes.set(first);
+      try (ServerSocket socket = new ServerSocket(0)) {
+        address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+      }
+      hub =
+          new PeerHub(
+              loop,
+              Clocks.system(),
+              () ->
+                  new PeerHub.Knowledge(
+                      0,
+                      routes.get(),
+                      Evacuations.UNKNOWN,
+                      ServerList.EMPTY,
+                      new CrashWatch(Clocks.system()).table()),
+              reports -> {});
+      hub.bind(address);
+    }
+
+    void configure(RouteTable next) {
+      routes.set(next);
+      loop.execute(hub::tellAll);
+    }
+
+    @Override
+    public void close() {
+      loop.stop();
+    }
+  }
+
+  /** A listener that reads and writes messages when a test says so. */
+  private static final class RawListener implements AutoCloseable {
+    private final Socket socket = new Socket();
+    private final DataInputStream in;
+    private final DataOutputStream out;
+
+    RawListener(Hub hub) throws IOException {
+      socket.setReceiveBufferSize(4 << 10);
+      socket.connect(hub.address);
+      in = new DataInputStream(socket.getInputStream());
+      out = new DataOutputStream(socket.getOutputStream());
+    }
+
+    void holds(long version, long lastUpdate) throws IOException {
+      HeldConfiguration held = new HeldConfiguration(version, lastUpdate, Supply.AT_ONCE);
+      byte[] bytes = ListenerNewsCodec.encode(new ListenerNews(List.of(), Optional.of(held)));
+      out.writeInt(bytes.length);
+      out.write(bytes);
+    }
+
+    PeerNews read() throws IOException {
+      byte[] bytes = new byte[in.readInt()];
+      in.readFully(bytes);
+      return PeerNewsCodec.decode(bytes);
+    }
+
+    RouteUpdate readUpdate() throws IOException {
+      Optional<RouteUpdate> update = Optional.empty();
+      while (update.isEmpty()) {
+        update = read().configuration().flatMap(ConfigurationNews::update);
+      }
+      return update.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  private static RouteTable table(long version, int routes) {
+    List<Route> all = new ArrayList<>();
+    for (int i = 0; i < routes; i++) {
+      all.add(route("r" + Integer.toHexString(i * 0x9E3779B9)));
+    }
+    all.add(route("added-" + version));
+    return new RouteTable(version, all, List.of(), CallerLimits.DEFAULT);
+  }
+
+  private static Route route(String name) {
+    return new Route(
+        name, "h", "/" + name + "/", true, 5, 4, 3, 2, List.of(new WeightedService("s", 1)));
+  }
+
+  /** Guards against versions that queue up for a listener on a narrow link. */
+  @Test
+  public void versionsThatCameMeanwhileAreSentTogether() throws IOException {
+    try (Hub hub = new Hub(table(1, 0));
+        RawListener listener = new RawListener(hub)) {
+      listener.holds(0, 0);
+      assertEquals(listener.readUpdate().version(), 1);
+      hub.configure(table(2, 0));
+      hub.configure(table(3, 0));
+      hub.configure(table(4, 0));
+      listener.holds(1, 1);
+      RouteUpdate next = listener.readUpdate();
+      assertEquals(next.version(), 4);
+      assertTrue(next instanceof RouteUpdate.Changes, "changes");
+    }
+  }
+
+  /** Guards against a listener that is disconnected since a large update has not left yet. */
+  @Test
+  public void whoTakesLongToReadALargeUpdateGetsItWhole() throws IOException, InterruptedException {
+    try (Hub hub = new Hub(table(1, ROUTES));
+        RawListener listener = new RawListener(hub)) {
+      listener.holds(0, 0);
+      listener.read();
+      for (int i = 0; i < 5; i++) {
+        hub.configure(table(2 + i, ROUTES));
+        TimeUnit.MILLISECONDS.sleep(100);
+      }
+      RouteTable got = listener.readUpdate().applyTo(RouteTable.EMPTY).orElseThrow();
+      assertEquals(got.routes().size(), ROUTES + 1);
+      listener.holds(got.version(), got.version());
+      assertEquals(listener.readUpdate().version(), 6);
+      assertEquals(hub.hub.listenersDropped(), 0);
+    }
+  }
+
+  /** Guards against instances of an earlier release that learn nothing of this one. */
+  @Test
+  public void whoNeverSaysWhatItHoldsGetsWholeConfigurations() throws IOException {
+    try (Hub hub = new Hub(table(1, 2));
+        RawListener listener = new RawListener(hub)) {
+      Optional<RouteTable> routes = Optional.empty();
+      while (routes.isEmpty()) {
+        routes = listener.read().routes();
+      }
+      assertEquals(routes.get().routes().size(), 3);
+    }
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerNewsCodecTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 
+import com.google.common.primitives.Bytes;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -59,7 +60,8 @@
           new ServerChanges(9, List.of(Servers.entry("i", true)), List.of("j")),
           new Evacuations(8, Set.of("x", "y")),
           REPORTS,
-          Optional.of(new InstancePlace(2, 5)));
+          Optional.of(new InstancePlace(2, 5)),
+          Optional.empty());
 
   @Test
   public void whatIsWrittenIsRead() throws IOException {
@@ -155,12 +157,13 @@
             ServerChanges.between(ServerList.EMPTY, ServerList.EMPTY),
             Evacuations.UNKNOWN,
             List.of(),
+            Optional.empty(),
             Optional.empty());
     InstancePlace place = new InstancePlace(3, 97);
     byte[] message = PeerNewsCodec.encode(shared);
-    byte[] end = PeerNewsCodec.encodePlace(place);
-    byte[] whole = Arrays.copyOf(message, message.length + end.length);
-    System.arraycopy(end, 0, whole, message.length, end.length);
+    byte[] end = PeerNewsCodec.encodeEnd(place, 7);
+    byte[] update = RouteUpdateCodec.encode(Optional.empty());
+    byte[] whole = Bytes.concat(message, end, update);
     assertEquals(PeerNewsCodec.decode(whole).place(), Optional.of(place));
     assertEquals(PeerNewsCodec.decode(message).place(), Optional.empty());
   }
@@ -182,6 +185,7 @@
                     changes,
                     Evacuations.UNKNOWN,
                     List.of(),
+                    Optional.empty(),
                     Optional.empty())));
     assertEquals(read.servers().applyTo(before), after);
   }
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
@@ -0,0 +1,147 @@
+package org.magnoliaswitch.front.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.magnoliaswitch.core.crash.CrashReport;
+import org.magnoliaswitch.core.crash.RequestIdentity;
+import org.magnoliaswitch.core.peer.CrashReportCodec;
+import org.magnoliaswitch.front.load.InstancePlace;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.RouteChanges;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.RouteUpdate;
+import org.magnoliaswitch.front.version.ServerList;
+import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.Warmup;
+import org.magnoliaswitch.front.version.WeightedService;
+import org.testng.annotations.Test;
+
+/** Updates of the configuration on the wire, and what listeners say of them. */
+public final class RouteUpdateCodecTest {
+  private static final List<ServicePolicy> SERVICES =
+      List.of(new ServicePolicy("s", "/health", 260, new Warmup(3, 2.5)));
+
+  private static Route route(String name) {
+    return new Route(
+        name,
+        "h",
+        "/" + name + "/",
+        true,
+        5,
+        4,
+        3,
+        2,
+        List.of(new WeightedService("s", 0.9), new WeightedService("t", 0.1)),
+        Set.of("north"));
+  }
+
+  private static PeerNews news(RouteUpdate update) {
+    return new PeerNews(
+        0,
+        1,
+        Optional.empty(),
+        ServerChanges.between(ServerList.EMPTY, ServerList.EMPTY),
+        Evacuations.UNKNOWN,
+        List.of(),
+        Optional.of(new InstancePlace(0, 1)),
+        Optional.of(new ConfigurationNews(update.version(), Optional.of(update))));
+  }
+
+  private static RouteUpdate roundTrip(RouteUpdate update) throws IOException {
+    PeerNews read = PeerNewsCodec.decode(PeerNewsCodec.encode(news(update)));
+    assertEquals(read.configuration().orElseThrow().version(), update.version());
+    return read.configuration().orElseThrow().update().orElseThrow();
+  }
+
+  @Test
+  public void changesAreReadAsWritten() throws IOException {
+    RouteUpdate changes =
+        new RouteUpdate.Changes(
+            new RouteChanges(
+                7, 9, List.of(route("a")), Set.of("b"), SERVICES, CallerLimits.DEFAULT));
+    assertEquals(roundTrip(changes), changes);
+  }
+
+  /** A large configuration is compressed; it has to come out as it went in, and be smaller. */
+  @Test
+  public void aLargeConfigurationIsReadAsWritten() throws IOException {
+    List<Route> routes = new ArrayList<>();
+    for (int i = 0; i < 1_700; i++) {
+      routes.add(route("r" + Integer.toHexString(i * 0x9E3779B9)));
+    }
+    RouteTable table = new RouteTable(9, routes, SERVICES, CallerLimits.DEFAULT);
+    RouteUpdate whole = new RouteUpdate.Whole(table);
+    RouteTable read = roundTrip(whole).applyTo(RouteTable.EMPTY).orElseThrow();
+    assertEquals(new HashSet<>(read.routes()), new HashSet<>(routes));
+    assertEquals(List.copyOf(read.services()), SERVICES);
+    assertTrue(RouteUpdateCodec.encode(Optional.of(whole)).length < 60 * routes.size());
+  }
+
+  @Test
+  public void damagedUpdatesAreRefusedOrReadButNeverThrowAnythingElse() {
+    List<Route> routes = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      routes.add(route("r" + i));
+    }
+    RouteTable table = new RouteTable(9, routes, SERVICES, CallerLimits.DEFAULT);
+    byte[] good = PeerNewsCodec.encode(news(new RouteUpdate.Whole(table)));
+    Random random = new Random(8);
+    for (int i = 0; i < 5_000; i++) {
+      byte[] bad = Arrays.copyOf(good, 1 + random.nextInt(good.length));
+      bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+      try {
+        PeerNewsCodec.decode(bad);
+      } catch (IOException e) {
+        assertTrue(e.getMessage() != null);
+      }
+    }
+  }
+
+  /** What a listener tells. */
+  public static final class OfListeners {
+    private static final List<CrashReport> REPORTS =
+        List.of(new CrashReport.Tried(new RequestIdentity(1, -2), 3));
+    private static final ListenerNews NEWS =
+        new ListenerNews(
+            REPORTS, Optional.of(new HeldConfiguration(9, 7, HeldConfiguration.Supply.IN_RESERVE)));
+
+    @Test
+    public void whatIsWrittenIsRead() throws IOException {
+      assertEquals(ListenerNewsCodec.decode(ListenerNewsCodec.encode(NEWS)), NEWS);
+    }
+
+    /** Instances are replaced one by one, so releases listen to each other. */
+    @Test
+    public void anEarlierReleaseWritesAndReadsReportsAlone() throws IOException {
+      byte[] earlier = CrashReportCodec.encode(REPORTS);
+      assertEquals(ListenerNewsCodec.decode(earlier), new ListenerNews(REPORTS, Optional.empty()));
+      assertEquals(CrashReportCodec.decode(ListenerNewsCodec.encode(NEWS)), REPORTS);
+    }
+
+    @Test
+    public void damagedNewsAreRefusedOrRead() {
+      byte[] good = ListenerNewsCodec.encode(NEWS);
+      Random random = new Random(9);
+      for (int i = 0; i < 5_000; i++) {
+        byte[] bad = Arrays.copyOf(good, 1 + random.nextInt(good.length));
+        bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+        try {
+          ListenerNewsCodec.decode(bad);
+        } catch (IOException e) {
+          assertTrue(e.getMessage() != null);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/version/RouteHistoryTest.java
@@ -0,0 +1,121 @@
+package org.magnoliaswitch.front.version;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** What leads from one configuration version to a later one. */
+public final class RouteHistoryTest {
+  private static final List<ServicePolicy> SERVICES =
+      List.of(new ServicePolicy("s", "/health", 10, Warmup.UNLIMITED));
+
+  private static Route route(String name, String prefix) {
+    return new Route(
+        name, "h", "/" + prefix + "/", true, 5, 4, 3, 2, List.of(new WeightedService("s", 1)));
+  }
+
+  private static RouteTable table(long version, Route... routes) {
+    return new RouteTable(version, List.of(routes), SERVICES, CallerLimits.DEFAULT);
+  }
+
+  private static RouteHistory history(RouteTable... tables) {
+    RouteHistory history = new RouteHistory();
+    for (RouteTable table : tables) {
+      assertTrue(history.add(table));
+    }
+    return history;
+  }
+
+  private static void assertSame(RouteTable actual, RouteTable expected) {
+    assertEquals(actual.version(), expected.version());
+    assertEquals(new HashSet<>(actual.routes()), new HashSet<>(expected.routes()));
+    assertEquals(List.copyOf(actual.services()), List.copyOf(expected.services()));
+    assertEquals(actual.limits(), expected.limits());
+  }
+
+  /** A receiver that has a version which was in force here. */
+  public static final class FromAKnownVersion {
+    private static final RouteTable FIRST = table(3, route("a", "1"), route("b", "1"));
+    private static final RouteTable SECOND = table(5, route("a", "2"), route("b", "1"));
+    private static final RouteTable THIRD = table(9, route("a", "2"), route("c", "1"));
+
+    @Test
+    public void onlyWhatChangedIsSent() {
+      RouteUpdate update = history(FIRST, SECOND, THIRD).since(5);
+      assertEquals(
+          update,
+          new RouteUpdate.Changes(
+              new RouteChanges(
+                  5, 9, List.of(route("c", "1")), Set.of("b"), SERVICES, CallerLimits.DEFAULT)));
+    }
+
+    @Test
+    public void changesOfSeveralVersionsAreSentTogether() {
+      RouteUpdate update = history(FIRST, SECOND, THIRD).since(3);
+      assertSame(update.applyTo(FIRST).orElseThrow(), THIRD);
+    }
+
+    /** Guards against a difference that is applied to a version which it does not fit. */
+    @Test
+    public void anotherVersionIsLeftAlone() {
+      RouteUpdate update = history(FIRST, SECOND, THIRD).since(3);
+      assertEquals(update.applyTo(SECOND), Optional.empty());
+      assertEquals(update.applyTo(RouteTable.EMPTY), Optional.empty());
+    }
+
+    /** Random configurations: whatever known version a receiver has, it ends at the newest. */
+    @Test
+    public void everyKnownVersionLeadsToTheNewest() {
+      Random random = new Random(11);
+      for (int run = 0; run < 200; run++) {
+        List<RouteTable> tables = new ArrayList<>();
+        RouteHistory history = new RouteHistory();
+        for (long version = 1; version < 20; version += 1 + random.nextInt(3)) {
+          List<Route> routes = new ArrayList<>();
+          for (int name = 0; name < 6; name++) {
+            if (random.nextBoolean()) {
+              routes.add(route("r" + name, "p" + random.nextInt(2)));
+            }
+          }
+          tables.add(table(version, routes.toArray(Route[]::new)));
+          history.add(tables.getLast());
+        }
+        for (RouteTable held : tables) {
+          if (held != tables.getLast()) {
+            RouteUpdate update = history.since(held.version());
+            assertSame(update.applyTo(held).orElseThrow(), tables.getLast());
+          }
+        }
+      }
+    }
+  }
+
+  /** A receiver that has a version which was never in force here, or none. */
+  public static final class FromAnotherVersion {
+    /** Guards against a route that such a version changed and a later one changed back. */
+    @Test
+    public void theWholeConfigurationIsSent() {
+      RouteTable last = table(9, route("a", "1"));
+      RouteHistory history = history(table(3, route("a", "1")), last);
+      assertEquals(history.since(5), new RouteUpdate.Whole(last));
+      assertEquals(history.since(0), new RouteUpdate.Whole(last));
+      assertSame(history.since(5).applyTo(table(5, route("a", "2"))).orElseThrow(), last);
+    }
+
+    @Test
+    public void anOlderConfigurationIsNotTaken() {
+      RouteHistory history = history(table(9));
+      assertFalse(history.add(table(9)));
+      assertFalse(history.add(table(8)));
+      assertEquals(history.version(), 9);
+    }
+  }
+}
