--- a/front/src/main/java/org/magnoliaswitch/front/peer/UpdateFlow.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/UpdateFlow.java
@@ -12,6 +12,8 @@
   /** A peer in reserve sends what the listener still lacks after so long. */
   static final long RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+  private static final int LAST_RANK = 3;
+
   private Optional<HeldConfiguration> held = Optional.empty();
   private long underWay;
   private boolean behind;
@@ -46,8 +48,15 @@
 
   /** What is sent first goes to those who pass it on, then to those who get it from nobody else. */
   int rank() {
-    return held.map(known -> known.supply().ordinal())
-        .orElse(HeldConfiguration.Supply.values().length);
+    return held.map(known -> rank(known.supply())).orElse(LAST_RANK);
+  }
+
+  private static int rank(HeldConfiguration.Supply supply) {
+    return switch (supply) {
+      case FIRST -> 0;
+      case AT_ONCE -> 1;
+      case IN_RESERVE -> 2;
+    };
   }
 
   /** Whether an update to a version is to be sent now; one that is sent counts as under way. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -187,7 +187,8 @@
     int start = Math.floorMod(environment.settings().instance().hashCode(), seeds.size());
     for (int i = 0; i < seeds.size(); i++) {
       InetSocketAddress seed = seeds.get((start + i) % seeds.size());
-      if (subscriptions.get(seed) instanceof PeerSubscription heard && heard.hearing()) {
+      PeerSubscription subscription = subscriptions.get(seed);
+      if (subscription != null && subscription.hearing()) {
         return seed;
       }
     }
