A route is not called unknown by a configuration that may be old

Callers got 404 for a route that had been added, and such callers do not come back.

Cause: an instance said 404 whatever it knew of the age of its configuration, also while the store answered nobody or its own reads and all peers were silent.

Change: 404 is said only while the configuration has been known to be the newest within the last 2 s; else 503, which promises that the request has not run and tells when to come back. Why it works: a healthy instance is never older than 1.7 s by its plan of reading; one that is older cannot tell a wrong path from a route that was added meanwhile.

--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -10,6 +10,7 @@
 import org.magnoliaswitch.front.process.CrashLog;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
+import org.magnoliaswitch.front.process.Freshness;
 import org.magnoliaswitch.front.process.Front;
 import org.magnoliaswitch.front.process.FrontMetrics;
 import org.magnoliaswitch.front.process.FrontSettings;
@@ -65,6 +66,7 @@
             requests,
             random,
             routes,
+            new Freshness(),
             servers,
             new RouteState(random, settings.repeats()),
             instances,
--- a/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -14,6 +14,7 @@
  * @param settings what this instance was told at its start
  * @param loop the thread of all requests and their connections
  * @param routes configuration in force, swapped as a whole
+ * @param routesFreshness how long ago that configuration was known to be the newest
  * @param servers backend servers
  * @param routeState what outlives a configuration version
  * @param instances how many instances serve, as far as known
@@ -28,6 +29,7 @@
     Loop loop,
     RandomGenerator random,
     AtomicReference<RouteTable> routes,
+    Freshness routesFreshness,
     ServerDirectory servers,
     RouteState routeState,
     InstanceCount instances,
--- a/front/src/main/java/org/magnoliaswitch/front/process/Freshness.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Freshness.java
@@ -1,25 +1,32 @@
 package org.magnoliaswitch.front.process;
 
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
-/** How long ago what this instance believes was confirmed by the platform; used by one thread. */
+/**
+ * How long ago a part of what this instance believes was confirmed by the platform. Noted by one
+ * thread, asked by any.
+ */
 public final class Freshness {
   /** Told to peers while nothing has been confirmed yet. */
   private static final long NEVER_MILLIS = TimeUnit.DAYS.toMillis(1);
 
-  private boolean ever;
-  private long confirmedNanos;
+  /** The moment of the last confirmation, swapped as a whole. */
+  private record Confirmation(long atNanos) {}
+
+  private volatile @Nullable Confirmation last;
 
   /** Notes that what is believed was true at a moment. */
   public void confirmed(long atNanos) {
-    if (!ever || atNanos - confirmedNanos > 0) {
-      confirmedNanos = atNanos;
+    Confirmation before = last;
+    if (before == null || atNanos - before.atNanos() > 0) {
+      last = new Confirmation(atNanos);
     }
-    ever = true;
   }
 
   /** Age of the last confirmation. */
   public long ageMillis(long nowNanos) {
-    return ever ? TimeUnit.NANOSECONDS.toMillis(nowNanos - confirmedNanos) : NEVER_MILLIS;
+    Confirmation known = last;
+    return known == null ? NEVER_MILLIS : TimeUnit.NANOSECONDS.toMillis(nowNanos - known.atNanos());
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -42,7 +42,7 @@
   private final BooleanSupplier hearsPeers;
   private final CrashArchive archive;
   private final DiscoveryKeeper keeper = new DiscoveryKeeper();
-  private final Freshness operatorState = new Freshness();
+  private final Freshness operatorState;
   private final Freshness servers = new Freshness();
   private final long startedNanos;
   private boolean waitHealthy;
@@ -72,6 +72,7 @@
     this.plan = plan;
     this.loop = loop;
     this.environment = environment;
+    this.operatorState = environment.routesFreshness();
     this.clocks = environment.clocks();
     this.random = environment.random();
     this.log = environment.log();
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -23,6 +23,12 @@
 
   private static final String NO_ROUTE = "-";
 
+  /**
+   * Within so long a change of the configuration is in force everywhere. Where it has not been
+   * known to be the newest for longer, a route that is missing may have been added.
+   */
+  private static final long VOUCHED_MILLIS = 2_000;
+
   private final Environment environment;
   private final ServerFinder finder;
   private final PendingQueue<Placing> pending;
@@ -55,7 +61,7 @@
 
   private void begin(Optional<Route> found) {
     if (found.isEmpty()) {
-      finish(Answers.noRoute(), "no_route");
+      refuseUnknown();
       return;
     }
     RoutedExchange begun =
@@ -64,14 +70,28 @@
     begun.start();
   }
 
+  /** Callers do not come back after a 404, so it is said only while the configuration is fresh. */
+  private void refuseUnknown() {
+    long age = environment.routesFreshness().ageMillis(environment.clocks().nanos());
+    if (age > VOUCHED_MILLIS) {
+      refuse("stale_configuration");
+    } else {
+      finish(Answers.noRoute(), "no_route");
+    }
+  }
+
   private void refuseUnconfigured() {
+    refuse("no_configuration");
+  }
+
+  /** The request has not run; another instance may know more, or this one soon. */
+  private void refuse(String reason) {
     long retryAfter =
         RetryAfter.nanos(
             RetryAfter.Cause.BUSY,
             UNKNOWN_LATENCY_NANOS,
             environment.random(),
             environment.settings().mechanisms());
-    String reason = "no_configuration";
     report.refused("", reason, waitedNanos(), retryAfter);
     finish(Answers.notRun(reason, retryAfter), reason);
   }
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -112,6 +112,7 @@
               requests,
               random,
               routes,
+              new Freshness(),
               servers,
               new RouteState(random, repeats),
               instances,
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -17,6 +17,7 @@
 import org.magnoliaswitch.front.process.ColdSends;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
+import org.magnoliaswitch.front.process.Freshness;
 import org.magnoliaswitch.front.process.FrontMetrics;
 import org.magnoliaswitch.front.process.FrontSettings;
 import org.magnoliaswitch.front.process.InstanceCount;
@@ -64,6 +65,7 @@
         loop,
         random,
         routes,
+        new Freshness(),
         servers,
         new RouteState(random, settings.repeats()),
         instances,
@@ -106,6 +108,7 @@
   /** Puts a configuration with one route and a list with one server in force. */
   public static void know(Environment environment, Route route, ScriptedServer... servers) {
     environment.routes().set(new RouteTable(1, List.of(route), List.of(), CallerLimits.DEFAULT));
+    environment.routesFreshness().confirmed(environment.clocks().nanos());
     Map<String, ServerEntry> entries = new HashMap<>();
     for (ScriptedServer server : servers) {
       entries.put(server.entry().id(), server.entry());
