Limits of the configuration in force hold on open connections

Callers on kept connections got 400 or 413 for requests that a newer configuration allows, or lost a kept connection earlier than it says, without end: proper requests turned away.

Cause: a connection took the limits in force when it was opened, and the decoder with them, for its life. Evidence: ChangedLimitsTest, 3 of 3 fail on the code before, none now. Change: bounds of bodies and times are asked when they are used; the decoder is renewed when bytes of a request arrive at a connection at rest and the bound of its head differs.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -53,7 +53,6 @@
   private final RequestHandler handler;
   private final CallerListener listener;
   private final Clocks clocks;
-  private final CallerLimits limits;
   private final Deque<Slot> slots = new ArrayDeque<>();
   private final ByteBuf body = Unpooled.buffer(0);
   private @Nullable HttpRequest head;
@@ -78,16 +77,11 @@
   }
 
   CallerConnection(
-      Channel channel,
-      RequestHandler handler,
-      CallerListener listener,
-      Clocks clocks,
-      CallerLimits limits) {
+      Channel channel, RequestHandler handler, CallerListener listener, Clocks clocks) {
     this.channel = channel;
     this.handler = handler;
     this.listener = listener;
     this.clocks = clocks;
-    this.limits = limits;
     this.lastUsedNanos = clocks.nanos();
   }
 
@@ -105,6 +99,7 @@
     if (!slots.isEmpty() || closing) {
       return;
     }
+    CallerLimits limits = listener.limits();
     if (partial && nowNanos - partialSinceNanos > limits.headerTimeoutNanos() && head == null) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastUsedNanos > limits.idleTimeoutNanos()) {
@@ -179,7 +174,7 @@
       refuse(BAD_REQUEST);
       return;
     }
-    if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+    if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
@@ -192,7 +187,8 @@
   }
 
   private void readContent(HttpContent content, HttpRequest request) {
-    if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+    int length = body.readableBytes() + content.content().readableBytes();
+    if (length > listener.limits().maxBodyBytes()) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -115,6 +116,11 @@
     return loop;
   }
 
+  /** Limits in force now. */
+  CallerLimits limits() {
+    return limits.get();
+  }
+
   boolean stopping() {
     return stopping;
   }
@@ -128,13 +134,13 @@
     List.copyOf(connections).forEach(connection -> connection.sweep(now));
   }
 
-  /** Puts the codec, with the limits of the moment, and the connection on a channel. */
+  /** Puts the codec and the connection on a channel. */
   private final class Pipeline extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
       CallerLimits current = limits.get();
       CallerConnection connection =
-          new CallerConnection(channel, handler, CallerListener.this, clocks, current);
+          new CallerConnection(channel, handler, CallerListener.this, clocks);
       connections.add(connection);
       channel.pipeline().addLast(new ArrivalNotice(connection));
       channel.pipeline().addLast(new CallerRequestDecoder(current), new HttpResponseEncoder());
@@ -142,8 +148,12 @@
     }
   }
 
-  /** Tells a connection of bytes before the decoder holds them back. */
-  private static final class ArrivalNotice extends ChannelInboundHandlerAdapter {
+  /**
+   * Tells a connection of bytes before the decoder holds them back, and gives a request the limits
+   * in force when it begins: connections outlive configurations, and by older limits a proper
+   * request would be refused.
+   */
+  private final class ArrivalNotice extends ChannelInboundHandlerAdapter {
     private final CallerConnection connection;
 
     ArrivalNotice(CallerConnection connection) {
@@ -152,8 +162,18 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+      if (!connection.busy()) {
+        renewDecoder(context.pipeline());
+      }
       connection.bytesArrived();
       context.fireChannelRead(message);
     }
+
+    private void renewDecoder(ChannelPipeline pipeline) {
+      CallerRequestDecoder decoder = pipeline.get(CallerRequestDecoder.class);
+      if (decoder.maxHeaderBytes() != limits.get().maxHeaderBytes()) {
+        pipeline.replace(decoder, null, new CallerRequestDecoder(limits.get()));
+      }
+    }
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerRequestDecoder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerRequestDecoder.java
@@ -16,11 +16,18 @@
 final class CallerRequestDecoder extends HttpRequestDecoder {
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
+  private final int maxHeaderBytes;
+
   CallerRequestDecoder(CallerLimits limits) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
             .setMaxHeaderSize(limits.maxHeaderBytes()));
+    this.maxHeaderBytes = limits.maxHeaderBytes();
+  }
+
+  int maxHeaderBytes() {
+    return maxHeaderBytes;
   }
 
   @Override
--- a/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
@@ -72,7 +72,7 @@
     }
 
     private CallerConnection install() {
-      CallerConnection created = new CallerConnection(channel, handler, listener, clocks, LIMITS);
+      CallerConnection created = new CallerConnection(channel, handler, listener, clocks);
       channel
           .pipeline()
           .addLast(new CallerRequestDecoder(LIMITS), new HttpResponseEncoder(), created);
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ChangedLimitsTest.java
@@ -0,0 +1,107 @@
+package org.magnoliaswitch.front.connection;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.version.CallerLimits;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Connections that were opened under an earlier configuration. */
+public final class ChangedLimitsTest {
+  private static final long LONG_NANOS = TimeUnit.MINUTES.toNanos(1);
+  private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final int TIMEOUT_MILLIS = 10_000;
+  private static final int SMALL = 500;
+  private static final int LARGE = 20_000;
+
+  private static final RequestHandler ECHO =
+      new RequestHandler() {
+        @Override
+        public boolean idempotent(CallerRequest request) {
+          return true;
+        }
+
+        @Override
+        public Call start(CallerRequest request, Consumer<CallerAnswer> answer) {
+          answer.accept(
+              new CallerAnswer(HttpResponseStatus.OK, new DefaultHttpHeaders(), new byte[0]));
+          return () -> {};
+        }
+      };
+
+  private final AtomicReference<CallerLimits> limits = new AtomicReference<>();
+  private Loop loop;
+  private Socket caller;
+
+  @BeforeMethod
+  public void open() throws IOException {
+    limits.set(new CallerLimits(SMALL, SMALL, LONG_NANOS, LONG_NANOS));
+    loop = Loop.start();
+    CallerListener listener = new CallerListener(loop, Clocks.system(), ECHO, limits::get);
+    listener.bind(new InetSocketAddress("127.0.0.1", 0));
+    caller = new Socket();
+    caller.connect(listener.address());
+    caller.setSoTimeout(TIMEOUT_MILLIS);
+    assertEquals(ask("", ""), "200");
+  }
+
+  @AfterMethod
+  public void close() throws IOException {
+    caller.close();
+    loop.stop();
+  }
+
+  private String ask(String header, String body) throws IOException {
+    String request =
+        "POST / HTTP/1.1\r\nHost: h\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s"
+            .formatted(header, body.length(), body);
+    caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    return status();
+  }
+
+  private String status() throws IOException {
+    InputStream in = caller.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return "closed";
+      }
+      head.append((char) next);
+    }
+    return head.toString().split(" ", 3)[1];
+  }
+
+  /** Guards against proper requests that are refused by limits that are no longer in force. */
+  @Test
+  public void raisedLimitsHoldOnOpenConnections() throws IOException {
+    limits.set(new CallerLimits(LARGE, LARGE, LONG_NANOS, LONG_NANOS));
+    assertEquals(ask("", "b".repeat(2 * SMALL)), "200");
+    assertEquals(ask("h".repeat(2 * SMALL), ""), "200");
+  }
+
+  @Test
+  public void loweredLimitsHoldOnOpenConnections() throws IOException {
+    limits.set(new CallerLimits(SMALL, SMALL / 2, LONG_NANOS, LONG_NANOS));
+    assertEquals(ask("", "b".repeat(SMALL)), "413");
+  }
+
+  @Test
+  public void anotherIdleTimeoutHoldsOnOpenConnections() throws IOException {
+    limits.set(new CallerLimits(SMALL, SMALL, LONG_NANOS, SHORT_NANOS));
+    assertEquals(status(), "closed");
+  }
+}
