Refusals of what never became a request are logged

Now each has one bounded line with status, reason, and the request's id and target where its head was read, and a counter. ChangedLimitsTest.aRefusalIsTold fails without it.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.loop.Channels;
@@ -101,10 +102,10 @@
     }
     CallerLimits limits = listener.limits();
     if (partial && nowNanos - partialSinceNanos > limits.headerTimeoutNanos() && head == null) {
-      refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+      refuse(HttpResponseStatus.REQUEST_TIMEOUT, "slow_head", null);
     } else if (nowNanos - lastUsedNanos > limits.idleTimeoutNanos()) {
       if (partial) {
-        refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+        refuse(HttpResponseStatus.REQUEST_TIMEOUT, "slow_request", head);
       } else {
         Channels.close(channel);
       }
@@ -157,7 +158,8 @@
       return;
     }
     if (message.decoderResult().isFailure()) {
-      refuse(BAD_REQUEST);
+      String reason = message.decoderResult().cause().getClass().getSimpleName();
+      refuse(BAD_REQUEST, reason, message instanceof HttpRequest request ? request : head);
       return;
     }
     if (message instanceof HttpRequest request) {
@@ -171,11 +173,11 @@
   private void readHead(HttpRequest request) {
     HttpHeaders headers = request.headers();
     if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
-      refuse(BAD_REQUEST);
+      refuse(BAD_REQUEST, "host", request);
       return;
     }
     if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
-      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body", request);
       return;
     }
     head = request;
@@ -189,11 +191,11 @@
   private void readContent(HttpContent content, HttpRequest request) {
     int length = body.readableBytes() + content.content().readableBytes();
     if (length > listener.limits().maxBodyBytes()) {
-      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body", request);
       return;
     }
     if (!listener.reserve(content.content().readableBytes())) {
-      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory", request);
       return;
     }
     body.writeBytes(content.content());
@@ -303,8 +305,9 @@
   }
 
   /** Answers what cannot be read as a request, behind the answers that are still due. */
-  private void refuse(HttpResponseStatus status) {
+  private void refuse(HttpResponseStatus status, String reason, @Nullable HttpRequest request) {
     malformed = true;
+    handler.refused(status, reason, Optional.ofNullable(request));
     Slot last = new Slot(UNREADABLE, false);
     last.answer = new CallerAnswer(status, new DefaultHttpHeaders(), new byte[0]);
     slots.addLast(last);
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -1,6 +1,8 @@
 package org.magnoliaswitch.front.request;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +17,8 @@
 
 /** Starts an {@link Exchange} for each request of a caller. */
 public final class FrontDispatcher implements RequestHandler {
+  private static final int LOGGED_TARGET_LENGTH = 200;
+
   private final Environment environment;
   private final ServerSearch search;
   private final PendingQueue<Placing> pending;
@@ -37,6 +41,29 @@
     return environment.routes().get().known() && route(request).map(Route::idempotent).orElse(true);
   }
 
+  @Override
+  public void refused(HttpResponseStatus status, String reason, Optional<HttpRequest> head) {
+    environment.metrics().count("unreadable.requests", "", String.valueOf(status.code()));
+    environment
+        .log()
+        .trouble("unreadable")
+        .add("request", head.map(this::requestId).orElse(""))
+        .add("target", head.map(FrontDispatcher::shortTarget).orElse(""))
+        .add("status", status.code())
+        .add("reason", reason)
+        .add("version", environment.routes().get().version())
+        .write();
+  }
+
+  private static String shortTarget(HttpRequest request) {
+    String target = request.uri();
+    return target.substring(0, Math.min(target.length(), LOGGED_TARGET_LENGTH));
+  }
+
+  private String requestId(HttpRequest request) {
+    return request.headers().get(environment.names().requestId(), "");
+  }
+
   @Override
   public Call start(CallerRequest request, Consumer<CallerAnswer> answer) {
     UnderWay call = new UnderWay(request, answer);
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ChangedLimitsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ChangedLimitsTest.java
@@ -3,12 +3,16 @@
 import static org.testng.Assert.assertEquals;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -27,6 +31,8 @@
   private static final int SMALL = 500;
   private static final int LARGE = 20_000;
 
+  private static final List<String> REFUSALS = new CopyOnWriteArrayList<>();
+
   private static final RequestHandler ECHO =
       new RequestHandler() {
         @Override
@@ -40,6 +46,11 @@
               new CallerAnswer(HttpResponseStatus.OK, new DefaultHttpHeaders(), new byte[0]));
           return () -> {};
         }
+
+        @Override
+        public void refused(HttpResponseStatus status, String reason, Optional<HttpRequest> head) {
+          REFUSALS.add(status.code() + " " + reason + " " + head.map(HttpRequest::uri).orElse("-"));
+        }
       };
 
   private final AtomicReference<CallerLimits> limits = new AtomicReference<>();
@@ -48,6 +59,7 @@
 
   @BeforeMethod
   public void open() throws IOException {
+    REFUSALS.clear();
     limits.set(new CallerLimits(SMALL, SMALL, LONG_NANOS, LONG_NANOS));
     loop = Loop.start();
     CallerListener listener = new CallerListener(loop, Clocks.system(), ECHO, limits::get);
@@ -99,6 +111,19 @@
     assertEquals(ask("", "b".repeat(SMALL)), "413");
   }
 
+  /** Guards against proper requests that are refused without a trace in the logs. */
+  @Test
+  public void aRefusalIsTold() throws IOException {
+    ask("", "b".repeat(2 * SMALL));
+    assertEquals(REFUSALS, List.of("413 body /"));
+  }
+
+  @Test
+  public void aRefusalOfAHeadIsTold() throws IOException {
+    assertEquals(ask("h".repeat(2 * SMALL), ""), "400");
+    assertEquals(REFUSALS, List.of("400 TooLongHttpHeaderException /"));
+  }
+
   @Test
   public void anotherIdleTimeoutHoldsOnOpenConnections() throws IOException {
     limits.set(new CallerLimits(SMALL, SMALL, LONG_NANOS, SHORT_NANOS));
