What one instance reads reaches others through seeds that cannot read

Callers of instances that the platform's store turns away would be served by an old configuration as long as it turns all seeds away too, though it serves other instances.

Cause: news flow from seeds to listeners only. Evidence: NewsTest.whatOneInstanceRead- ReachesOthersThroughSeedsThatCannotRead fails on the code before (30 s), passes now. Change: an instance that is no seed and has read the store itself passes on what it read to seeds that have known much less for 1.2 s, after a random time of up to 0.6 s so that one goes first; the seeds tell all at once, which also spares the others their reads. Compressed; a configuration only to a seed that lacks it.

With it (same files): the age of the configuration is told apart from that of the servers and at the end of each wait, and a wait takes 0.6 s.

--- a/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNewsCodec.java
@@ -32,6 +32,11 @@
         out.packLong(held.lastUpdate());
         out.packInt(SUPPLIES.indexOf(held.supply()));
       }
+      if (news.read().isPresent()) {
+        byte[] read = Compression.deflated(PeerNewsCodec.encode(news.read().get()));
+        out.packBinaryHeader(read.length);
+        out.writePayload(read);
+      }
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory does not fail", e);
@@ -42,12 +47,23 @@
   static ListenerNews decode(byte[] bytes) throws IOException {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       List<CrashReport> crashes = CrashReportCodec.read(in);
-      return new ListenerNews(crashes, in.hasNext() ? Optional.of(held(in)) : Optional.empty());
+      Optional<HeldConfiguration> held = in.hasNext() ? Optional.of(held(in)) : Optional.empty();
+      Optional<PeerNews> read =
+          in.hasNext() ? Optional.of(read(in, bytes.length)) : Optional.empty();
+      return new ListenerNews(crashes, held, read);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed news of a listener", e);
     }
   }
 
+  private static PeerNews read(MessageUnpacker in, int messageLength) throws IOException {
+    int length = in.unpackBinaryHeader();
+    if (length > messageLength) {
+      throw new IOException("news of " + length + " bytes do not fit their message");
+    }
+    return PeerNewsCodec.decode(Compression.inflated(in.readPayload(length)));
+  }
+
   private static HeldConfiguration held(MessageUnpacker in) throws IOException {
     long version = in.unpackLong();
     long lastUpdate = in.unpackLong();
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -60,13 +60,14 @@
   private static final int OWN_PLACE = 0;
   private static final byte[] NO_UPDATE = RouteUpdateCodec.encode(Optional.empty());
 
-  /** Longest message of a listener: reports of a full table of cases. */
-  private static final int MAX_REPORTS_BYTES = 1 << 20;
+  /** Longest message of a listener: as long as one of this instance may be. */
+  private static final int MAX_LISTENER_BYTES = PeerSubscription.MAX_MESSAGE_BYTES;
 
   /**
    * What this instance knows now.
    *
-   * @param ageMillis how long ago it was confirmed
+   * @param ageMillis how long ago the oldest part of it was confirmed
+   * @param routesAgeMillis how long ago the configuration and the evacuations were
    * @param routes configuration in force
    * @param evacuations the evacuated data centres
    * @param servers servers in force
@@ -74,6 +75,7 @@
    */
   public record Knowledge(
       long ageMillis,
+      long routesAgeMillis,
       RouteTable routes,
       Evacuations evacuations,
       ServerList servers,
@@ -83,6 +85,7 @@
   private final Clocks clocks;
   private final Supplier<Knowledge> knowledge;
   private final Consumer<List<CrashReport>> reported;
+  private final Consumer<PeerNews> read;
   private final Set<Listener> listeners = new HashSet<>();
   private final BitSet taken = new BitSet();
   private final LongAdder bytesTold = new LongAdder();
@@ -97,16 +100,19 @@
    *
    * @param knowledge what listeners are told
    * @param reported takes what they report
+   * @param read takes what one of them has read itself
    */
   public PeerHub(
       Loop loop,
       Clocks clocks,
       Supplier<Knowledge> knowledge,
-      Consumer<List<CrashReport>> reported) {
+      Consumer<List<CrashReport>> reported,
+      Consumer<PeerNews> read) {
     this.loop = loop;
     this.clocks = clocks;
     this.knowledge = knowledge;
     this.reported = reported;
+    this.read = read;
     taken.set(OWN_PLACE);
   }
 
@@ -233,7 +239,8 @@
           .pipeline()
           .addLast(
               new LengthFieldPrepender(LENGTH_BYTES),
-              new LengthFieldBasedFrameDecoder(MAX_REPORTS_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+              new LengthFieldBasedFrameDecoder(
+                  MAX_LISTENER_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
               new Listener(channel));
     }
   }
@@ -275,6 +282,7 @@
           tellIfBehind();
         }
         reported.accept(news.crashes());
+        news.read().ifPresent(read);
       } catch (IOException e) {
         logger.atWarning().withCause(e).log(
             "event=peer_report_malformed peer=%s", channel.remoteAddress());
@@ -325,7 +333,7 @@
         toldRoutes = Math.max(toldRoutes, version);
       }
       toldServers = now.servers();
-      byte[] end = PeerNewsCodec.encodeEnd(placeAt(place), version);
+      byte[] end = PeerNewsCodec.encodeEnd(placeAt(place), version, now.routesAgeMillis());
       byte[] update =
           updates.send(version, clocks.nanos())
               ? update(now.routes(), updates.heldVersion())
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerNewsCodec.java
@@ -48,6 +48,7 @@
       if (news.configuration().isPresent()) {
         ConfigurationNews configuration = news.configuration().get();
         out.packLong(configuration.version());
+        out.packLong(configuration.ageMillis());
         out.addPayload(RouteUpdateCodec.encode(configuration.update()));
       }
       return out.toByteArray();
@@ -61,17 +62,25 @@
    * the same message, but each has a place of its own and lacks something else.
    *
    * @param version version of the configuration in force here
+   * @param ageMillis how long ago that was known to be the newest
    */
-  static byte[] encodeEnd(InstancePlace place, long version) {
+  static byte[] encodeEnd(InstancePlace place, long version, long ageMillis) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       writePlace(out, place);
       out.packLong(version);
+      out.packLong(ageMillis);
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("writing to memory does not fail", e);
     }
   }
 
+  private static ConfigurationNews readConfiguration(MessageUnpacker in) throws IOException {
+    long version = in.unpackLong();
+    long age = in.unpackLong();
+    return new ConfigurationNews(version, age, RouteUpdateCodec.read(in));
+  }
+
   private static void writePlace(MessagePacker out, InstancePlace place) throws IOException {
     out.packInt(place.index());
     out.packInt(place.places());
@@ -102,9 +111,7 @@
       }
       Optional<InstancePlace> place = in.hasNext() ? Optional.of(readPlace(in)) : Optional.empty();
       Optional<ConfigurationNews> configuration =
-          in.hasNext()
-              ? Optional.of(new ConfigurationNews(in.unpackLong(), RouteUpdateCodec.read(in)))
-              : Optional.empty();
+          in.hasNext() ? Optional.of(readConfiguration(in)) : Optional.empty();
       return new PeerNews(
           age, instances, routes, servers, evacuations, crashes, place, configuration);
     } catch (MessagePackException | IllegalArgumentException e) {
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
@@ -31,14 +32,19 @@
 public final class PeerSubscription {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Longest message of either side. */
+  static final int MAX_MESSAGE_BYTES = 4 << 20;
+
   private static final int LENGTH_BYTES = 4;
-  private static final int MAX_MESSAGE_BYTES = 4 << 20;
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final long CHECK_MILLIS = 500;
 
   /** A connection on which nothing comes in for this long is silent: four heartbeats. */
   private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
 
+  /** A peer that can read, or hears of one that does, never knows less than this. */
+  private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
   /** Takes news in the form in which they can be believed. */
   @FunctionalInterface
   public interface Listener {
@@ -60,6 +66,9 @@
   private @Nullable Channel channel;
   private @Nullable HeldConfiguration toldHeld;
   private long lastUpdate;
+  private long peerAsOfNanos;
+  private long peerVersion;
+  private long hearingSinceNanos;
   private ServerList servers = ServerList.EMPTY;
   private boolean connecting;
   private boolean hearing;
@@ -106,7 +115,7 @@
       return;
     }
     if (channel.isWritable()) {
-      send(crashes, heldNow());
+      send(new ListenerNews(crashes, Optional.of(heldNow()), Optional.empty()));
     } else {
       Channels.close(channel);
     }
@@ -116,7 +125,25 @@
   public void confirm() {
     HeldConfiguration now = heldNow();
     if (channel != null && channel.isWritable() && !now.equals(toldHeld)) {
-      send(List.of(), now);
+      send(new ListenerNews(List.of(), Optional.of(now), Optional.empty()));
+    }
+  }
+
+  /** Whether the peer has known much less than it could for some time. */
+  public boolean peerStale() {
+    long now = clocks.nanos();
+    return hearing && now - peerAsOfNanos > STALE_NANOS && now - hearingSinceNanos > STALE_NANOS;
+  }
+
+  /**
+   * Passes on what this instance has read itself.
+   *
+   * @param read makes the message, given the version of the peer's configuration
+   */
+  public void passOn(LongFunction<PeerNews> read) {
+    if (channel != null && channel.isWritable()) {
+      PeerNews news = read.apply(peerVersion);
+      send(new ListenerNews(List.of(), Optional.of(heldNow()), Optional.of(news)));
     }
   }
 
@@ -125,11 +152,10 @@
     return new HeldConfiguration(own.version(), lastUpdate, own.supply());
   }
 
-  private void send(List<CrashReport> crashes, HeldConfiguration now) {
-    toldHeld = now;
-    byte[] message = ListenerNewsCodec.encode(new ListenerNews(crashes, Optional.of(now)));
+  private void send(ListenerNews news) {
+    toldHeld = news.held().orElse(null);
     if (channel != null) {
-      Channels.write(channel, Unpooled.wrappedBuffer(message));
+      Channels.write(channel, Unpooled.wrappedBuffer(ListenerNewsCodec.encode(news)));
     }
   }
 
@@ -160,7 +186,7 @@
                 servers = ServerList.EMPTY;
                 lastUpdate = 0;
                 lastHeardNanos = clocks.nanos();
-                send(known.get(), heldNow());
+                send(new ListenerNews(known.get(), Optional.of(heldNow()), Optional.empty()));
               }
             });
   }
@@ -168,12 +194,15 @@
   private void heard(byte[] bytes) {
     try {
       PeerNews news = PeerNewsCodec.decode(bytes);
+      peerAsOfNanos = clocks.nanos() - TimeUnit.MILLISECONDS.toNanos(news.ageMillis());
+      peerVersion = news.configuration().map(ConfigurationNews::version).orElse(0L);
       servers = news.servers().applyTo(servers);
       news.configuration()
           .flatMap(ConfigurationNews::update)
           .ifPresent(update -> lastUpdate = update.version());
       if (!hearing) {
         hearing = true;
+        hearingSinceNanos = lastHeardNanos;
         logger.atInfo().log("event=peer_heard peer=%s age_ms=%d", peer, news.ageMillis());
       }
       listener.heard(news, servers);
--- a/front/src/main/java/org/magnoliaswitch/front/peer/RouteUpdateCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/RouteUpdateCodec.java
@@ -1,14 +1,10 @@
 package org.magnoliaswitch.front.peer;
 
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.zip.Deflater;
-import java.util.zip.InflaterInputStream;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteChanges;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -27,9 +23,6 @@
   /** Shorter updates fit a packet or two as they are. */
   private static final int COMPRESSED_FROM_BYTES = 2 << 10;
 
-  /** A longer update must not be given memory. */
-  private static final int MAX_UPDATE_BYTES = 32 << 20;
-
   private RouteUpdateCodec() {}
 
   /** Encodes an update, or that there is none. */
@@ -39,7 +32,7 @@
       if (update.isPresent()) {
         byte[] body = body(update.get());
         boolean compressed = body.length >= COMPRESSED_FROM_BYTES;
-        byte[] sent = compressed ? deflated(body) : body;
+        byte[] sent = compressed ? Compression.deflated(body) : body;
         out.packBoolean(compressed);
         out.packBinaryHeader(sent.length);
         out.writePayload(sent);
@@ -58,12 +51,12 @@
     }
     boolean compressed = in.unpackBoolean();
     int length = in.unpackBinaryHeader();
-    if (length > MAX_UPDATE_BYTES) {
+    if (length > Compression.MAX_BYTES) {
       throw new IOException("an update of " + length + " bytes is too long");
     }
     byte[] sent = in.readPayload(length);
     try (MessageUnpacker body =
-        MessagePack.newDefaultUnpacker(compressed ? inflated(sent) : sent)) {
+        MessagePack.newDefaultUnpacker(compressed ? Compression.inflated(sent) : sent)) {
       return switch (kind) {
         case WHOLE -> Optional.of(new RouteUpdate.Whole(readTable(body)));
         case CHANGES -> Optional.of(new RouteUpdate.Changes(readChanges(body)));
@@ -126,27 +119,4 @@
         List.copyOf(changed.services()),
         changed.limits());
   }
-
-  private static byte[] deflated(byte[] body) {
-    Deflater deflater = new Deflater();
-    try {
-      deflater.setInput(body);
-      deflater.finish();
-      byte[] buffer = new byte[body.length + COMPRESSED_FROM_BYTES];
-      int length = deflater.deflate(buffer);
-      return Arrays.copyOf(buffer, length);
-    } finally {
-      deflater.end();
-    }
-  }
-
-  private static byte[] inflated(byte[] sent) throws IOException {
-    try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(sent))) {
-      byte[] body = in.readNBytes(MAX_UPDATE_BYTES + 1);
-      if (body.length > MAX_UPDATE_BYTES) {
-        throw new IOException("an update is too long");
-      }
-      return body;
-    }
-  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/News.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/News.java
@@ -11,10 +11,14 @@
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.load.InstancePlace;
 import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.peer.ConfigurationNews;
 import org.magnoliaswitch.front.peer.HeldConfiguration;
 import org.magnoliaswitch.front.peer.PeerHub;
 import org.magnoliaswitch.front.peer.PeerNews;
 import org.magnoliaswitch.front.peer.PeerSubscription;
+import org.magnoliaswitch.front.peer.ServerChanges;
+import org.magnoliaswitch.front.version.RouteTable;
+import org.magnoliaswitch.front.version.RouteUpdate;
 import org.magnoliaswitch.front.version.ServerList;
 
 /** Everything by which this instance learns and passes on configuration and discovery. */
@@ -29,6 +33,9 @@
    */
   private static final long GATHER_MILLIS = 5;
 
+  /** Instances that have read pass on what they read within so long, one after the other. */
+  private static final long PASS_ON_SPAN_MILLIS = 600;
+
   /** Time between two looks at which seed is to send updates of the configuration at once. */
   private static final long CONFIRM_MILLIS = 500;
 
@@ -58,7 +65,14 @@
     this.archive = new CrashArchive(source.crashes(), environment, control, this::hearsPeers);
     this.reader =
         new NewsReader(
-            source, knownState, plan, control, environment, this::tell, this::hearsPeers, archive);
+            source,
+            knownState,
+            plan,
+            control,
+            environment,
+            new Learnt(),
+            this::hearsPeers,
+            archive);
     this.hub =
         new PeerHub(
             control,
@@ -66,11 +80,13 @@
             () ->
                 new PeerHub.Knowledge(
                     reader.ageMillis(),
+                    reader.operatorStateAgeMillis(),
                     environment.routes().get(),
                     knownState.evacuations(),
                     knownState.servers(),
                     environment.crashes().table()),
-            reports -> environment.crashes().heard(reports, CrashWatch.Source.LISTENER));
+            reports -> environment.crashes().heard(reports, CrashWatch.Source.LISTENER),
+            this::heardOfListener);
   }
 
   /** Binds the peers' address, listens to the seeds and begins to read. */
@@ -159,6 +175,66 @@
     confirm();
   }
 
+  /** Tells others of what was learnt. */
+  private final class Learnt implements NewsReader.Listener {
+    @Override
+    public void changed() {
+      tell();
+    }
+
+    @Override
+    public void readItself() {
+      if (!seed() && subscriptions.values().stream().anyMatch(PeerSubscription::peerStale)) {
+        long wait = environment.random().nextLong(PASS_ON_SPAN_MILLIS);
+        loop.afterMillis(wait, News.this::passOn);
+      }
+    }
+  }
+
+  /**
+   * Tells seeds that cannot read what this instance has read: others that cannot read either learn
+   * from the seeds alone. By now another instance may have done so.
+   */
+  private void passOn() {
+    subscriptions.values().stream()
+        .filter(PeerSubscription::peerStale)
+        .forEach(seed -> seed.passOn(this::known));
+  }
+
+  /**
+   * All that this instance knows, but for requests under which servers end.
+   *
+   * @param version configuration that the receiver has
+   */
+  private PeerNews known(long version) {
+    RouteTable routes = knownState.routes();
+    Optional<RouteUpdate> update =
+        version < routes.version() ? Optional.of(new RouteUpdate.Whole(routes)) : Optional.empty();
+    return new PeerNews(
+        reader.ageMillis(),
+        environment.instances().count(),
+        Optional.empty(),
+        ServerChanges.between(ServerList.EMPTY, knownState.servers()),
+        knownState.evacuations(),
+        List.of(),
+        Optional.of(hub.ownPlace()),
+        Optional.of(
+            new ConfigurationNews(routes.version(), reader.operatorStateAgeMillis(), update)));
+  }
+
+  /** What a listener has read itself; told to all at once, so that none of them reads too. */
+  private void heardOfListener(PeerNews news) {
+    if (news.ageMillis() < reader.ageMillis()) {
+      reader.heard(news, news.servers().applyTo(ServerList.EMPTY));
+      tell();
+    }
+  }
+
+  private boolean seed() {
+    FrontSettings settings = environment.settings();
+    return settings.seeds().contains(settings.peers());
+  }
+
   private void confirm() {
     subscriptions.values().forEach(PeerSubscription::confirm);
   }
@@ -172,8 +248,7 @@
    * narrow links busy for seconds. Seeds themselves take it from whoever has it first.
    */
   private HeldConfiguration.Supply supply(InetSocketAddress seed) {
-    FrontSettings settings = environment.settings();
-    if (settings.seeds().contains(settings.peers())) {
+    if (seed()) {
       return HeldConfiguration.Supply.FIRST;
     }
     return seed.equals(supplier())
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -38,7 +38,7 @@
   private final Clocks clocks;
   private final RandomGenerator random;
   private final EventLog log;
-  private final Runnable changed;
+  private final Listener listener;
   private final BooleanSupplier hearsPeers;
   private final CrashArchive archive;
   private final DiscoveryKeeper keeper = new DiscoveryKeeper();
@@ -51,10 +51,18 @@
   private boolean reading;
   private Loop.Timer nextCheck = () -> {};
 
+  /** Is told what this instance has learnt. */
+  public interface Listener {
+    /** Something newer than before is believed. */
+    void changed();
+
+    /** All of what is believed was read by this instance itself, just now. */
+    void readItself();
+  }
+
   /**
    * Creates a reader.
    *
-   * @param changed called when something newer than before is believed
    * @param hearsPeers whether other instances tell their news
    * @param archive is read whenever the platform is
    */
@@ -64,7 +72,7 @@
       ReadingPlan plan,
       Loop loop,
       Environment environment,
-      Runnable changed,
+      Listener listener,
       BooleanSupplier hearsPeers,
       CrashArchive archive) {
     this.source = source;
@@ -76,7 +84,7 @@
     this.clocks = environment.clocks();
     this.random = environment.random();
     this.log = environment.log();
-    this.changed = changed;
+    this.listener = listener;
     this.hearsPeers = hearsPeers;
     this.archive = archive;
     this.startedNanos = environment.clocks().nanos();
@@ -111,15 +119,19 @@
       knownState.offer(list);
     }
     if (list.known() && news.evacuations().known()) {
-      long asOf = now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis());
-      servers.confirmed(asOf);
+      servers.confirmed(asOf(news.ageMillis()));
       long version = news.configuration().map(ConfigurationNews::version).orElse(0L);
       if (version <= knownState.routesVersion()) {
-        operatorState.confirmed(asOf);
+        long age = news.configuration().map(ConfigurationNews::ageMillis).orElse(news.ageMillis());
+        operatorState.confirmed(asOf(age));
       }
     }
   }
 
+  private long asOf(long ageMillis) {
+    return clocks.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+  }
+
   /** The configuration that a peer's news lead to; empty if that is the one in force. */
   private RouteTable routes(PeerNews news) {
     return news.configuration()
@@ -134,7 +146,7 @@
     boolean evacuationsChanged = knownState.offer(state.evacuations(), told);
     boolean routesChanged = knownState.offer(state.routes(), told);
     if (evacuationsChanged || routesChanged) {
-      changed.run();
+      listener.changed();
     }
   }
 
@@ -192,22 +204,21 @@
     source.servers(list -> serversRead(list, asOf));
   }
 
-  /** Waits until shortly before the next read of the servers, so that one message tells both. */
   private void awaitChange() {
     long begun = clocks.nanos();
-    long waitMillis = plan.waitMillis(serversAgeMillis());
-    source.nextOperatorState(waitMillis, read -> changeCame(read, begun, waitMillis));
+    source.nextOperatorState(ReadingPlan.WAIT_MILLIS, read -> changeCame(read, begun));
   }
 
-  private void changeCame(NewsSource.Read<OperatorState> read, long begunNanos, long waitMillis) {
+  private void changeCame(NewsSource.Read<OperatorState> read, long begunNanos) {
     if (read instanceof NewsSource.Read.Failed<OperatorState> failed) {
       waitFailed(failed.reason(), begunNanos);
       return;
     }
-    boolean waited = millisSince(begunNanos) >= waitMillis;
-    operatorState.confirmed(
-        waited ? begunNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis) : begunNanos);
+    long waitNanos = TimeUnit.MILLISECONDS.toNanos(ReadingPlan.WAIT_MILLIS);
+    boolean waited = clocks.nanos() - begunNanos >= waitNanos;
+    operatorState.confirmed(waited ? begunNanos + waitNanos : begunNanos);
     take(read);
+    listener.changed();
     awaitChange();
   }
 
@@ -246,7 +257,8 @@
         }
         knownState.offer(keeper.read(known.value(), clocks.nanos()));
         servers.confirmed(asOf);
-        changed.run();
+        listener.changed();
+        listener.readItself();
         archive.read();
         check();
       }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ReadingPlan.java
@@ -20,15 +20,15 @@
   /** Spread over which instances that are no seeds lose patience. */
   public static final int JITTER_SPAN_MILLIS = 300;
 
+  /**
+   * Longest wait for changes of what operators declare. While it is out nothing else vouches for
+   * the configuration, so with its answer on the way it stays below the second seed's patience.
+   */
+  static final long WAIT_MILLIS = 600;
+
   private static final long[] SEED_PATIENCE_MILLIS = {700, 1_000, 1_200};
   private static final long OTHER_PATIENCE_MILLIS = 1_400;
 
-  /** An answered wait precedes the read of the servers by so long. */
-  private static final long WAIT_LEAD_MILLIS = 60;
-
-  /** A wait shorter than this goes on until the read after the next. */
-  private static final long MIN_WAIT_MILLIS = 100;
-
   private static final long RETRY_MILLIS = 250;
   private static final long PATIENT_RETRY_MILLIS = 2_500;
 
@@ -44,16 +44,6 @@
     return rank == 0;
   }
 
-  /**
-   * How long to wait for changes, given the age of the servers: so that the answer comes shortly
-   * before they are read again. A longer wait would leave the configuration unconfirmed, and the
-   * next instance would read.
-   */
-  public long waitMillis(long serversAgeMillis) {
-    long untilRead = Math.max(0, patienceMillis() - serversAgeMillis) - WAIT_LEAD_MILLIS;
-    return untilRead < MIN_WAIT_MILLIS ? untilRead + patienceMillis() : untilRead;
-  }
-
   /** Wait before the read that follows a failed wait; one that failed at once is not hurried. */
   public long afterFailedWaitMillis(long tookMillis) {
     return Math.max(0, RETRY_MILLIS - tookMillis);
--- a/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/NewsTest.java
@@ -173,6 +173,23 @@
       assertEquals(alone.environment.instances().count(), 2);
     }
 
+    /** Guards against instances that stay behind where the platform turns all seeds away. */
+    @Test(timeOut = 30_000)
+    public void whatOneInstanceReadReachesOthersThroughSeedsThatCannotRead() throws Exception {
+      int port = freePort();
+      Learner seed = new Learner(port, List.of(at(port)), new Source());
+      Learner alone = new Learner(freePort(), List.of(at(port)), new Source());
+      Source good = new Source();
+      good.answer(3, "a");
+      Learner reader = new Learner(freePort(), List.of(at(port)), good);
+      reader.awaitVersion(3);
+      alone.awaitVersion(3);
+      good.answer(4, "a", "b");
+      alone.awaitVersion(4);
+      assertEquals(alone.knownState.servers().servers().keySet(), Set.of("a", "b"));
+      assertEquals(seed.knownState.routesVersion(), 4);
+    }
+
     /**
      * A data centre is lost, and one instance sees hundreds of requests end with its servers. All
      * others must know, and a message for each report would keep the seed from its callers.
