An entry that hears nobody does not call a path unknown

Callers of an entry that has lost its peers and the platform got 404 for a service that a newer version has.

The entry of that test now runs its control as a real one does.

--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
@@ -84,7 +84,13 @@
     Membership membership = new Membership(self, clocks);
     CrashWatch crashes = new CrashWatch(clocks);
     this.state =
-        new ControlState(membership, new LeavingServers(clocks), version, timeline, crashes);
+        new ControlState(
+            membership,
+            new LeavingServers(clocks),
+            version,
+            timeline,
+            crashes,
+            new LastContact(clocks));
     this.store = new ConfigurationStore(platform.table(), platform.objects());
     this.client = new PeerClient(setup.secret(), traffic);
     this.follower = new ConfigurationFollower(version, cache, store, client);
@@ -180,7 +186,9 @@
 
   private void pollStore() {
     try {
-      if (follower.followStore()) {
+      boolean news = follower.followStore();
+      state.contact().made();
+      if (news) {
         gossip.pushNews();
       }
       takeList(platform.instances().list());
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
@@ -8,10 +8,12 @@
  * @param version configuration in force
  * @param timeline recent events
  * @param crashes requests under which servers end
+ * @param contact when peers or the platform were heard last
  */
 public record ControlState(
     Membership membership,
     LeavingServers leaving,
     CurrentVersion version,
     Timeline timeline,
-    CrashWatch crashes) {}
+    CrashWatch crashes,
+    LastContact contact) {}
--- a/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Gossip.java
@@ -42,6 +42,7 @@
   private final GossipSettings settings;
   private final List<Address> seeds;
   private final Membership membership;
+  private final LastContact contact;
   private final LeavingServers leaving;
   private final CurrentVersion version;
   private final ConfigurationFollower follower;
@@ -62,6 +63,7 @@
     this.settings = settings;
     this.seeds = List.copyOf(seeds);
     this.membership = state.membership();
+    this.contact = state.contact();
     this.leaving = state.leaving();
     this.version = state.version();
     this.timeline = state.timeline();
@@ -149,6 +151,7 @@
   }
 
   private void merge(GossipDigest received) {
+    contact.made();
     timeline.clock().merge(received.time());
     boolean news = false;
     for (Member member : received.members()) {
--- a/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
@@ -69,16 +69,15 @@
     String path = Request.getPathInContext(request);
     Optional<ServiceState> service = control.registry().state().serviceOf(path);
     if (service.isEmpty()) {
-      boolean none = control.registry().state().snapshot().version() == 0;
-      return none
+      return control.registry().state().snapshot().version() == 0
           ? refused(UNAVAILABLE, "no configuration yet")
-          : refused(NOT_FOUND, "no service has this path");
+          : unknown("no service has this path");
     }
     String relative = path.substring(service.get().service().pathPrefix().length());
     Optional<RequestKind> kind =
         service.get().profile().kindOf(request.getMethod(), relative.isEmpty() ? "/" : relative);
     if (kind.isEmpty()) {
-      return refused(NOT_FOUND, "the profile has no kind for this request");
+      return unknown("the profile has no kind for this request");
     }
     String key = request.getHeaders().get(KEY_HEADER);
     if (key != null && !validKey(key)) {
@@ -108,6 +107,13 @@
             Request.getRemoteAddr(request)));
   }
 
+  /** A version that nobody has vouched for lately may lack what a newer one has. */
+  private Reading unknown(String reason) {
+    return control.state().contact().alone()
+        ? refused(UNAVAILABLE, "the configuration may be old: " + reason)
+        : refused(NOT_FOUND, reason);
+  }
+
   private static long limit(RequestKind kind) {
     return kind.execution() == Execution.AT_MOST_ONCE ? MAX_ONCE_BODY : MAX_BODY;
   }
--- a/entry/src/test/java/org/magnoliaswitch/entry/CallerContractTest.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/CallerContractTest.java
@@ -183,6 +183,23 @@
     assertEquals(status(book("t-own-outage", "body")), 200);
   }
 
+  /** Guards against callers that are sent away for good since a service is not known yet. */
+  @Test(timeOut = 60_000)
+  public void anEntryThatHearsNobodyDoesNotCallAPathUnknown() throws Exception {
+    entry.platformFaults(new PlatformFaults(true, 0, 0, 0, 0, 0));
+    String answer = entry.send("GET", "/nowhere", "", "");
+    while (status(answer) == 404) {
+      answer = entry.send("GET", "/nowhere", "", "");
+    }
+    assertEquals(status(answer), 503);
+    assertTrue(answer.contains("Request-Outcome: not-executed"), answer);
+    entry.platformFaults(PlatformFaults.NONE);
+    while (status(answer) == 503) {
+      answer = entry.send("GET", "/nowhere", "", "");
+    }
+    assertEquals(status(answer), 404);
+  }
+
   @Test
   public void passesOnEndToEndFieldsOnly() throws Exception {
     String answer =
--- a/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
@@ -69,6 +69,7 @@
     this.callers = new CallerListener(settings, control, new RequestService(control, "dc-1", true));
     callers.start();
     control.catchUp();
+    control.start();
     accept(service);
   }
 
