Messages to listeners are encoded in a class of their own

With it: updates from versions unknown here share one encoding (each such version kept one of its own until the next change), every version in force is noted for differences also when nobody needs an update just then, and a change that ends a wait is told once, not twice.

--- a/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNews.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNews.java
@@ -9,15 +9,15 @@
  *
  * @param crashes what it has seen of requests under which servers end
  * @param held what it has of the configuration; absent in messages of an earlier release
- * @param read what it has read itself, if the instance that it listens to seems not to be able to;
- *     only with what it holds
+ * @param passedOn what it has read itself, if the instance that it listens to seems not to be able
+ *     to; only with what it holds
  */
 record ListenerNews(
-    List<CrashReport> crashes, Optional<HeldConfiguration> held, Optional<PeerNews> read) {
+    List<CrashReport> crashes, Optional<HeldConfiguration> held, Optional<PeerNews> passedOn) {
   ListenerNews {
     crashes = List.copyOf(crashes);
-    if (read.isPresent() && held.isEmpty()) {
-      throw new IllegalArgumentException("what was read follows what is held");
+    if (passedOn.isPresent() && held.isEmpty()) {
+      throw new IllegalArgumentException("what is passed on follows what is held");
     }
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNewsCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ListenerNewsCodec.java
@@ -32,10 +32,10 @@
         out.packLong(held.lastUpdate());
         out.packInt(SUPPLIES.indexOf(held.supply()));
       }
-      if (news.read().isPresent()) {
-        byte[] read = Compression.deflated(PeerNewsCodec.encode(news.read().get()));
-        out.packBinaryHeader(read.length);
-        out.writePayload(read);
+      if (news.passedOn().isPresent()) {
+        byte[] passedOn = Compression.deflated(PeerNewsCodec.encode(news.passedOn().get()));
+        out.packBinaryHeader(passedOn.length);
+        out.writePayload(passedOn);
       }
       return out.toByteArray();
     } catch (IOException e) {
@@ -48,15 +48,15 @@
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       List<CrashReport> crashes = CrashReportCodec.read(in);
       Optional<HeldConfiguration> held = in.hasNext() ? Optional.of(held(in)) : Optional.empty();
-      Optional<PeerNews> read =
-          in.hasNext() ? Optional.of(read(in, bytes.length)) : Optional.empty();
-      return new ListenerNews(crashes, held, read);
+      Optional<PeerNews> passedOn =
+          in.hasNext() ? Optional.of(passedOn(in, bytes.length)) : Optional.empty();
+      return new ListenerNews(crashes, held, passedOn);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed news of a listener", e);
     }
   }
 
-  private static PeerNews read(MessageUnpacker in, int messageLength) throws IOException {
+  private static PeerNews passedOn(MessageUnpacker in, int messageLength) throws IOException {
     int length = in.unpackBinaryHeader();
     if (length > messageLength) {
       throw new IOException("news of " + length + " bytes do not fit their message");
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -17,17 +17,14 @@
 import java.net.InetSocketAddress;
 import java.util.BitSet;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.crash.CrashTable;
@@ -35,7 +32,6 @@
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.version.Evacuations;
-import org.magnoliaswitch.front.version.RouteHistory;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerList;
 
@@ -85,14 +81,12 @@
   private final Clocks clocks;
   private final Supplier<Knowledge> knowledge;
   private final Consumer<List<CrashReport>> reported;
-  private final Consumer<PeerNews> read;
+  private final Consumer<PeerNews> passedOn;
   private final Set<Listener> listeners = new HashSet<>();
   private final BitSet taken = new BitSet();
   private final LongAdder bytesTold = new LongAdder();
   private final LongAdder listenersDropped = new LongAdder();
-  private final RouteHistory history = new RouteHistory();
-  private final Map<Long, byte[]> updatesByBase = new HashMap<>();
-  private @Nullable Encoded last;
+  private final MessageCache messages = new MessageCache();
   private volatile long listenersBehind;
 
   /**
@@ -100,19 +94,19 @@
    *
    * @param knowledge what listeners are told
    * @param reported takes what they report
-   * @param read takes what one of them has read itself
+   * @param passedOn takes what one of them has read itself
    */
   public PeerHub(
       Loop loop,
       Clocks clocks,
       Supplier<Knowledge> knowledge,
       Consumer<List<CrashReport>> reported,
-      Consumer<PeerNews> read) {
+      Consumer<PeerNews> passedOn) {
     this.loop = loop;
     this.clocks = clocks;
     this.knowledge = knowledge;
     this.reported = reported;
-    this.read = read;
+    this.passedOn = passedOn;
     taken.set(OWN_PLACE);
   }
 
@@ -161,6 +155,7 @@
   /** Tells everyone now, and what is new about requests under which servers end. */
   public void tell(List<CrashReport> crashes) {
     Knowledge now = knowledge.get();
+    messages.inForce(now.routes());
     listeners.stream()
         .sorted(Comparator.comparingInt(listener -> listener.updates.rank()))
         .toList()
@@ -173,65 +168,6 @@
     return listenersBehind;
   }
 
-  /** What leads a listener from the version that it has to the one in force here. */
-  private byte[] update(RouteTable routes, long base) {
-    if (history.add(routes)) {
-      updatesByBase.clear();
-    }
-    return updatesByBase.computeIfAbsent(
-        base, from -> RouteUpdateCodec.encode(Optional.of(history.since(from))));
-  }
-
-  /**
-   * The message for a listener that was told a list and a version before. Nearly all listeners were
-   * told the same, so the last message is kept: a seed of a large system would spend most of its
-   * processor time on comparing the same two lists for each of them.
-   */
-  private byte[] message(
-      Knowledge now, ServerList toldServers, long toldRoutes, List<CrashReport> crashes) {
-    Told told =
-        new Told(
-            now.ageMillis(),
-            toldServers.version(),
-            now.servers().version(),
-            toldRoutes,
-            now.routes().version(),
-            instances(),
-            now.evacuations(),
-            crashes);
-    if (last == null || !last.told().equals(told)) {
-      boolean news = now.routes().version() > toldRoutes;
-      Optional<RouteTable> routes = news ? Optional.of(now.routes()) : Optional.empty();
-      ServerChanges changes = ServerChanges.between(toldServers, now.servers());
-      PeerNews message =
-          new PeerNews(
-              now.ageMillis(),
-              instances(),
-              routes,
-              changes,
-              now.evacuations(),
-              crashes,
-              Optional.empty(),
-              Optional.empty());
-      last = new Encoded(told, PeerNewsCodec.encode(message));
-    }
-    return last.bytes();
-  }
-
-  /** What a message depends on; a version names one list and one configuration of this instance. */
-  private record Told(
-      long ageMillis,
-      long serversBefore,
-      long serversNow,
-      long routesBefore,
-      long routesNow,
-      int instances,
-      Evacuations evacuations,
-      List<CrashReport> crashes) {}
-
-  /** A message and what it was made from. */
-  private record Encoded(Told told, byte[] bytes) {}
-
   private final class Pipeline extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
@@ -282,7 +218,7 @@
           tellIfBehind();
         }
         reported.accept(news.crashes());
-        news.read().ifPresent(read);
+        news.passedOn().ifPresent(passedOn);
       } catch (IOException e) {
         logger.atWarning().withCause(e).log(
             "event=peer_report_malformed peer=%s", channel.remoteAddress());
@@ -328,7 +264,8 @@
       long version = now.routes().version();
       boolean earlierRelease = !updates.known() && clocks.nanos() - sinceNanos >= GREETING_NANOS;
       byte[] message =
-          message(now, toldServers, earlierRelease ? toldRoutes : ALL_VERSIONS, reports);
+          messages.message(
+              now, instances(), toldServers, earlierRelease ? toldRoutes : ALL_VERSIONS, reports);
       if (earlierRelease) {
         toldRoutes = Math.max(toldRoutes, version);
       }
@@ -336,7 +273,7 @@
       byte[] end = PeerNewsCodec.encodeEnd(placeAt(place), version, now.routesAgeMillis());
       byte[] update =
           updates.send(version, clocks.nanos())
-              ? update(now.routes(), updates.heldVersion())
+              ? messages.update(now.routes(), updates.heldVersion())
               : NO_UPDATE;
       bytesTold.add(message.length + end.length + update.length);
       Channels.write(channel, Unpooled.wrappedBuffer(message, end, update));
--- a/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/NewsReader.java
@@ -53,7 +53,7 @@
 
   /** Is told what this instance has learnt. */
   public interface Listener {
-    /** Something newer than before is believed. */
+    /** Something newer than before is believed, or what is believed was confirmed. */
     void changed();
 
     /** All of what is believed was read by this instance itself, just now. */
@@ -142,12 +142,14 @@
   }
 
   /** Evacuations go first: a request that finds its route must not find an evacuated server. */
-  private void offer(OperatorState state, String told) {
+  private boolean offer(OperatorState state, String told) {
     boolean evacuationsChanged = knownState.offer(state.evacuations(), told);
     boolean routesChanged = knownState.offer(state.routes(), told);
-    if (evacuationsChanged || routesChanged) {
+    boolean news = evacuationsChanged || routesChanged;
+    if (news) {
       listener.changed();
     }
+    return news;
   }
 
   private void check() {
@@ -217,8 +219,10 @@
     long waitNanos = TimeUnit.MILLISECONDS.toNanos(ReadingPlan.WAIT_MILLIS);
     boolean waited = clocks.nanos() - begunNanos >= waitNanos;
     operatorState.confirmed(waited ? begunNanos + waitNanos : begunNanos);
-    take(read);
-    listener.changed();
+    if (!take(read)) {
+      // Nothing is new but the age.
+      listener.changed();
+    }
     awaitChange();
   }
 
@@ -240,10 +244,10 @@
     return TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - nanos);
   }
 
-  private void take(NewsSource.Read<OperatorState> read) {
-    if (read instanceof NewsSource.Read.Known<OperatorState> known) {
-      offer(known.value(), "store");
-    }
+  /** Puts in force what was read; returns whether it is newer than before. */
+  private boolean take(NewsSource.Read<OperatorState> read) {
+    return read instanceof NewsSource.Read.Known<OperatorState> known
+        && offer(known.value(), "store");
   }
 
   private void serversRead(NewsSource.Read<ServerList> read, long asOf) {
