--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
@@ -33,6 +33,7 @@
   private long retainUntilNanos;
   private boolean retaining;
   private boolean adoptedSince;
+  private int retained;
 
   /** Records that a read failed. */
   public void readFailed() {
@@ -64,6 +65,7 @@
           });
     }
     current = Map.copyOf(merged);
+    retained = merged.size() - list.servers().size();
     // A store without changes later returns the list without the retained entries under the same
     // version. That list must count as newer than this one, or departed servers would receive
     // requests until another entry changes.
@@ -71,6 +73,11 @@
     return new ServerList(version, merged);
   }
 
+  /** Returns how many entries that the last read did not contain were retained. */
+  public int retained() {
+    return retained;
+  }
+
   /**
    * Returns the time until missing entries are no longer retained; empty while none are retained or
    * if a peer's list has been adopted since. A read is due at that time. If it were delayed until
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -49,6 +49,8 @@
   private final Freshness operatorState;
   private final Freshness servers = new Freshness();
   private final long startedNanos;
+  private volatile int retained;
+  private long lastIgnoredFor;
   private boolean longPolling;
   private boolean changesMissed;
   private boolean sourceLost;
@@ -118,6 +120,11 @@
     return servers.ageMillis(clocks.nanos());
   }
 
+  /** Returns how many servers the last own read did not list and were retained. */
+  public long retainedServers() {
+    return retained;
+  }
+
   /** Applies the state that a peer has sent. */
   public void received(PeerUpdate update, ServerList list) {
     long now = clocks.nanos();
@@ -126,6 +133,7 @@
       reconciler.adopt(list, now);
       knownState.offer(list);
     }
+    countIfOlder(list, "peer");
     if (list.known() && update.evacuations().known()) {
       servers.confirmed(asOf(update.ageMillis()));
       long version = update.configuration().map(ConfigurationUpdate::version).orElse(0L);
@@ -286,7 +294,7 @@
           log.stateChange("source_regained").add("version", knownState.routesVersion()).write();
           sourceLost = false;
         }
-        knownState.offer(reconciler.reconcile(known.value(), clocks.nanos()));
+        offerOwnRead(known.value());
         servers.confirmed(asOf);
         listener.changed();
         listener.allRead();
@@ -301,6 +309,39 @@
     }
   }
 
+  private void offerOwnRead(ServerList read) {
+    ServerList list = reconciler.reconcile(read, clocks.nanos());
+    logRetained(reconciler.retained());
+    if (countIfOlder(list, "store")) {
+      logIgnored(list);
+    }
+    knownState.offer(list);
+  }
+
+  private boolean countIfOlder(ServerList list, String origin) {
+    boolean older = list.known() && list.version() < knownState.servers().version();
+    if (older) {
+      environment.metrics().count("server.lists.older", "", origin);
+    }
+    return older;
+  }
+
+  /** Logs an ignored list, once for each list in force. */
+  private void logIgnored(ServerList list) {
+    long inForce = knownState.servers().version();
+    if (lastIgnoredFor != inForce) {
+      lastIgnoredFor = inForce;
+      log.stateChange("servers_ignored").add("list", list.version()).add("held", inForce).write();
+    }
+  }
+
+  private void logRetained(int count) {
+    if (count != retained) {
+      log.stateChange("servers_retained").add("count", count).add("before", retained).write();
+    }
+    retained = count;
+  }
+
   private void failed(String part, String reason, long asOf) {
     reading = false;
     log.stateChange("read_failed")
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
@@ -135,6 +135,8 @@
     environment
         .metrics()
         .gauge("evacuated.data.centres", () -> knownState.evacuations().dataCentres().size());
+    environment.metrics().gauge("servers.version", () -> knownState.servers().version());
+    environment.metrics().gauge("servers.retained", poller::retainedServers);
     environment.metrics().gauge("servers", () -> knownState.servers().servers().size());
   }
 
