Discovery: the time since an own read is no outage while peers confirm the list

Servers got requests for 2.7 and 2.9 s (bound 2 s) after their entries were removed, in a calm store, when the instance that reads it had been killed.

Cause: missing entries are retained for 2.2 s after an outage, and a gap of 3 s between two own reads counted as one. Instances that others keep up to date do not read, and in a quiet store they adopt no list either, so the next reader's first read always looked like the end of an outage and kept the server that had just left. A failed read of long ago counted, too, until the next own one.

Change: a confirmation by a peer counts as one of the list: a gap is measured from the last of any source, and a failure before it is forgotten. Real outages leave no confirmation behind, so entries are retained after them as before.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
@@ -23,26 +23,44 @@
    */
   static final long RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
 
-  /** A longer gap between two reads may hide an outage during which entries expired. */
+  /**
+   * A longer time without a confirmation of the list, by a read or by a peer, may hide an outage
+   * during which entries expired.
+   */
   static final long OUTAGE_GAP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   private Map<String, ServerEntry> current = Map.of();
   private boolean hasRead;
   private boolean failing;
-  private long lastReadNanos;
+  private long failedNanos;
+  private long lastConfirmedNanos;
   private long retainUntilNanos;
   private boolean retaining;
   private boolean adoptedSince;
   private int retained;
 
-  /** Records that a read failed. */
-  public void readFailed() {
+  /** Records that a read failed that began at a time. */
+  public void readFailed(long begunNanos) {
     failing = true;
+    failedNanos = begunNanos;
+  }
+
+  /**
+   * Records that a peer has confirmed the list in force as of a time: the store was available to
+   * the peer, so a failure before that time and the time since the last own read hide no outage.
+   */
+  public void confirmed(long asOfNanos) {
+    if (asOfNanos - lastConfirmedNanos > 0) {
+      lastConfirmedNanos = asOfNanos;
+    }
+    if (asOfNanos - failedNanos > 0) {
+      failing = false;
+    }
   }
 
   /** Merges a read with the current servers and returns the list to use. */
   public ServerList reconcile(ServerList list, long nowNanos) {
-    boolean outage = failing || nowNanos - lastReadNanos > OUTAGE_GAP_NANOS;
+    boolean outage = failing || nowNanos - lastConfirmedNanos > OUTAGE_GAP_NANOS;
     if (hasRead && outage) {
       retaining = true;
       retainUntilNanos = nowNanos + RETENTION_NANOS;
@@ -53,7 +71,7 @@
     failing = false;
     adoptedSince = false;
     hasRead = true;
-    lastReadNanos = nowNanos;
+    lastConfirmedNanos = nowNanos;
     Map<String, ServerEntry> merged = new HashMap<>(list.servers());
     keepLaterIncarnations(merged);
     if (retaining) {
@@ -103,12 +121,10 @@
         });
   }
 
-  /** Adopts the list of a peer, which counts as an own read. */
-  public void adopt(ServerList list, long nowNanos) {
+  /** Adopts the list of a peer. */
+  public void adopt(ServerList list) {
     current = list.servers();
     adoptedSince = true;
     hasRead = true;
-    failing = false;
-    lastReadNanos = nowNanos;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -127,15 +127,15 @@
 
   /** Applies the state that a peer has sent. */
   public void received(PeerUpdate update, ServerList list) {
-    long now = clocks.nanos();
     offer(new OperatorState(routes(update), update.evacuations()), "peer");
     if (list.version() > knownState.servers().version()) {
-      reconciler.adopt(list, now);
+      reconciler.adopt(list);
       knownState.offer(list);
     }
     countIfOlder(list, "peer");
     if (list.known() && update.evacuations().known()) {
       servers.confirmed(asOf(update.ageMillis()));
+      reconciler.confirmed(asOf(update.ageMillis()));
       long version = update.configuration().map(ConfigurationUpdate::version).orElse(0L);
       if (version <= knownState.routesVersion()) {
         long age =
@@ -351,7 +351,7 @@
         .add("configuration_age_ms", operatorStateAgeMillis())
         .write();
     environment.metrics().count("platform.reads", "", "failed");
-    reconciler.readFailed();
+    reconciler.readFailed(asOf);
     if (!sourceLost) {
       log.stateChange("source_lost")
           .add("reading", part)
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
@@ -62,7 +62,7 @@
     public void newIncarnationIsUsedAfterOutage() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       reconciler.reconcile(list(1, Servers.entry("a", false)), 0);
-      reconciler.readFailed();
+      reconciler.readFailed(0);
       ServerEntry later = Servers.restarted(Servers.entry("a", false));
       assertEquals(reconciler.reconcile(list(9, later), 10 * SECOND).servers().get("a"), later);
     }
@@ -78,7 +78,7 @@
     public void expiredEntriesAreRetainedUntilServersCouldRegister() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
-      reconciler.readFailed();
+      reconciler.readFailed(0);
       assertEquals(read(reconciler, 10 * SECOND, list(9)), Set.of("a", "b"));
       assertEquals(read(reconciler, 11 * SECOND, list(10, "a")), Set.of("a", "b"));
       assertEquals(read(reconciler, 13 * SECOND, list(11, "a")), Set.of("a"));
@@ -93,7 +93,7 @@
     public void listWithoutRetainedEntriesIsNewerWithoutChangesInStore() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
-      reconciler.readFailed();
+      reconciler.readFailed(0);
       long retained = reconciler.reconcile(list(9, "a"), 10 * SECOND).version();
       long dropped = reconciler.reconcile(list(9, "a"), 13 * SECOND).version();
       assertTrue(dropped > retained, retained + " to " + dropped);
@@ -103,7 +103,7 @@
     public void leavingServerIsNotRetained() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "draining-b"));
-      reconciler.readFailed();
+      reconciler.readFailed(0);
       assertEquals(read(reconciler, 10 * SECOND, list(9)), Set.of("a"));
     }
 
@@ -117,7 +117,7 @@
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       assertTrue(reconciler.untilRetentionEndsNanos(0).isEmpty());
       read(reconciler, 0, list(1, "a", "b"));
-      reconciler.readFailed();
+      reconciler.readFailed(0);
       read(reconciler, 10 * SECOND, list(9, "a"));
       assertEquals(
           reconciler.untilRetentionEndsNanos(11 * SECOND).orElseThrow(),
@@ -133,12 +133,40 @@
     public void noReadIsDueAfterPeerListWasAdopted() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
-      reconciler.readFailed();
+      reconciler.readFailed(0);
       read(reconciler, 10 * SECOND, list(9, "a"));
-      reconciler.adopt(list(10, "a"), 11 * SECOND);
+      reconciler.adopt(list(10, "a"));
       assertTrue(reconciler.untilRetentionEndsNanos(11 * SECOND).isEmpty());
     }
 
+    /** Guards against a next reader that takes the time since its own last read for an outage. */
+    @Test
+    public void confirmationByPeerIsNoGap() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      read(reconciler, 0, list(1, "a", "b"));
+      reconciler.confirmed(59 * SECOND);
+      assertEquals(read(reconciler, 60 * SECOND, list(2, "a")), Set.of("a"));
+    }
+
+    /** Guards against an outage that only this instance has seen and that ended long ago. */
+    @Test
+    public void failureBeforeConfirmationIsNoOutage() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      read(reconciler, 0, list(1, "a", "b"));
+      reconciler.readFailed(SECOND);
+      reconciler.confirmed(2 * SECOND);
+      assertEquals(read(reconciler, 3 * SECOND, list(2, "a")), Set.of("a"));
+    }
+
+    @Test
+    public void failureAfterConfirmationIsOutage() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      read(reconciler, 0, list(1, "a", "b"));
+      reconciler.confirmed(SECOND);
+      reconciler.readFailed(2 * SECOND);
+      assertEquals(read(reconciler, 3 * SECOND, list(2, "a")), Set.of("a", "b"));
+    }
+
     @Test
     public void longGapBetweenReadsCountsAsOutage() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
