Discovery: a list with retained entries keeps the version that was read

A server got requests for 2.3 s (bound 2 s) after its departure when that was the first change after an outage of the store.

Cause: a list with retained entries was given the version before the one read, so that the list without them would count as newer. In a quiet store that is the version of the list in force, so the new list was ignored, with the departure in it, until the retention ended.

Change: lists and evacuations have a Revision: epoch (always 0 so far), version, and whether the state is exactly what the source returned. A list with retained entries precedes the exact one of its own version and follows everything earlier. Peers send it behind their messages; where an earlier release compares a version alone it gets the one that it knows. An instance that adopts a list with retained entries retains them, too, when it reads itself: since a peer's confirmation ends an outage, it would drop live servers that are not registered again yet.

--- a/front/src/main/java/org/magnoliaswitch/front/peer/MessageCache.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/MessageCache.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.RouteHistory;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.RouteUpdate;
@@ -27,13 +28,13 @@
   private @Nullable CachedMessage lastMessage;
 
   /**
-   * The inputs that determine a message. Within one instance, a version identifies exactly one
-   * server list and one configuration.
+   * The inputs that determine a message. Within one instance, a revision identifies exactly one
+   * server list, and a version one configuration.
    */
   private record MessageKey(
       long ageMillis,
-      long serversBefore,
-      long serversAfter,
+      Revision serversBefore,
+      Revision serversAfter,
       long routesBefore,
       long routesAfter,
       int instances,
@@ -76,8 +77,8 @@
     MessageKey key =
         new MessageKey(
             current.ageMillis(),
-            sentServers.version(),
-            current.servers().version(),
+            sentServers.revision(),
+            current.servers().revision(),
             sentRoutesVersion,
             current.routes().version(),
             instances,
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -282,8 +282,11 @@
           updates.startUpdate(version, clocks.nanos())
               ? messages.update(current.routes(), updates.heldVersion())
               : NO_UPDATE;
-      bytesSent.add(message.length + tail.length + update.length);
-      Channels.write(channel, Unpooled.wrappedBuffer(message, tail, update));
+      byte[] revisions =
+          PeerUpdateCodec.encodeRevisions(
+              current.servers().revision(), current.evacuations().revision());
+      bytesSent.add(message.length + tail.length + update.length + revisions.length);
+      Channels.write(channel, Unpooled.wrappedBuffer(message, tail, update, revisions));
     }
 
     /**
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerUpdateCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerUpdateCodec.java
@@ -10,6 +10,7 @@
 import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.load.InstanceIndex;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.RouteUpdate;
 import org.magnoliaswitch.front.version.ServerEntry;
@@ -53,6 +54,8 @@
         out.packLong(configuration.version());
         out.packLong(configuration.ageMillis());
         out.addPayload(RouteUpdateCodec.encode(configuration.update()));
+        out.addPayload(
+            encodeRevisions(update.servers().revision(), update.evacuations().revision()));
       }
       return out.toByteArray();
     } catch (IOException e) {
@@ -78,6 +81,42 @@
     }
   }
 
+  /**
+   * Encodes the end of a message: the revisions, of which instances of an earlier release know only
+   * a version each.
+   */
+  static byte[] encodeRevisions(Revision servers, Revision evacuations) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      writeRevision(out, servers);
+      writeRevision(out, evacuations);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("cannot encode the revisions of the peer update", e);
+    }
+  }
+
+  private static void writeRevision(MessagePacker out, Revision revision) throws IOException {
+    out.packLong(revision.epoch());
+    out.packLong(revision.version());
+    out.packBoolean(revision.exact());
+  }
+
+  private static Revision readRevision(MessageUnpacker in) throws IOException {
+    long epoch = in.unpackLong();
+    long version = in.unpackLong();
+    return new Revision(epoch, version, in.unpackBoolean());
+  }
+
+  /** Returns the version that instances of an earlier release compare. */
+  private static long earlierReleaseVersion(Revision revision) {
+    return revision.exact() ? revision.version() : Math.max(0, revision.version() - 1);
+  }
+
+  /** Returns the revision that a message of an earlier release names by a version alone. */
+  private static Revision earlierReleaseRevision(long version) {
+    return version == 0 ? Revision.NONE : Revision.of(0, version);
+  }
+
   private static ConfigurationUpdate readConfiguration(MessageUnpacker in) throws IOException {
     long version = in.unpackLong();
     long age = in.unpackLong();
@@ -119,6 +158,10 @@
       Optional<InstanceIndex> index = in.hasNext() ? Optional.of(readIndex(in)) : Optional.empty();
       Optional<ConfigurationUpdate> configuration =
           in.hasNext() ? Optional.of(readConfiguration(in)) : Optional.empty();
+      if (configuration.isPresent() && in.hasNext()) {
+        servers = servers.at(readRevision(in));
+        evacuations = new Evacuations(readRevision(in), evacuations.dataCentres());
+      }
       return new PeerUpdate(
           age, instances, routes, servers, evacuations, crashes, index, configuration);
     } catch (MessagePackException | IllegalArgumentException e) {
@@ -128,7 +171,7 @@
 
   private static void writeEvacuations(MessagePacker out, Evacuations evacuations)
       throws IOException {
-    out.packLong(evacuations.version());
+    out.packLong(earlierReleaseVersion(evacuations.revision()));
     out.packArrayHeader(evacuations.dataCentres().size());
     for (String dataCentre : evacuations.dataCentres()) {
       out.packString(dataCentre);
@@ -141,11 +184,11 @@
     for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
       dataCentres.add(in.unpackString());
     }
-    return new Evacuations(version, dataCentres);
+    return new Evacuations(earlierReleaseRevision(version), dataCentres);
   }
 
   private static void writeServers(MessagePacker out, ServerChanges changes) throws IOException {
-    out.packLong(changes.version());
+    out.packLong(earlierReleaseVersion(changes.revision()));
     out.packArrayHeader(changes.changed().size());
     for (ServerEntry entry : changes.changed()) {
       out.packString(entry.id());
@@ -184,6 +227,6 @@
     for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
       removed.add(in.unpackString());
     }
-    return new ServerChanges(version, changed, removed);
+    return new ServerChanges(earlierReleaseRevision(version), changed, removed);
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/ServerChanges.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ServerChanges.java
@@ -4,17 +4,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
 
 /**
  * Differences between two lists of backend servers, small enough to send on every change.
  *
- * @param version version of the later list
+ * @param revision revision of the later list
  * @param changed entries that are new or differ
  * @param removed ids that are no longer listed
  */
-public record ServerChanges(long version, List<ServerEntry> changed, List<String> removed) {
+public record ServerChanges(Revision revision, List<ServerEntry> changed, List<String> removed) {
   public ServerChanges {
     changed = List.copyOf(changed);
     removed = List.copyOf(removed);
@@ -31,7 +32,12 @@
     }
     List<String> removed = new ArrayList<>(before.servers().keySet());
     removed.removeAll(after.servers().keySet());
-    return new ServerChanges(after.version(), changed, removed);
+    return new ServerChanges(after.revision(), changed, removed);
+  }
+
+  /** Returns the same changes as those that lead to another revision. */
+  ServerChanges at(Revision other) {
+    return new ServerChanges(other, changed, removed);
   }
 
   /** Applies the changes to the earlier list and returns the later one. */
@@ -39,6 +45,6 @@
     Map<String, ServerEntry> servers = new HashMap<>(before.servers());
     changed.forEach(entry -> servers.put(entry.id(), entry));
     removed.forEach(servers::remove);
-    return new ServerList(version, servers);
+    return new ServerList(revision, servers);
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
@@ -84,11 +84,7 @@
     }
     current = Map.copyOf(merged);
     retained = merged.size() - list.servers().size();
-    // A store without changes later returns the list without the retained entries under the same
-    // version. That list must count as newer than this one, or departed servers would receive
-    // requests until another entry changes.
-    long version = retaining ? list.version() - 1 : list.version();
-    return new ServerList(version, merged);
+    return new ServerList(retaining ? list.revision().inexact() : list.revision(), merged);
   }
 
   /** Returns how many entries that the last read did not contain were retained. */
@@ -121,8 +117,16 @@
         });
   }
 
-  /** Adopts the list of a peer. */
-  public void adopt(ServerList list) {
+  /**
+   * Adopts the list of a peer. If the peer retains entries after an outage, an own read within the
+   * same time must not drop them.
+   */
+  public void adopt(ServerList list, long nowNanos) {
+    boolean retainedByPeer = !list.revision().exact();
+    if (retainedByPeer && !retaining) {
+      retainUntilNanos = nowNanos + RETENTION_NANOS;
+    }
+    retaining = retainedByPeer;
     current = list.servers();
     adoptedSince = true;
     hasRead = true;
--- a/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
@@ -11,8 +11,8 @@
  * Holds the newest known configuration, evacuations and list of servers, whichever source they come
  * from.
  *
- * <p>Updates may arrive late, twice or from a peer that lags behind; only a higher version has an
- * effect. Thread-safe.
+ * <p>Updates may arrive late, twice or from a peer that lags behind; only a higher version or
+ * revision has an effect. Thread-safe.
  */
 public final class KnownState {
   private final AtomicReference<RouteTable> routes;
@@ -53,8 +53,9 @@
    */
   public boolean offer(Evacuations next, String source) {
     Evacuations before =
-        evacuations.getAndUpdate(current -> next.version() > current.version() ? next : current);
-    if (next.version() <= before.version()) {
+        evacuations.getAndUpdate(
+            current -> next.revision().newerThan(current.revision()) ? next : current);
+    if (!next.revision().newerThan(before.revision())) {
       return false;
     }
     boolean changed = !next.dataCentres().equals(before.dataCentres());
@@ -62,7 +63,7 @@
       log.stateChange("evacuations")
           .add("data_centres", names(next))
           .add("before", names(before))
-          .add("read_as_of", next.version())
+          .add("read_as_of", next.revision().toString())
           .add("source", source)
           .write();
     }
@@ -81,8 +82,9 @@
   /** Applies a list of servers if it is newer than the one in force. */
   public void offer(ServerList next) {
     ServerList before =
-        servers.getAndUpdate(current -> next.version() > current.version() ? next : current);
-    if (next.version() > before.version()) {
+        servers.getAndUpdate(
+            current -> next.revision().newerThan(current.revision()) ? next : current);
+    if (next.revision().newerThan(before.revision())) {
       loop.execute(() -> directory.apply(next));
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -13,6 +13,7 @@
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
 
@@ -53,9 +54,9 @@
     return current.known();
   }
 
-  /** Version of the list in force. */
-  public long version() {
-    return current.version();
+  /** Revision of the list in force. */
+  public Revision revision() {
+    return current.revision();
   }
 
   /**
@@ -88,7 +89,7 @@
 
   /** Applies a list; a list that is not newer has no effect. */
   public void apply(ServerList next) {
-    if (next.version() <= current.version()) {
+    if (!next.revision().newerThan(current.revision())) {
       return;
     }
     current = next;
@@ -254,7 +255,7 @@
       log.stateChange("servers_learnt")
           .add("count", added.size())
           .add("known", byId.size())
-          .add("list", current.version())
+          .add("list", current.revision().toString())
           .write();
     }
   }
@@ -263,7 +264,7 @@
     log.stateChange(event)
         .add("server", entry.id())
         .add("service", entry.service())
-        .add("list", current.version())
+        .add("list", current.revision().toString())
         .write();
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -9,6 +9,7 @@
 import org.magnoliaswitch.front.peer.ConfigurationUpdate;
 import org.magnoliaswitch.front.peer.PeerUpdate;
 import org.magnoliaswitch.front.version.OperatorState;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerList;
 
@@ -50,7 +51,7 @@
   private final Freshness servers = new Freshness();
   private final long startedNanos;
   private volatile int retained;
-  private long lastIgnoredFor;
+  private Revision lastIgnoredFor = Revision.NONE;
   private boolean longPolling;
   private boolean changesMissed;
   private boolean sourceLost;
@@ -128,8 +129,8 @@
   /** Applies the state that a peer has sent. */
   public void received(PeerUpdate update, ServerList list) {
     offer(new OperatorState(routes(update), update.evacuations()), "peer");
-    if (list.version() > knownState.servers().version()) {
-      reconciler.adopt(list);
+    if (list.revision().newerThan(knownState.servers().revision())) {
+      reconciler.adopt(list, clocks.nanos());
       knownState.offer(list);
     }
     countIfOlder(list, "peer");
@@ -319,7 +320,7 @@
   }
 
   private boolean countIfOlder(ServerList list, String origin) {
-    boolean older = list.known() && list.version() < knownState.servers().version();
+    boolean older = list.known() && list.revision().precedes(knownState.servers().revision());
     if (older) {
       environment.metrics().count("server.lists.older", "", origin);
     }
@@ -328,10 +329,13 @@
 
   /** Logs an ignored list, once for each list in force. */
   private void logIgnored(ServerList list) {
-    long inForce = knownState.servers().version();
-    if (lastIgnoredFor != inForce) {
+    Revision inForce = knownState.servers().revision();
+    if (!inForce.equals(lastIgnoredFor)) {
       lastIgnoredFor = inForce;
-      log.stateChange("servers_ignored").add("list", list.version()).add("held", inForce).write();
+      log.stateChange("servers_ignored")
+          .add("list", list.revision().toString())
+          .add("held", inForce.toString())
+          .write();
     }
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
@@ -135,7 +135,7 @@
     environment
         .metrics()
         .gauge("evacuated.data.centres", () -> knownState.evacuations().dataCentres().size());
-    environment.metrics().gauge("servers.version", () -> knownState.servers().version());
+    environment.metrics().gauge("servers.version", () -> knownState.servers().revision().version());
     environment.metrics().gauge("servers.retained", poller::retainedServers);
     environment.metrics().gauge("servers", () -> knownState.servers().servers().size());
   }
--- a/front/src/main/java/org/magnoliaswitch/front/version/Evacuations.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Evacuations.java
@@ -5,12 +5,12 @@
 /**
  * Data centres whose servers receive no new requests until an operator reinstates them.
  *
- * @param version increases with each change in the source; 0 while nothing has been read
+ * @param revision position in the history of the source
  * @param dataCentres names of the evacuated data centres
  */
-public record Evacuations(long version, Set<String> dataCentres) {
+public record Evacuations(Revision revision, Set<String> dataCentres) {
   /** Evacuations before any have been read. */
-  public static final Evacuations UNKNOWN = new Evacuations(0, Set.of());
+  public static final Evacuations UNKNOWN = new Evacuations(Revision.NONE, Set.of());
 
   public Evacuations {
     dataCentres = Set.copyOf(dataCentres);
@@ -18,6 +18,6 @@
 
   /** Whether the evacuated data centres have been read, even if there are none. */
   public boolean known() {
-    return version > 0;
+    return revision.known();
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/version/ServerList.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/ServerList.java
@@ -5,12 +5,12 @@
 /**
  * All backend servers that discovery lists at one point in time.
  *
- * @param version increases with each change in the source of the list
+ * @param revision position in the history of the source
  * @param servers entries by id
  */
-public record ServerList(long version, Map<String, ServerEntry> servers) {
+public record ServerList(Revision revision, Map<String, ServerEntry> servers) {
   /** List before any has been received. */
-  public static final ServerList EMPTY = new ServerList(0, Map.of());
+  public static final ServerList EMPTY = new ServerList(Revision.NONE, Map.of());
 
   public ServerList {
     servers = Map.copyOf(servers);
@@ -18,6 +18,6 @@
 
   /** Whether a list has been received. */
   public boolean known() {
-    return version > 0;
+    return revision.known();
   }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerUpdateCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerUpdateCodecTest.java
@@ -19,6 +19,7 @@
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerEntry;
@@ -57,12 +58,45 @@
                           Set.of("north"))),
                   List.of(new ServicePolicy("s", "/health", 260, new Warmup(3, 2.5))),
                   CallerLimits.DEFAULT)),
-          new ServerChanges(9, List.of(Servers.entry("i", true)), List.of("j")),
-          new Evacuations(8, Set.of("x", "y")),
+          new ServerChanges(Revision.of(0, 9), List.of(Servers.entry("i", true)), List.of("j")),
+          new Evacuations(Revision.of(0, 8), Set.of("x", "y")),
           REPORTS,
           Optional.of(new InstanceIndex(2, 5)),
           Optional.empty());
 
+  private static PeerUpdate withConfiguration(Revision servers, Revision evacuations) {
+    return new PeerUpdate(
+        17,
+        3,
+        Optional.empty(),
+        new ServerChanges(servers, List.of(Servers.entry("i", true)), List.of("j")),
+        new Evacuations(evacuations, Set.of("x", "y")),
+        REPORTS,
+        Optional.of(new InstanceIndex(2, 5)),
+        Optional.of(new ConfigurationUpdate(7, 11, Optional.empty())));
+  }
+
+  @Test
+  public void revisionsAreDecoded() throws IOException {
+    PeerUpdate update = withConfiguration(new Revision(3, 9, false), Revision.of(2, 8));
+    PeerUpdate read = PeerUpdateCodec.decode(PeerUpdateCodec.encode(update));
+    assertEquals(read.servers(), update.servers());
+    assertEquals(read.evacuations(), update.evacuations());
+    assertEquals(read.configuration(), update.configuration());
+  }
+
+  /** An instance of an earlier release names versions only, which have no epoch. */
+  @Test
+  public void versionsOfEarlierReleaseHaveNoEpoch() throws IOException {
+    Revision servers = new Revision(3, 9, false);
+    Revision evacuations = Revision.of(3, 8);
+    byte[] all = PeerUpdateCodec.encode(withConfiguration(servers, evacuations));
+    int revisions = PeerUpdateCodec.encodeRevisions(servers, evacuations).length;
+    PeerUpdate earlier = PeerUpdateCodec.decode(Arrays.copyOf(all, all.length - revisions));
+    assertEquals(earlier.servers().revision(), Revision.of(0, 8));
+    assertEquals(earlier.evacuations().revision(), Revision.of(0, 8));
+  }
+
   @Test
   public void encodedUpdateIsDecoded() throws IOException {
     PeerUpdate read = PeerUpdateCodec.decode(PeerUpdateCodec.encode(UPDATE));
@@ -158,8 +192,8 @@
   @Test
   public void restartCountsAsChange() throws IOException {
     ServerEntry entry = Servers.entry("a", false);
-    ServerList before = new ServerList(1, Map.of("a", entry));
-    ServerList after = new ServerList(2, Map.of("a", Servers.restarted(entry)));
+    ServerList before = new ServerList(Revision.of(0, 1), Map.of("a", entry));
+    ServerList after = new ServerList(Revision.of(0, 2), Map.of("a", Servers.restarted(entry)));
     ServerChanges changes = ServerChanges.between(before, after);
     PeerUpdate read =
         PeerUpdateCodec.decode(
@@ -179,9 +213,13 @@
   @Test
   public void changesTransformOneListIntoTheNext() {
     ServerList before =
-        new ServerList(1, Map.of("a", Servers.entry("a", false), "b", Servers.entry("b", false)));
+        new ServerList(
+            Revision.of(0, 1),
+            Map.of("a", Servers.entry("a", false), "b", Servers.entry("b", false)));
     ServerList after =
-        new ServerList(2, Map.of("a", Servers.entry("a", true), "c", Servers.entry("c", false)));
+        new ServerList(
+            Revision.of(0, 2),
+            Map.of("a", Servers.entry("a", true), "c", Servers.entry("c", false)));
     ServerChanges changes = ServerChanges.between(before, after);
     assertEquals(changes.applyTo(before), after);
     assertEquals(changes.removed(), List.of("b"));
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.testing.Servers;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
 import org.testng.annotations.Test;
@@ -21,7 +22,7 @@
     for (String id : ids) {
       servers.put(id, Servers.entry(id, id.startsWith("draining")));
     }
-    return new ServerList(version, servers);
+    return new ServerList(Revision.of(0, version), servers);
   }
 
   private static Set<String> read(DiscoveryReconciler reconciler, long now, ServerList list) {
@@ -41,7 +42,7 @@
   /** Servers that restart under the same id. */
   public static final class Restarts {
     private static ServerList list(long version, ServerEntry entry) {
-      return new ServerList(version, Map.of(entry.id(), entry));
+      return new ServerList(Revision.of(0, version), Map.of(entry.id(), entry));
     }
 
     /** Guards against an entry that the old process writes after the new one has registered. */
@@ -94,9 +95,33 @@
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
       reconciler.readFailed(0);
-      long retained = reconciler.reconcile(list(9, "a"), 10 * SECOND).version();
-      long dropped = reconciler.reconcile(list(9, "a"), 13 * SECOND).version();
-      assertTrue(dropped > retained, retained + " to " + dropped);
+      Revision retained = reconciler.reconcile(list(9, "a"), 10 * SECOND).revision();
+      Revision dropped = reconciler.reconcile(list(9, "a"), 13 * SECOND).revision();
+      assertTrue(dropped.newerThan(retained), retained + " to " + dropped);
+    }
+
+    /**
+     * Guards against a departure that is ignored because the list that retains other entries has
+     * the version of the list before the departure.
+     */
+    @Test
+    public void listWithRetainedEntriesIsNewerThanEarlierVersion() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      Revision before = reconciler.reconcile(list(9, "a", "b"), 0).revision();
+      reconciler.readFailed(SECOND);
+      Revision after = reconciler.reconcile(list(10, "draining-a"), 2 * SECOND).revision();
+      assertTrue(after.newerThan(before), before + " to " + after);
+    }
+
+    /** Guards against live servers that are dropped by another reader within the retention time. */
+    @Test
+    public void entriesRetainedByPeerAreRetainedByOwnRead() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      read(reconciler, 0, list(1, "a", "b"));
+      ServerList retained = list(9, "a", "b");
+      reconciler.adopt(new ServerList(retained.revision().inexact(), retained.servers()), SECOND);
+      assertEquals(read(reconciler, 2 * SECOND, list(9, "a")), Set.of("a", "b"));
+      assertEquals(read(reconciler, 4 * SECOND, list(9, "a")), Set.of("a"));
     }
 
     @Test
@@ -135,7 +160,7 @@
       read(reconciler, 0, list(1, "a", "b"));
       reconciler.readFailed(0);
       read(reconciler, 10 * SECOND, list(9, "a"));
-      reconciler.adopt(list(10, "a"));
+      reconciler.adopt(list(10, "a"), 11 * SECOND);
       assertTrue(reconciler.untilRetentionEndsNanos(11 * SECOND).isEmpty());
     }
 
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryTest.java
@@ -26,6 +26,7 @@
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
@@ -67,7 +68,7 @@
     for (ServerEntry entry : entries) {
       servers.put(entry.id(), entry);
     }
-    directory.apply(new ServerList(version, servers));
+    directory.apply(new ServerList(Revision.of(0, version), servers));
   }
 
   /**
@@ -218,7 +219,7 @@
     private static final long WARMUP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private static Evacuations of(long version, String... dataCentres) {
-      return new Evacuations(version, Set.of(dataCentres));
+      return new Evacuations(Revision.of(0, version), Set.of(dataCentres));
     }
 
     /**
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerNoticesTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerNoticesTest.java
@@ -11,6 +11,7 @@
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.ServerList;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -31,7 +32,9 @@
     environment = TestEnvironment.withoutConfiguration();
     onLoop(
         () ->
-            environment.servers().apply(new ServerList(1, Map.of("a", Servers.entry("a", false)))));
+            environment
+                .servers()
+                .apply(new ServerList(Revision.of(0, 1), Map.of("a", Servers.entry("a", false)))));
     server = environment.servers().of("s").getFirst().state();
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/process/StateSyncTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/StateSyncTest.java
@@ -33,6 +33,7 @@
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.OperatorState;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
@@ -58,7 +59,7 @@
       for (String id : ids) {
         entries.put(id, Servers.entry(id, false));
       }
-      servers.set(new Read.Known<>(new ServerList(version, entries)));
+      servers.set(new Read.Known<>(new ServerList(Revision.of(0, version), entries)));
     }
 
     @Override
@@ -126,14 +127,16 @@
     }
 
     void awaitVersion(long version) {
-      while (knownState.routesVersion() < version || knownState.servers().version() < version) {
+      while (knownState.routesVersion() < version
+          || knownState.servers().revision().version() < version) {
         Thread.onSpinWait();
       }
     }
   }
 
   private static OperatorState declared(long version, String... evacuated) {
-    return new OperatorState(table(version), new Evacuations(version, Set.of(evacuated)));
+    return new OperatorState(
+        table(version), new Evacuations(Revision.of(0, version), Set.of(evacuated)));
   }
 
   private static RouteTable table(long version) {
@@ -290,7 +293,7 @@
     }
 
     private static Evacuations evacuations(long version, String... dataCentres) {
-      return new Evacuations(version, Set.of(dataCentres));
+      return new Evacuations(Revision.of(0, version), Set.of(dataCentres));
     }
 
     /** Guards against a read that was in progress during the evacuation and undoes it. */
@@ -307,7 +310,7 @@
     public void instanceWithoutEvacuationsIsNotReady() throws IOException {
       TestInstance instance = new TestInstance(freePort(), List.of(), new Platform());
       instance.knownState.offer(table(1), "test");
-      instance.knownState.offer(new ServerList(1, Map.of()));
+      instance.knownState.offer(new ServerList(Revision.of(0, 1), Map.of()));
       assertFalse(instance.knownState.complete());
       instance.knownState.offer(evacuations(1), "test");
       assertTrue(instance.knownState.complete());
--- a/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
@@ -17,6 +17,7 @@
 import org.magnoliaswitch.front.testing.TestEnvironment;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServicePolicy;
@@ -37,7 +38,9 @@
         .loop()
         .execute(
             () -> {
-              environment.servers().evacuate(new Evacuations(version, Set.of(dataCentres)));
+              environment
+                  .servers()
+                  .evacuate(new Evacuations(Revision.of(0, version), Set.of(dataCentres)));
               applied.countDown();
             });
     applied.await();
--- a/front/src/test/java/org/magnoliaswitch/front/request/LeavingServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LeavingServerTest.java
@@ -11,6 +11,7 @@
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
@@ -42,7 +43,7 @@
         .loop()
         .execute(
             () -> {
-              environment.servers().apply(new ServerList(version, servers));
+              environment.servers().apply(new ServerList(Revision.of(0, version), servers));
               applied.countDown();
             });
     applied.await();
--- a/front/src/test/java/org/magnoliaswitch/front/request/RestartedServerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/RestartedServerTest.java
@@ -17,6 +17,7 @@
 import org.magnoliaswitch.front.testing.ScriptedServer.Script;
 import org.magnoliaswitch.front.testing.Servers;
 import org.magnoliaswitch.front.testing.TestEnvironment;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.ServerList;
 import org.testng.annotations.Test;
@@ -31,7 +32,8 @@
   private static void restart(Environment environment, ScriptedServer restarted)
       throws InterruptedException {
     CountDownLatch applied = new CountDownLatch(1);
-    ServerList list = new ServerList(2, Map.of("a", Servers.restarted(restarted.entry())));
+    ServerList list =
+        new ServerList(Revision.of(0, 2), Map.of("a", Servers.restarted(restarted.entry())));
     environment
         .loop()
         .execute(
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -25,6 +25,7 @@
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.OperatorState;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerEntry;
@@ -103,7 +104,7 @@
         FrontProcess.start(
             settings,
             TestHeaders.NAMES,
-            (loop, log, metrics) -> new Fixed(routes, new ServerList(1, entries)));
+            (loop, log, metrics) -> new Fixed(routes, new ServerList(Revision.of(0, 1), entries)));
     String response = "503";
     while (response.contains("no_configuration") || response.equals("503")) {
       response = request("GET", "/none/", 100);
@@ -181,7 +182,9 @@
   private record Fixed(RouteTable routes, ServerList servers) implements StateSource {
     @Override
     public void operatorState(Consumer<Read<OperatorState>> listener) {
-      listener.accept(new Read.Known<>(new OperatorState(routes, new Evacuations(1, Set.of()))));
+      listener.accept(
+          new Read.Known<>(
+              new OperatorState(routes, new Evacuations(Revision.of(0, 1), Set.of()))));
     }
 
     @Override
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -27,6 +27,7 @@
 import org.magnoliaswitch.front.process.ServerQuotas;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.HeaderNames;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerEntry;
@@ -120,6 +121,6 @@
     for (ScriptedServer server : servers) {
       entries.put(server.entry().id(), server.entry());
     }
-    environment.servers().apply(new ServerList(1, entries));
+    environment.servers().apply(new ServerList(Revision.of(0, 1), entries));
   }
 }
