State of a restored store is newer than that of the store before: revisions with an epoch

Cause: one number, the store's version, said both what a state is and which of two is newer. A restored store assigns its versions again from a lower one on, so lists and evacuations were ignored until the old version was passed, long polls asked for a version that did not exist (410 eight times a second), and each ignored read still confirmed the list in force, so nobody else read. Configurations have versions of their operator's own and were not held up.

Change: each response's epoch (Store-Era) is part of the revision. A later epoch is newer whatever its versions are. Pages, long polls and peers' messages of different epochs are not combined; a state that precedes the one in force confirms nothing and is read again after the retry time. The first list of an epoch is treated like the first after an outage: entries that the copy lacks are retained for 2.2 s.

Why it is enough: revisions are totally ordered, so instances of two epochs can't swing back and forth; an instance that hears only the earlier epoch is not confirmed by it and reads itself within 1.7 s.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
@@ -13,8 +13,9 @@
  * <p>While the store is unavailable, entries of live servers expire, and right after its recovery a
  * read lists few servers or none. Trusting that read would leave no server to send to, so missing
  * entries are retained until live servers have had time to register again; an entry that is still
- * missing then is dropped. Missing entries of draining servers are not retained. Outside of outages
- * a missing entry is dropped at once.
+ * missing then is dropped. The same holds after the store has been restored from a copy, which
+ * lacks the entries of servers that have registered since. Missing entries of draining servers are
+ * not retained. Outside of outages a missing entry is dropped at once.
  */
 public final class DiscoveryReconciler {
   /**
@@ -35,6 +36,7 @@
   private long failedNanos;
   private long lastConfirmedNanos;
   private long retainUntilNanos;
+  private long epoch;
   private boolean retaining;
   private boolean adoptedSince;
   private int retained;
@@ -60,7 +62,11 @@
 
   /** Merges a read with the current servers and returns the list to use. */
   public ServerList reconcile(ServerList list, long nowNanos) {
-    boolean outage = failing || nowNanos - lastConfirmedNanos > OUTAGE_GAP_NANOS;
+    boolean outage =
+        failing
+            || list.revision().epoch() > epoch
+            || nowNanos - lastConfirmedNanos > OUTAGE_GAP_NANOS;
+    epoch = list.revision().epoch();
     if (hasRead && outage) {
       retaining = true;
       retainUntilNanos = nowNanos + RETENTION_NANOS;
@@ -127,6 +133,7 @@
       retainUntilNanos = nowNanos + RETENTION_NANOS;
     }
     retaining = retainedByPeer;
+    epoch = list.revision().epoch();
     current = list.servers();
     adoptedSince = true;
     hasRead = true;
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -8,8 +8,8 @@
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.ConfigurationUpdate;
 import org.magnoliaswitch.front.peer.PeerUpdate;
+import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.OperatorState;
-import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.ServerList;
 
@@ -35,6 +35,9 @@
   /** Minimum time between two checks of the schedule. */
   private static final long MIN_CHECK_MILLIS = 20;
 
+  /** Reason of a read that returned an earlier state than the one in force. */
+  private static final String OUTDATED = "outdated";
+
   private final StateSource source;
   private final KnownState knownState;
   private final PollingSchedule schedule;
@@ -46,12 +49,9 @@
   private final Listener listener;
   private final BooleanSupplier receivesFromPeers;
   private final CrashArchive archive;
-  private final DiscoveryReconciler reconciler = new DiscoveryReconciler();
   private final Freshness operatorState;
-  private final Freshness servers = new Freshness();
+  private final ServerListSync servers;
   private final long startedNanos;
-  private volatile int retained;
-  private Revision lastIgnoredFor = Revision.NONE;
   private boolean longPolling;
   private boolean changesMissed;
   private boolean sourceLost;
@@ -88,6 +88,7 @@
     this.schedule = schedule;
     this.loop = loop;
     this.environment = environment;
+    this.servers = new ServerListSync(knownState, environment);
     this.operatorState = environment.routesFreshness();
     this.clocks = environment.clocks();
     this.random = environment.random();
@@ -118,25 +119,19 @@
 
   /** Returns the time since the list of servers was last confirmed to be the newest. */
   public long serversAgeMillis() {
-    return servers.ageMillis(clocks.nanos());
+    return servers.ageMillis();
   }
 
   /** Returns how many servers the last own read did not list and were retained. */
   public long retainedServers() {
-    return retained;
+    return servers.retained();
   }
 
   /** Applies the state that a peer has sent. */
   public void received(PeerUpdate update, ServerList list) {
     offer(new OperatorState(routes(update), update.evacuations()), "peer");
-    if (list.revision().newerThan(knownState.servers().revision())) {
-      reconciler.adopt(list, clocks.nanos());
-      knownState.offer(list);
-    }
-    countIfOlder(list, "peer");
-    if (list.known() && update.evacuations().known()) {
-      servers.confirmed(asOf(update.ageMillis()));
-      reconciler.confirmed(asOf(update.ageMillis()));
+    servers.received(list, asOf(update.ageMillis()));
+    if (list.known() && update.evacuations().known() && !outdated(update.evacuations())) {
       long version = update.configuration().map(ConfigurationUpdate::version).orElse(0L);
       if (version <= knownState.routesVersion()) {
         long age =
@@ -146,6 +141,14 @@
     }
   }
 
+  /**
+   * Whether evacuations were read before those in force. Such a state was the newest once, so its
+   * age does not say that the one in force is.
+   */
+  private boolean outdated(Evacuations evacuations) {
+    return evacuations.revision().precedes(knownState.evacuations().revision());
+  }
+
   private long asOf(long ageMillis) {
     return clocks.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
   }
@@ -203,7 +206,7 @@
   }
 
   private long untilRetentionEndsMillis() {
-    OptionalLong nanos = reconciler.untilRetentionEndsNanos(clocks.nanos());
+    OptionalLong nanos = servers.untilRetentionEndsNanos();
     if (nanos.isEmpty()) {
       return Long.MAX_VALUE;
     }
@@ -226,6 +229,10 @@
       failed("configuration", failed.reason(), asOf);
       return;
     }
+    if (outdated(read)) {
+      retryOutdated();
+      return;
+    }
     changesMissed = false;
     operatorState.confirmed(asOf);
     apply(read);
@@ -246,6 +253,10 @@
       waitFailed(failed.reason(), begunNanos);
       return;
     }
+    if (outdated(read)) {
+      waitFailed(OUTDATED, begunNanos);
+      return;
+    }
     long waitNanos = TimeUnit.MILLISECONDS.toNanos(PollingSchedule.WAIT_MILLIS);
     boolean waited = clocks.nanos() - begunNanos >= waitNanos;
     // The platform holds a call without changes until the end of the wait, so a response after that
@@ -280,6 +291,11 @@
     return TimeUnit.NANOSECONDS.toMillis(clocks.nanos() - nanos);
   }
 
+  private boolean outdated(StateSource.Read<OperatorState> read) {
+    return read instanceof StateSource.Read.Known<OperatorState> known
+        && outdated(known.value().evacuations());
+  }
+
   /** Applies the result of a read; returns whether it is newer than before. */
   private boolean apply(StateSource.Read<OperatorState> read) {
     return read instanceof StateSource.Read.Known<OperatorState> known
@@ -291,59 +307,29 @@
     environment.metrics().count("platform.reads", "", "ended");
     switch (read) {
       case StateSource.Read.Known<ServerList> known -> {
-        if (sourceLost) {
-          log.stateChange("source_regained").add("version", knownState.routesVersion()).write();
-          sourceLost = false;
+        if (servers.read(known.value(), asOf)) {
+          allRead();
+        } else {
+          retryOutdated();
         }
-        offerOwnRead(known.value());
-        servers.confirmed(asOf);
-        listener.changed();
-        listener.allRead();
-        archive.read();
-        check();
       }
       case StateSource.Read.Unchanged<ServerList> unchanged -> {
-        servers.confirmed(asOf);
+        servers.unchanged(asOf);
         check();
       }
       case StateSource.Read.Failed<ServerList> failed -> failed("servers", failed.reason(), asOf);
     }
   }
 
-  private void offerOwnRead(ServerList read) {
-    ServerList list = reconciler.reconcile(read, clocks.nanos());
-    logRetained(reconciler.retained());
-    if (countIfOlder(list, "store")) {
-      logIgnored(list);
+  private void allRead() {
+    if (sourceLost) {
+      log.stateChange("source_regained").add("version", knownState.routesVersion()).write();
+      sourceLost = false;
     }
-    knownState.offer(list);
-  }
-
-  private boolean countIfOlder(ServerList list, String origin) {
-    boolean older = list.known() && list.revision().precedes(knownState.servers().revision());
-    if (older) {
-      environment.metrics().count("server.lists.older", "", origin);
-    }
-    return older;
-  }
-
-  /** Logs an ignored list, once for each list in force. */
-  private void logIgnored(ServerList list) {
-    Revision inForce = knownState.servers().revision();
-    if (!inForce.equals(lastIgnoredFor)) {
-      lastIgnoredFor = inForce;
-      log.stateChange("servers_ignored")
-          .add("list", list.revision().toString())
-          .add("held", inForce.toString())
-          .write();
-    }
-  }
-
-  private void logRetained(int count) {
-    if (count != retained) {
-      log.stateChange("servers_retained").add("count", count).add("before", retained).write();
-    }
-    retained = count;
+    listener.changed();
+    listener.allRead();
+    archive.read();
+    check();
   }
 
   private void failed(String part, String reason, long asOf) {
@@ -355,7 +341,7 @@
         .add("configuration_age_ms", operatorStateAgeMillis())
         .write();
     environment.metrics().count("platform.reads", "", "failed");
-    reconciler.readFailed(asOf);
+    servers.readFailed(asOf);
     if (!sourceLost) {
       log.stateChange("source_lost")
           .add("reading", part)
@@ -364,6 +350,17 @@
           .write();
     }
     sourceLost = true;
+    retry();
+  }
+
+  /** Handles a read that was overtaken by a newer state: it confirms nothing. */
+  private void retryOutdated() {
+    reading = false;
+    environment.metrics().count("platform.reads", "", OUTDATED);
+    retry();
+  }
+
+  private void retry() {
     long wait = schedule.retryMillis(knownState.complete(), receivesFromPeers.getAsBoolean());
     checkAfterMillis(wait + random.nextLong(RETRY_SPAN_MILLIS));
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
@@ -136,6 +136,7 @@
         .metrics()
         .gauge("evacuated.data.centres", () -> knownState.evacuations().dataCentres().size());
     environment.metrics().gauge("servers.version", () -> knownState.servers().revision().version());
+    environment.metrics().gauge("servers.epoch", () -> knownState.servers().revision().epoch());
     environment.metrics().gauge("servers.retained", poller::retainedServers);
     environment.metrics().gauge("servers", () -> knownState.servers().servers().size());
   }
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
@@ -124,6 +124,16 @@
       assertEquals(read(reconciler, 4 * SECOND, list(9, "a")), Set.of("a"));
     }
 
+    /** Guards against dropping live servers that the copy from which a store is restored lacks. */
+    @Test
+    public void entriesThatRestoredStoreLacksAreRetained() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      read(reconciler, 0, list(9, "a", "b"));
+      ServerList copy = new ServerList(Revision.of(1, 4), list(4, "a").servers());
+      assertEquals(read(reconciler, SECOND, copy), Set.of("a", "b"));
+      assertEquals(read(reconciler, 4 * SECOND, copy), Set.of("a"));
+    }
+
     @Test
     public void leavingServerIsNotRetained() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
--- a/front/src/test/java/org/magnoliaswitch/front/process/StateSyncTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/StateSyncTest.java
@@ -44,22 +44,28 @@
   private static final HeaderNames NAMES = TestHeaders.NAMES;
 
   /** A platform whose responses a test sets. */
-  private static final class Platform implements StateSource {
-    private final AtomicReference<Read<OperatorState>> configuration =
+  static final class Platform implements StateSource {
+    final AtomicReference<Read<OperatorState>> configuration =
         new AtomicReference<>(new Read.Failed<>("away"));
-    private final AtomicReference<Read<ServerList>> servers =
+    final AtomicReference<Read<ServerList>> servers =
         new AtomicReference<>(new Read.Failed<>("away"));
     private final List<Consumer<Read<OperatorState>>> waits = new ArrayList<>();
-    private final AtomicInteger reads = new AtomicInteger();
+    final AtomicInteger reads = new AtomicInteger();
     private final CountDownLatch waiting = new CountDownLatch(1);
 
     void answer(long version, String... ids) {
-      configuration.set(new Read.Known<>(declared(version)));
+      answer(Revision.of(0, version), version, ids);
+    }
+
+    void answer(Revision revision, long configurationVersion, String... ids) {
+      configuration.set(
+          new Read.Known<>(
+              new OperatorState(table(configurationVersion), new Evacuations(revision, Set.of()))));
       Map<String, ServerEntry> entries = new HashMap<>();
       for (String id : ids) {
         entries.put(id, Servers.entry(id, false));
       }
-      servers.set(new Read.Known<>(new ServerList(Revision.of(0, version), entries)));
+      servers.set(new Read.Known<>(new ServerList(revision, entries)));
     }
 
     @Override
@@ -81,9 +87,9 @@
   }
 
   /** The parts of an instance that synchronize its state, without a listener for callers. */
-  private static final class TestInstance {
+  static final class TestInstance {
     private final Environment environment;
-    private final KnownState knownState;
+    final KnownState knownState;
     private final Loop control = Loop.start();
 
     TestInstance(int peersPort, List<InetSocketAddress> seeds, Platform source) {
@@ -143,11 +149,11 @@
     return new RouteTable(version, List.of(), List.of(), CallerLimits.DEFAULT);
   }
 
-  private static InetSocketAddress at(int port) {
+  static InetSocketAddress at(int port) {
     return new InetSocketAddress("127.0.0.1", port);
   }
 
-  private static int freePort() throws IOException {
+  static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return socket.getLocalPort();
     }
