Crash archive: rows that a restored store lacks are written again and clear nothing

Callers with a request that makes servers crash would have been let through to further servers, since a row that is missing counts as removed by an operator.

Cause: the copy from which a store is restored lacks the rows written since; the archive compares a read with the one before it. Change: the first read of a later epoch clears nothing, and crashes that still count and that it lacks are written again, confirmed ones of before included, since they are taken from what this instance knows. Reads after it clear as before. Rows are keyed by what they say, so several readers writing the same do no harm. An instance that reads for the first time since its start can't tell a restore and writes nothing again; what instances know of each other does not depend on it.

--- a/front/src/main/java/org/magnoliaswitch/front/process/CrashArchive.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/CrashArchive.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -63,6 +64,9 @@
    */
   private final Set<CrashKey> found = new HashSet<>();
 
+  /** Epoch of the last read, if there has been one. */
+  private OptionalLong epoch = OptionalLong.empty();
+
   private boolean writing;
   private boolean reading;
   private boolean readOnce;
@@ -116,24 +120,24 @@
     }
   }
 
-  private void read(StateSource.Read<List<CrashStore.StoredCrash>> read) {
+  private void read(StateSource.Read<CrashStore.StoredCrashes> read) {
     reading = false;
     switch (read) {
-      case StateSource.Read.Known<List<CrashStore.StoredCrash>> known -> apply(known.value());
-      case StateSource.Read.Unchanged<List<CrashStore.StoredCrash>> unchanged -> {
+      case StateSource.Read.Known<CrashStore.StoredCrashes> known -> apply(known.value());
+      case StateSource.Read.Unchanged<CrashStore.StoredCrashes> unchanged -> {
         // The stored crashes are the same as at the last read.
       }
-      case StateSource.Read.Failed<List<CrashStore.StoredCrash>> failed ->
+      case StateSource.Read.Failed<CrashStore.StoredCrashes> failed ->
           metrics.count("crash.store.calls", "", failed.reason());
     }
   }
 
-  private void apply(List<CrashStore.StoredCrash> rows) {
+  private void apply(CrashStore.StoredCrashes stored) {
     long now = clocks.millis();
     List<CrashReport> current = new ArrayList<>();
     List<CrashReport.Crashed> removable = new ArrayList<>();
     Set<CrashKey> foundNow = new HashSet<>();
-    for (CrashStore.StoredCrash row : rows) {
+    for (CrashStore.StoredCrash row : stored.crashes()) {
       CrashReport.Crashed crash = row.crash();
       boolean expired = now - row.epochMillis() > MAX_AGE_MILLIS;
       if (expired || watch.table().cleared(crash.request(), crash.server())) {
@@ -143,7 +147,12 @@
         current.add(crash);
       }
     }
-    List<CrashReport> cleared = cleared(foundNow);
+    boolean restored = epoch.isPresent() && stored.epoch() > epoch.getAsLong();
+    epoch = OptionalLong.of(stored.epoch());
+    if (restored) {
+      writeAgain(foundNow);
+    }
+    List<CrashReport> cleared = restored ? List.of() : cleared(foundNow);
     found.clear();
     found.addAll(foundNow);
     watch.receive(current, CrashWatch.Source.STORE);
@@ -153,6 +162,25 @@
     }
   }
 
+  /**
+   * Queues the crashes that a restored store lacks for writing. Their rows have not been removed by
+   * an operator, and without them the suspicions would not outlast the instances. Every instance
+   * that reads does so; rows that several of them write are the same.
+   */
+  private void writeAgain(Set<CrashKey> foundNow) {
+    for (CrashReport report : watch.table().reports()) {
+      if (report instanceof CrashReport.Crashed crash
+          && pending.size() < MAX_PENDING
+          && watch.table().crash(crash.request(), crash.server()).isPresent()
+          && !foundNow.contains(CrashKey.of(crash))) {
+        pending.add(CrashKey.of(crash));
+      }
+    }
+    if (!pending.isEmpty()) {
+      loop.afterMillis(WRITE_DELAY_MILLIS, this::write);
+    }
+  }
+
   /**
    * Returns clearances for requests whose rows have disappeared since the last read: an operator
    * clears a suspicion by removing its rows.
--- a/front/src/main/java/org/magnoliaswitch/front/process/CrashStore.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/CrashStore.java
@@ -14,7 +14,7 @@
   CrashStore NONE =
       new CrashStore() {
         @Override
-        public void read(Consumer<StateSource.Read<List<StoredCrash>>> listener) {
+        public void read(Consumer<StateSource.Read<StoredCrashes>> listener) {
           listener.accept(new StateSource.Read.Unchanged<>());
         }
 
@@ -35,8 +35,19 @@
    */
   record StoredCrash(CrashReport.Crashed crash, long epochMillis) {}
 
+  /**
+   * All stored crashes.
+   *
+   * @param epoch how often the store has been restored from a copy, which lacks later changes
+   */
+  record StoredCrashes(long epoch, List<StoredCrash> crashes) {
+    public StoredCrashes {
+      crashes = List.copyOf(crashes);
+    }
+  }
+
   /** Reads all stored crashes. */
-  void read(Consumer<StateSource.Read<List<StoredCrash>>> listener);
+  void read(Consumer<StateSource.Read<StoredCrashes>> listener);
 
   /**
    * Adds and removes crashes and passes whether the store confirmed the change to {@code done}. An
--- a/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/CrashArchiveTest.java
@@ -35,13 +35,14 @@
   /** A store whose rows a test sets and whose changes it inspects. */
   private static final class Store implements CrashStore {
     private final List<StoredCrash> rows = new ArrayList<>();
+    private long epoch = 1;
     private final BlockingQueue<List<CrashReport.Crashed>> puts = new LinkedBlockingQueue<>();
     private final BlockingQueue<List<CrashReport.Crashed>> removals = new LinkedBlockingQueue<>();
     private final AtomicBoolean confirms = new AtomicBoolean(true);
 
     @Override
-    public void read(Consumer<StateSource.Read<List<StoredCrash>>> listener) {
-      listener.accept(new StateSource.Read.Known<>(List.copyOf(rows)));
+    public void read(Consumer<StateSource.Read<StoredCrashes>> listener) {
+      listener.accept(new StateSource.Read.Known<>(new StoredCrashes(epoch, rows)));
     }
 
     @Override
@@ -155,6 +156,35 @@
     assertEquals(environment.crashes().table().serversCrashedDuring(REQUEST), Set.of());
   }
 
+  /**
+   * Guards against clearing a suspicion because the store has been restored from a copy that lacks
+   * its rows; they are written again.
+   */
+  @Test
+  public void rowsLostInRestoreAreWrittenAgain() throws InterruptedException {
+    store.rows.add(now(ended("a")));
+    store.rows.add(now(ended("b")));
+    onLoop(() -> archive.read());
+    store.rows.removeLast();
+    store.epoch++;
+    onLoop(() -> archive.read());
+    assertEquals(environment.crashes().table().serversCrashedDuring(REQUEST), Set.of("a", "b"));
+    assertEquals(store.puts.take(), List.of(ended("b")));
+  }
+
+  /** A row that the restored store has and an operator removes later clears the suspicion. */
+  @Test
+  public void rowsRemovedAfterRestoreClearSuspicion() throws InterruptedException {
+    store.rows.add(now(ended("a")));
+    store.rows.add(now(ended("b")));
+    onLoop(() -> archive.read());
+    store.epoch++;
+    onLoop(() -> archive.read());
+    store.rows.clear();
+    onLoop(() -> archive.read());
+    assertEquals(environment.crashes().table().serversCrashedDuring(REQUEST), Set.of());
+  }
+
   /**
    * Guards against clearing a suspicion because a read, which overtook this instance's own write,
    * lacks its row. A row that no read has returned yet has not been removed.
