Entry: a configuration head that the platform has lost is written again

Operators would have had a change accepted that no instance takes: after a restore the head is older than the version in force, and the next change gets a number that is.

Entries take a configuration only if its number is higher than the one in force, and numbers are assigned from the head row, which a restored platform gives out again. Change: an entry whose version in force is above the head writes that version as the head again, with its contents, its change row and its row of history, in one transaction on the rows as read, so one of many entries wins and a newer head is never overwritten. Not covered: claims of keys and outcome records that a restored platform loses; an entry that started after the restore and knows no peer yet may accept a change under a number in force elsewhere.

--- a/core/src/main/java/org/magnoliaswitch/core/process/ConfigurationFollower.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ConfigurationFollower.java
@@ -11,6 +11,8 @@
 import org.magnoliaswitch.core.peer.PeerMessage;
 import org.magnoliaswitch.core.platform.PlatformException;
 import org.magnoliaswitch.core.version.Digest;
+import org.magnoliaswitch.core.version.Manifest;
+import org.magnoliaswitch.core.version.Snapshot;
 
 /**
  * Fetches newer versions of the configuration, from the peers that announce them or from the store.
@@ -42,12 +44,35 @@
     return follow(version, manifest, digests -> fromPeer(peer, digests));
   }
 
-  /** Reads the head and adopts its version if it is newer; returns whether it was adopted. */
+  /**
+   * Reads the head and adopts its version if it is newer; returns whether it was adopted. A head
+   * that is older than the version in force has been lost by the platform and is written again.
+   */
   public boolean followStore() throws PlatformException {
     ConfigurationStore.Head head = store.head();
+    Snapshot inForce = current.get();
+    if (head.version() < inForce.version()) {
+      reinstate(inForce);
+    }
     return follow(head.version(), head.manifest(), this::fromStore);
   }
 
+  private void reinstate(Snapshot inForce) throws PlatformException {
+    String digest = inForce.digest();
+    try {
+      Manifest manifest = current.manifest(digest);
+      List<String> digests = new ArrayList<>(manifest.parts().values());
+      digests.add(digest);
+      Map<String, byte[]> contents = cache.select(digests);
+      ConfigurationStore.Head head = new ConfigurationStore.Head(inForce.version(), digest);
+      if (contents.keySet().containsAll(digests) && store.reinstate(head, manifest, contents)) {
+        logger.atWarning().log("event=head_reinstated version=%d", inForce.version());
+      }
+    } catch (IOException e) {
+      logger.atWarning().log("event=head_not_reinstated version=%d cause=%s", inForce.version(), e);
+    }
+  }
+
   private synchronized boolean follow(long version, String manifest, Source source) {
     if (!current.shouldFetch(version, manifest)) {
       return false;
--- a/core/src/main/java/org/magnoliaswitch/core/process/ConfigurationStore.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ConfigurationStore.java
@@ -108,6 +108,38 @@
     }
   }
 
+  /**
+   * Makes an accepted version the head again that the platform has lost because it was restored
+   * from a copy. Without it, the next changes would be accepted under numbers that are in force
+   * already, and no instance would adopt them.
+   *
+   * @param lost a version that was accepted, with its manifest
+   * @param contents manifest and parts of the version by digest
+   * @return whether the head was written; not if another instance has done so
+   */
+  public boolean reinstate(Head lost, Manifest manifest, Map<String, byte[]> contents)
+      throws PlatformException {
+    List<Row> rows =
+        table.read(
+            List.of(HEAD_KEY, CHANGE_PREFIX + manifest.changeId(), versionKey(lost.version())));
+    if (readHead(rows.getFirst()).version() >= lost.version()) {
+      return false;
+    }
+    for (Map.Entry<String, byte[]> content : contents.entrySet()) {
+      objects.put(CONTENT_PREFIX + content.getKey(), content.getValue());
+    }
+    return table.transact(writes(rows, write(lost))) instanceof TransactionResult.Committed;
+  }
+
+  private static List<ConditionalWrite> writes(List<Row> rows, String value) {
+    return List.of(
+        new ConditionalWrite(HEAD_KEY, rows.get(0).version(), value, 0),
+        new ConditionalWrite(
+            rows.get(1).key(), rows.get(1).version(), value, CHANGE_RETENTION_SECONDS),
+        new ConditionalWrite(
+            rows.get(2).key(), rows.get(2).version(), value, HISTORY_RETENTION_SECONDS));
+  }
+
   private Acceptance commit(Manifest manifest, Row headRow, Head next) throws PlatformException {
     String value = write(next);
     TransactionResult result =
--- a/core/src/test/java/org/magnoliaswitch/core/testing/FakePlatform.java
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/FakePlatform.java
@@ -61,6 +61,20 @@
     delayed.clear();
   }
 
+  /** Returns a function that restores the platform to its present contents. */
+  public synchronized Runnable copy() {
+    Map<String, Row> rowsNow = Map.copyOf(rows);
+    Map<String, byte[]> objectsNow = Map.copyOf(objects);
+    return () -> restore(rowsNow, objectsNow);
+  }
+
+  private synchronized void restore(Map<String, Row> earlierRows, Map<String, byte[]> earlier) {
+    rows.clear();
+    rows.putAll(earlierRows);
+    objects.clear();
+    objects.putAll(earlier);
+  }
+
   /** Returns the number of transactions that were applied or that conflicted. */
   public synchronized int transactions() {
     return transactions;
