Departures across a restore: held back for 5 s in place of 10 s

Cause: a server that is missing from a list has not always left. Its entry may have been unreadable or expired; the copy lists it again, and it was held back for 10 s though it lived. An evacuation that was ended before it was declared again was kept as long. Change: both are kept for 5 s: an entry that nobody renews expires within 4.5 s, and what was lost is declared again within two. A live server is still idle for up to 5 s in that case; telling it apart needs the version of its row, which lists do not carry.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DepartedServers.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DepartedServers.java
@@ -12,10 +12,11 @@
 final class DepartedServers {
   /**
    * How long a listed server that has left receives nothing after a restore. An entry that its
-   * server does not renew expires within three heartbeats, so one that is still listed then belongs
-   * to a live server.
+   * server does not renew expires within three heartbeats of 1.5 s, so one that is still listed
+   * then belongs to a live server. Longer holds would keep live servers idle whose entries had only
+   * been lost or unreadable before the restore.
    */
-  static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(10);
+  static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   /** How long a departure is remembered; copies are some seconds old. */
   private static final long MEMORY_NANOS = TimeUnit.SECONDS.toNanos(60);
--- a/front/src/main/java/org/magnoliaswitch/front/process/EvacuationState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/EvacuationState.java
@@ -11,10 +11,10 @@
  */
 final class EvacuationState {
   /**
-   * How long a lost evacuation stays in force. What was lost is declared again within seconds; an
-   * evacuation that is not has been ended by its operator.
+   * How long a lost evacuation stays in force. What was lost is declared again within two seconds;
+   * an evacuation that is not has been ended by its operator.
    */
-  static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(10);
+  static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   private final Map<String, Long> keptUntilNanos = new HashMap<>();
   private Evacuations declared = Evacuations.UNKNOWN;
