Departures across a restore: only what the first list of an epoch shows is held back

Cause: a server that had been missing before a restore and registered again after it was held back, though the copy did not list it either. Change: only entries in the first list of an epoch can come from the copy; all later ones were written after the restore. The epoch of a departure is not needed any more.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DepartedServers.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DepartedServers.java
@@ -27,25 +27,19 @@
    * Departure of a server.
    *
    * @param startedMillis start of the latest incarnation that has left
-   * @param epoch epoch of the list from which it was missing
-   * @param atNanos when the list was applied
+   * @param atNanos when the list from which it was missing was applied
    */
-  private record Departure(long startedMillis, long epoch, long atNanos) {}
+  private record Departure(long startedMillis, long atNanos) {}
 
-  /** Records that a server is missing from a list of an epoch. */
-  void record(ServerEntry entry, long epoch, long nowNanos) {
-    departures.put(entry.id(), new Departure(entry.startedMillis(), epoch, nowNanos));
+  /** Records that a server is missing from a list. */
+  void record(ServerEntry entry, long nowNanos) {
+    departures.put(entry.id(), new Departure(entry.startedMillis(), nowNanos));
   }
 
-  /**
-   * Whether an entry of a list is from a copy that was made before the server left. The same
-   * incarnation may return within an epoch: its entry had expired and was written again.
-   */
-  boolean undone(ServerEntry entry, long epoch) {
+  /** Whether the incarnation that an entry describes, or a later one, has left. */
+  boolean contains(ServerEntry entry) {
     Departure departure = departures.get(entry.id());
-    return departure != null
-        && epoch > departure.epoch()
-        && entry.startedMillis() <= departure.startedMillis();
+    return departure != null && entry.startedMillis() <= departure.startedMillis();
   }
 
   /** Forgets departures that are older than any copy from which a source is restored. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerDirectory.java
@@ -36,7 +36,7 @@
   private final EvacuationState evacuations = new EvacuationState();
   private ServerList current = ServerList.EMPTY;
 
-  /** Whether the source has been restored between the list in force and the one before it. */
+  /** Whether the list in force is the first one since the source was restored from a copy. */
   private boolean restored;
 
   public ServerDirectory(
@@ -259,7 +259,8 @@
   private ServerPool newPool(ServerEntry entry, long now) {
     ServerState state = new ServerState(entry, backpressure.take(entry), now);
     state.evacuated(evacuations.evacuated(entry.dataCentre()));
-    if (departed.undone(entry, current.revision().epoch())) {
+    // Later lists of an epoch add only entries that were written after the restore.
+    if (restored && departed.contains(entry)) {
       holdBack(state, now);
     }
     return new ServerPool(state, connector, clocks);
@@ -330,7 +331,7 @@
       if (!current.servers().containsKey(entry.id())) {
         pools.remove();
         heldBackUntilNanos.remove(entry.id());
-        departed.record(entry, current.revision().epoch(), clocks.nanos());
+        departed.record(entry, clocks.nanos());
         backpressure.store(pool.state());
         retire(pool);
         logChange("server_gone", entry);
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryRestoreTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryRestoreTest.java
@@ -94,6 +94,17 @@
       assertTrue(directory.all().isEmpty());
     }
 
+    /** Guards against holding back a live server whose entry the copy did not have either. */
+    @Test
+    public void serverThatRegistersAfterRestoreIsUsedAtOnce() {
+      ServerDirectory directory = directory();
+      apply(directory, Revision.of(1, 8), Servers.entry("a", false));
+      apply(directory, Revision.of(1, 9));
+      apply(directory, Revision.of(2, 4));
+      apply(directory, Revision.of(2, 5), Servers.entry("a", false));
+      assertTrue(server(directory, "a").acceptsWork());
+    }
+
     /** A server whose entry has expired registers again within the same epoch. */
     @Test
     public void entryThatReturnsWithinAnEpochIsUsed() {
