--- a/core/src/test/java/org/magnoliaswitch/core/process/RestoredPlatformTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/process/RestoredPlatformTest.java
@@ -2,13 +2,17 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import org.magnoliaswitch.core.clock.HybridClock;
+import org.magnoliaswitch.core.peer.Claim;
+import org.magnoliaswitch.core.peer.ClaimResult;
 import org.magnoliaswitch.core.peer.PeerClient;
 import org.magnoliaswitch.core.peer.PeerSecret;
 import org.magnoliaswitch.core.peer.PeerTraffic;
@@ -23,7 +27,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests configurations when the platform is restored from a copy that lacks accepted versions. */
+/** Tests configurations and claims when the platform is restored from a copy that lacks them. */
 public final class RestoredPlatformTest {
   private FakePlatform platform = new FakePlatform();
   private ConfigurationStore store = new ConfigurationStore(platform, platform);
@@ -124,4 +128,20 @@
     assertFalse(store.reinstate(outdated, manifest, Map.of()));
     assertEquals(store.head().version(), 2);
   }
+
+  /** Guards against a second execution of a request whose claim the platform has lost. */
+  @Test
+  public void keyClaimedBeforeRestoreIsNotGrantedToAnother() {
+    Runnable restore = platform.copy();
+    assertEquals(claim("k", "a"), ClaimResult.Status.GRANTED);
+    restore.run();
+    assertNotEquals(claim("k", "b"), ClaimResult.Status.GRANTED);
+  }
+
+  private ClaimResult.Status claim(String key, String incarnation) {
+    ClaimBatcher batcher = new ClaimBatcher(platform);
+    CompletableFuture<ClaimResult> result = batcher.add(new Claim(key, incarnation, "f", 0, 60));
+    batcher.flush();
+    return result.join().status();
+  }
 }
