Entry: a key whose claim a restore may have lost is not granted to another

Cause: claims are rows of the platform's table. A copy may lack the row of a claim whose holder has executed the request; the absent row then passed for a free key. The same holds for outcome records: an orderly stop after a restore declared keys unexecuted whose segment the copy lacks.

Change: the client of the platform reads the epoch (Store-Era) of each response. In an epoch above 0 a key without a row is granted only once a claim from before would have expired. The first entry that notices the epoch inserts rows that the table itself drops after the retentions (claim-hold/), so the hold is one for all entries and needs no clocks. Claims during which the epoch rises are made again. During the hold a key is granted only to the incarnation that was granted it before, from memory, and nothing is taken over. Entries insert lost rows again of the claims they made or were given. The final outcome segment names the number of segments. Callers are told when to return.

Issued keys work on. A hold of seconds would need a promise of the platform about the oldest copy.

Tests changed: the model check of at-most-once execution restores the platform in half of its 64 cases, and keeps one batcher per instance in place of one per claim, since a batcher now remembers; its former 32 cases remain. FakePlatform counts restores and can let rows expire.

Not covered: the model check never ends a hold; nothing was run on real processes, whose stand-in for the platform cannot be restored; a retention that is lowered around a restore shortens the hold; entries of an earlier release hold nothing back.

--- a/core/src/main/java/org/magnoliaswitch/core/platform/HttpPlatform.java
+++ b/core/src/main/java/org/magnoliaswitch/core/platform/HttpPlatform.java
@@ -17,6 +17,7 @@
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.util.Timeout;
@@ -33,6 +34,7 @@
 
   private final URI base;
   private final CloseableHttpClient client;
+  private final PlatformEpoch epoch = new PlatformEpoch();
 
   public HttpPlatform(URI base, long timeoutMillis) {
     this.base = base;
@@ -90,6 +92,11 @@
     }
   }
 
+  @Override
+  public long epoch() {
+    return epoch.newest();
+  }
+
   @Override
   public Optional<byte[]> get(String name) throws PlatformException {
     Response response = call(new HttpGet(base.resolve("/objects?name=" + encode(name))));
@@ -143,6 +150,8 @@
     return client.execute(
         request,
         response -> {
+          Header named = response.getFirstHeader(PlatformEpoch.HEADER);
+          epoch.record(named == null ? null : named.getValue());
           byte[] body =
               response.getEntity() == null
                   ? new byte[0]
--- a/core/src/main/java/org/magnoliaswitch/core/platform/PlatformTable.java
+++ b/core/src/main/java/org/magnoliaswitch/core/platform/PlatformTable.java
@@ -15,4 +15,11 @@
    * conflict with the current rows.
    */
   TransactionResult transact(List<ConditionalWrite> writes);
+
+  /**
+   * Returns the highest epoch that responses have named so far, 0 if none has. The epoch counts how
+   * often the platform has been restored from a copy. A call before and after which this value is
+   * the same was served in that epoch, unless its result is unknown.
+   */
+  long epoch();
 }
--- a/core/src/main/java/org/magnoliaswitch/core/process/ClaimService.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ClaimService.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.peer.Claim;
 import org.magnoliaswitch.core.peer.ClaimResult;
 import org.magnoliaswitch.core.peer.Member;
@@ -40,6 +42,7 @@
   private final Membership membership;
   private final PeerClient peers;
   private final ScheduledExecutorService timer;
+  private final Clocks clocks;
   private final AtomicBoolean scheduled = new AtomicBoolean();
   private final Semaphore transactions = new Semaphore(MAX_CONCURRENT_TRANSACTIONS);
 
@@ -47,11 +50,13 @@
       ClaimBatcher batcher,
       Membership membership,
       PeerClient peers,
-      ScheduledExecutorService timer) {
+      ScheduledExecutorService timer,
+      Clocks clocks) {
     this.batcher = batcher;
     this.membership = membership;
     this.peers = peers;
     this.timer = timer;
+    this.clocks = clocks;
   }
 
   @Override
@@ -59,7 +64,11 @@
     int waitMillis = (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(waitNanos));
     Member via = claimingInstance(claim.key());
     if (!via.incarnation().equals(membership.self().incarnation())) {
+      long sinceNanos = clocks.nanos();
       ClaimResult remote = claimThrough(via, claim, windowMillis, waitMillis / 2);
+      if (remote.status() == ClaimResult.Status.GRANTED && remote.row() == 0) {
+        batcher.remember(claim, sinceNanos);
+      }
       if (remote.status() != ClaimResult.Status.UNAVAILABLE) {
         return remote;
       }
@@ -72,6 +81,11 @@
     return batcher.holder(key);
   }
 
+  @Override
+  public OptionalLong retryAfterSeconds(long retentionSeconds) {
+    return batcher.retryAfterSeconds(retentionSeconds);
+  }
+
   /** Claims keys for a peer in this instance's transactions. */
   public List<ClaimResult> claimForPeer(List<Claim> claims, int windowMillis, int waitMillis) {
     List<CompletableFuture<ClaimResult>> results = new ArrayList<>();
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
@@ -106,8 +106,8 @@
     this.issuer = new KeyIssuer(self.incarnation(), setup.secret(), clocks);
     this.ledger = new OutcomeLedger(clocks);
     this.records = new OutcomeRecords(platform.objects(), self.incarnation(), clocks);
-    this.batcher = new ClaimBatcher(platform.table());
-    this.claims = new ClaimService(batcher, membership, client, timer);
+    this.batcher = new ClaimBatcher(platform.table(), clocks);
+    this.claims = new ClaimService(batcher, membership, client, timer, clocks);
     this.server =
         new PeerServer(
             new Address(setup.identity().host(), setup.identity().peerPort()),
@@ -124,6 +124,7 @@
     scheduleRepeatedly(crashGossip::repair, gossip::nextExchangeMillis);
     scheduleRepeatedly(this::pollStore, gossip::nextStorePollMillis);
     scheduleRepeatedly(this::maintain, () -> MAINTENANCE_MILLIS);
+    scheduleRepeatedly(batcher::repeatClaims, () -> MAINTENANCE_MILLIS);
     scheduleRepeatedly(this::record, () -> OUTCOME_FLUSH_MILLIS);
     scheduleRepeatedly(prober::probeDueServers, () -> PROBE_TICK_MILLIS);
   }
--- a/core/src/main/java/org/magnoliaswitch/core/process/KeyClaims.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/KeyClaims.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.core.process;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.magnoliaswitch.core.peer.Claim;
 import org.magnoliaswitch.core.peer.ClaimResult;
 
@@ -14,4 +15,10 @@
    * absent or cannot be read.
    */
   Optional<String> holder(String key);
+
+  /**
+   * Returns in how many seconds a request should come again whose key is held back after a restore
+   * of the platform, or empty if keys with this retention are not held back.
+   */
+  OptionalLong retryAfterSeconds(long retentionSeconds);
 }
--- a/core/src/main/java/org/magnoliaswitch/core/process/OutcomeRecords.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/OutcomeRecords.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.core.process;
 
 import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,7 +22,9 @@
  * <p>Each incarnation appends numbered segments, with one write for all keys finished since the
  * previous segment. They are named by incarnation, so the object store's own life-cycle rule can
  * expire them by age without further writes. A final segment, written on an orderly stop, states
- * that the incarnation executed nothing else and never will.
+ * that the incarnation executed nothing else and never will. It names the number of segments: if
+ * the object store was restored from a copy that lacks some of them, keys without a record may have
+ * been executed.
  */
 public final class OutcomeRecords {
   private static final int MAX_PER_SEGMENT = 5_000;
@@ -29,6 +32,9 @@
   private static final long REFRESH_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final String FINAL_SEGMENT = "last";
 
+  /** JSON value of a final segment; earlier releases wrote an empty list instead. */
+  private record FinalSegment(int segments) {}
+
   /**
    * Result of looking a key up in the records of an incarnation.
    *
@@ -70,7 +76,8 @@
       return 0;
     }
     try {
-      objects.put(name(incarnation, String.valueOf(written.get())), encode(finished));
+      objects.put(
+          name(incarnation, String.valueOf(written.get())), encode(withoutLargeBodies(finished)));
       written.incrementAndGet();
       return finished.size();
     } catch (PlatformException e) {
@@ -85,7 +92,7 @@
     while (flushed > 0) {
       flushed = flush(ledger);
     }
-    objects.put(name(incarnation, FINAL_SEGMENT), encode(List.of()));
+    objects.put(name(incarnation, FINAL_SEGMENT), encode(new FinalSegment(written.get())));
   }
 
   /** Returns the number of segments written so far. */
@@ -106,7 +113,7 @@
   }
 
   private void read(String goneIncarnation, CachedIncarnation cached) throws PlatformException {
-    boolean closed = objects.get(name(goneIncarnation, FINAL_SEGMENT)).isPresent();
+    Optional<byte[]> last = objects.get(name(goneIncarnation, FINAL_SEGMENT));
     Optional<byte[]> segment =
         objects.get(name(goneIncarnation, String.valueOf(cached.nextSegment)));
     while (segment.isPresent()) {
@@ -116,18 +123,34 @@
       cached.nextSegment++;
       segment = objects.get(name(goneIncarnation, String.valueOf(cached.nextSegment)));
     }
-    cached.complete = closed;
+    cached.complete = last.isPresent() && cached.nextSegment >= requiredSegments(last.get());
+  }
+
+  private static int requiredSegments(byte[] last) throws PlatformException {
+    try {
+      JsonNode content = Json.MAPPER.readTree(last);
+      return content.isArray()
+          ? 0
+          : Json.MAPPER.treeToValue(content, FinalSegment.class).segments();
+    } catch (IOException e) {
+      throw new PlatformException("a final outcome segment cannot be read as JSON", e);
+    }
   }
 
   private static String name(String incarnation, String segment) {
     return "outcomes/" + incarnation + '/' + segment;
   }
 
-  private static byte[] encode(List<OutcomeLedger.Finished> finished) {
+  private static List<OutcomeLedger.Finished> withoutLargeBodies(
+      List<OutcomeLedger.Finished> finished) {
+    List<OutcomeLedger.Finished> bounded = new ArrayList<>();
+    finished.forEach(entry -> bounded.add(withoutLargeBody(entry)));
+    return bounded;
+  }
+
+  private static byte[] encode(Object segment) {
     try {
-      List<OutcomeLedger.Finished> bounded = new ArrayList<>();
-      finished.forEach(entry -> bounded.add(withoutLargeBody(entry)));
-      return Json.MAPPER.writeValueAsBytes(bounded);
+      return Json.MAPPER.writeValueAsBytes(segment);
     } catch (IOException e) {
       throw new IllegalStateException("outcomes cannot be written as JSON", e);
     }
--- a/core/src/main/java/org/magnoliaswitch/core/request/AtMostOnceExecutor.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/AtMostOnceExecutor.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.peer.Claim;
@@ -178,22 +179,28 @@
       case UNAVAILABLE -> {
         // The key has no outcome here: another instance may hold it and have executed the request.
         dependencies.ledger().withdraw(keyed.key());
-        yield claimUnavailable(request);
+        yield claimUnavailable(keyed);
       }
     };
   }
 
   /**
-   * Replies to a request that was not executed because the claim table did not answer. Without the
-   * table it is unknown whether an earlier request with the key was executed, unless the caller
-   * states that there was none and no load balancer sends requests twice.
+   * Replies to a request that was not executed because the claim table did not answer, or because
+   * the table was restored and may have lost the claim of the key. Without the claim it is unknown
+   * whether an earlier request with the key was executed, unless the caller states that there was
+   * none and no load balancer sends requests twice.
    */
-  private Reply claimUnavailable(InboundRequest request) {
+  private Reply claimUnavailable(KeyedRequest keyed) {
+    InboundRequest request = keyed.request();
+    OptionalLong heldBack =
+        dependencies.claims().retryAfterSeconds(keyed.policy().retentionSeconds());
+    heldBack.ifPresent(seconds -> recordEvent(keyed, EventKind.CLAIM_FAILED, "reason=restored"));
+    int retryAfterSeconds = (int) Math.min(Integer.MAX_VALUE, heldBack.orElse(RETRY_AFTER_SECONDS));
     boolean first = request.attempt().declared() && request.attempt().number() == 1;
     String reason = "keys cannot be claimed now";
     return first && !callersBalancerResends
-        ? Reply.local(UNAVAILABLE, Outcome.NOT_EXECUTED, reason, RETRY_AFTER_SECONDS)
-        : Reply.attemptNotExecuted(UNAVAILABLE, reason, RETRY_AFTER_SECONDS);
+        ? Reply.local(UNAVAILABLE, Outcome.NOT_EXECUTED, reason, retryAfterSeconds)
+        : Reply.attemptNotExecuted(UNAVAILABLE, reason, retryAfterSeconds);
   }
 
   private Reply executeAndRecord(KeyedRequest keyed) {
--- a/core/src/test/java/org/magnoliaswitch/core/operator/PropagationTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/operator/PropagationTest.java
@@ -10,14 +10,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.crash.RequestIdentity;
 import org.magnoliaswitch.core.peer.Address;
+import org.magnoliaswitch.core.peer.Claim;
+import org.magnoliaswitch.core.peer.ClaimResult;
 import org.magnoliaswitch.core.peer.LeavingNotice;
 import org.magnoliaswitch.core.peer.PeerSecret;
 import org.magnoliaswitch.core.process.ControlPlane;
@@ -128,6 +132,34 @@
     return instance.state().crashes().table().confirmed(request);
   }
 
+  /**
+   * Guards against claims that are lost with the instance that made them for others: it ends, and
+   * the platform is restored from a copy without them. Their holder must write them again.
+   */
+  @Test
+  public void claimsMadeThroughAnEndedInstanceAreRepeatedByTheirHolder() throws Exception {
+    start(3);
+    await(() -> instances.stream().allMatch(i -> i.state().membership().size() == 3));
+    Runnable restore = platform.copy();
+    ControlPlane holder = instances.getFirst();
+    String incarnation = holder.state().membership().self().incarnation();
+    List<String> keys = IntStream.range(0, 30).mapToObj(i -> "booking/own-" + i).toList();
+    for (String key : keys) {
+      Claim claim = new Claim(key, incarnation, "f", 0, 3_600);
+      assertEquals(
+          holder.claims().claim(claim, 1, TimeUnit.MINUTES.toNanos(1)).status(),
+          ClaimResult.Status.GRANTED);
+    }
+    assertTrue(holder.batcher().transactions() < keys.size(), "no claim was made by a peer");
+    instances.get(1).close();
+    instances.get(2).close();
+    restore.run();
+    await(
+        () ->
+            keys.stream()
+                .allMatch(key -> holder.claims().holder(key).equals(Optional.of(incarnation))));
+  }
+
   @Test
   public void aChangeBasedOnAnOldVersionIsRejected() throws Exception {
     start(1);
--- a/core/src/test/java/org/magnoliaswitch/core/request/AtMostOnceExecutorModelTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/AtMostOnceExecutorModelTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.magnoliaswitch.core.clock.HybridClock;
 import org.magnoliaswitch.core.peer.Claim;
@@ -37,32 +38,24 @@
 
 /**
  * Model check of at-most-once execution with three instances and callers that retry. A seed
- * determines how their steps are interleaved, while claims fail in all possible ways and instances
- * are killed or stopped.
+ * determines how their steps are interleaved, while claims fail in all possible ways, instances are
+ * killed or stopped, and the platform is restored from copies.
  */
 public final class AtMostOnceExecutorModelTest {
   private static final int INTERLEAVINGS = 2_000;
   private static final int CALLERS = 4;
   private static final int ATTEMPTS = 4;
 
-  /**
-   * The faults in a case.
-   *
-   * @param claimFaults whether transactions are dropped, take effect late or lose their answers
-   * @param kills whether an instance is killed while it serves requests
-   * @param stops whether an instance stops gracefully
-   * @param answersLost whether answers of backend servers are lost after execution
-   */
-  private record Faults(boolean claimFaults, boolean kills, boolean stops, boolean answersLost) {}
-
   @DataProvider
   public static Object[][] cases() {
     List<Object[]> cases = new ArrayList<>();
-    for (int bits = 0; bits < 16; bits++) {
+    for (int bits = 0; bits < 32; bits++) {
       for (boolean issued : new boolean[] {false, true}) {
         cases.add(
             new Object[] {
-              new Faults((bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0), issued
+              new ModelFaults(
+                  (bits & 1) > 0, (bits & 2) > 0, (bits & 4) > 0, (bits & 8) > 0, (bits & 16) > 0),
+              issued
             });
       }
     }
@@ -73,7 +66,7 @@
   public void executesAtMostOnceAndReportsActualOutcome(Object faults, boolean issuedKeys)
       throws Exception {
     for (int seed = 1; seed <= INTERLEAVINGS / 8; seed++) {
-      Simulation simulation = new Simulation(seed, (Faults) faults, issuedKeys);
+      Simulation simulation = new Simulation(seed, (ModelFaults) faults, issuedKeys);
       simulation.run();
       simulation.check("faults " + faults + " issued " + issuedKeys + " seed " + seed);
     }
@@ -84,7 +77,8 @@
   public void findsDoubleExecutionsWhenClaimsAreIgnored() throws Exception {
     int detected = 0;
     for (int seed = 1; seed <= 50; seed++) {
-      Simulation simulation = new Simulation(seed, new Faults(false, false, false, true), false);
+      Simulation simulation =
+          new Simulation(seed, new ModelFaults(false, false, false, true, false), false);
       simulation.ignoreClaims = true;
       simulation.run();
       detected += simulation.executions.values().stream().anyMatch(count -> count > 1) ? 1 : 0;
@@ -103,17 +97,7 @@
     private int activeRequests;
 
     Instance(Simulation simulation, int number) {
-      this.member =
-          new Member(
-              "inc" + number,
-              "entry-" + number,
-              "dc",
-              "h",
-              1,
-              2,
-              3 + number,
-              1,
-              MemberState.SERVING);
+      this.member = member(number);
       this.ledger = new OutcomeLedger(simulation.clock.clocks());
       this.issuer =
           new KeyIssuer(member.incarnation(), simulation.secret, simulation.clock.clocks());
@@ -121,17 +105,7 @@
           new OutcomeRecords(simulation.platform, member.incarnation(), simulation.clock.clocks());
       Membership membership = new Membership(member, simulation.clock.clocks());
       for (int other = 0; other < 3; other++) {
-        membership.merge(
-            new Member(
-                "inc" + other,
-                "entry-" + other,
-                "dc",
-                "h",
-                1,
-                2,
-                3 + other,
-                1,
-                MemberState.SERVING));
+        membership.merge(member(other));
       }
       AtMostOnceExecutor.Dependencies dependencies =
           new AtMostOnceExecutor.Dependencies(
@@ -147,6 +121,11 @@
           new AtMostOnceExecutor(
               dependencies, simulation::execute, true, simulation.clock.clocks(), timeline);
     }
+
+    private static Member member(int number) {
+      return new Member(
+          "inc" + number, "entry-" + number, "dc", "h", 1, 2, 3 + number, 1, MemberState.SERVING);
+    }
   }
 
   private static final class Simulation {
@@ -155,7 +134,7 @@
     private final PeerSecret secret =
         new PeerSecret("0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
     private final StepScheduler scheduler;
-    private final Faults faults;
+    private final ModelFaults faults;
     private final boolean issuedKeys;
     private final List<Instance> instances = new ArrayList<>();
     private final ServiceState service;
@@ -164,7 +143,7 @@
     private final List<ReportedOutcome> reported = new ArrayList<>();
     private boolean ignoreClaims;
 
-    Simulation(long seed, Faults faults, boolean issuedKeys) throws Exception {
+    Simulation(long seed, ModelFaults faults, boolean issuedKeys) throws Exception {
       this.scheduler = new StepScheduler(seed);
       this.faults = faults;
       this.issuedKeys = issuedKeys;
@@ -194,6 +173,9 @@
         scheduler.add("stopper", () -> stopRandomInstance(true));
       }
       scheduler.add("late", this::applyLateWrites);
+      if (faults.restores()) {
+        scheduler.add("restorer", this::restorePlatform);
+      }
       scheduler.runAll();
     }
 
@@ -265,6 +247,7 @@
     }
 
     private KeyClaims claims() {
+      ClaimBatcher batcher = new ClaimBatcher(platform, clock.clocks());
       return new KeyClaims() {
         @Override
         public ClaimResult claim(Claim claim, int windowMillis, long waitNanos) {
@@ -275,7 +258,9 @@
           if (faults.claimFaults()) {
             platform.queueRandomFault(scheduler.random());
           }
-          ClaimBatcher batcher = new ClaimBatcher(platform);
+          if (faults.restores()) {
+            batcher.repeatClaims();
+          }
           CompletableFuture<ClaimResult> result = batcher.add(claim);
           batcher.flush();
           scheduler.step();
@@ -286,6 +271,11 @@
         public Optional<String> holder(String key) {
           return Optional.empty();
         }
+
+        @Override
+        public OptionalLong retryAfterSeconds(long retentionSeconds) {
+          return batcher.retryAfterSeconds(retentionSeconds);
+        }
       };
     }
 
@@ -336,6 +326,20 @@
       clock.advance(Duration.ofSeconds(3));
     }
 
+    /** Restores the platform twice, each time from a copy that lacks up to 60 steps. */
+    private void restorePlatform() {
+      for (int restores = 0; restores < 2; restores++) {
+        for (int i = scheduler.random().nextInt(20); i > 0; i--) {
+          scheduler.step();
+        }
+        Runnable restore = platform.copy();
+        for (int i = scheduler.random().nextInt(60); i > 0; i--) {
+          scheduler.step();
+        }
+        restore.run();
+      }
+    }
+
     private void applyLateWrites() {
       for (int i = 0; i < 6; i++) {
         scheduler.step();
--- a/core/src/test/java/org/magnoliaswitch/core/testing/FakePlatform.java
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/FakePlatform.java
@@ -37,7 +37,9 @@
   private final Map<String, byte[]> objects = new HashMap<>();
   private final Deque<Fault> faults = new ArrayDeque<>();
   private final List<List<ConditionalWrite>> delayed = new ArrayList<>();
+  private final Map<String, Long> retentions = new HashMap<>();
   private boolean unavailable;
+  private long epoch;
   private int transactions;
 
   /** Queues faults for the next transactions, in this order. */
@@ -69,6 +71,7 @@
   }
 
   private synchronized void restore(Map<String, Row> earlierRows, Map<String, byte[]> earlier) {
+    epoch++;
     rows.clear();
     rows.putAll(earlierRows);
     objects.clear();
@@ -120,6 +123,16 @@
     objects.put(name, content);
   }
 
+  @Override
+  public synchronized long epoch() {
+    return epoch;
+  }
+
+  /** Deletes the rows whose retention ends within a time after they were written. */
+  public synchronized void expireRows(long seconds) {
+    rows.keySet().removeIf(key -> retentions.get(key) > 0 && retentions.get(key) <= seconds);
+  }
+
   private TransactionResult apply(List<ConditionalWrite> writes) {
     transactions++;
     List<Row> conflicts =
@@ -130,6 +143,7 @@
     if (!conflicts.isEmpty()) {
       return new TransactionResult.Conflict(conflicts);
     }
+    writes.forEach(w -> retentions.put(w.key(), w.retentionSeconds()));
     writes.forEach(w -> rows.put(w.key(), new Row(w.key(), w.expectedVersion() + 1, w.value())));
     return new TransactionResult.Committed();
   }
--- a/standins/src/main/java/org/magnoliaswitch/standins/StandinTable.java
+++ b/standins/src/main/java/org/magnoliaswitch/standins/StandinTable.java
@@ -61,6 +61,11 @@
     return new TransactionResult.Committed();
   }
 
+  @Override
+  public long epoch() {
+    return 0;
+  }
+
   private Row row(String key) {
     StoredRow stored = rows.get(key);
     boolean present = stored != null && stored.expiresMillis() > clocks.millis();
