--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -7,6 +7,7 @@
 import org.magnoliaswitch.front.connection.ServerConnector;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.ColdServerQuotas;
+import org.magnoliaswitch.front.process.ConfigurationConfirmation;
 import org.magnoliaswitch.front.process.CrashLog;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
@@ -22,6 +23,7 @@
 import org.magnoliaswitch.front.process.ServerQuotas;
 import org.magnoliaswitch.front.process.StateSource;
 import org.magnoliaswitch.front.process.StateSync;
+import org.magnoliaswitch.front.process.TeamQuotas;
 import org.magnoliaswitch.front.request.FrontDispatcher;
 import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -59,6 +61,7 @@
         new ServerDirectory(connector, clocks, log, settings, instances, coldServers);
     CrashWatch crashes = new CrashWatch(clocks);
     new CrashLog(crashes, log, metrics);
+    TeamQuotas.QuotaLinks quotaLinks = TeamQuotas.QuotaLinks.of(settings);
     Environment environment =
         new Environment(
             settings,
@@ -75,10 +78,13 @@
             new ServerNotices(servers, clocks, log, metrics),
             log,
             metrics,
-            crashes);
+            crashes,
+            new ConfigurationConfirmation(clocks),
+            new TeamQuotas(quotaLinks, clocks, random, instances, settings.teams()));
     KnownState knownState = new KnownState(routes, servers, requests, log);
     StateSync stateSync =
-        new StateSync(environment, knownState, control, source.create(control, log, metrics));
+        new StateSync(
+            environment, knownState, control, source.create(control, log, metrics), quotaLinks);
     stateSync.start();
     Front front = new Front(environment, knownState, FrontDispatcher::new);
     front.start();
--- a/front/src/main/java/org/magnoliaswitch/front/load/AdmissionLimit.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/AdmissionLimit.java
@@ -27,11 +27,19 @@
 
   private static double slotShare(PlacementContext context) {
     return switch (context.timeliness()) {
-      case IN_TIME -> KNEE;
+      case IN_TIME -> paysForItsDemand(context) ? LATE_SHARE : KNEE;
       case LATE -> yields(context) ? LATE_SHARE_UNDER_PRESSURE : LATE_SHARE;
     };
   }
 
+  /**
+   * Whether the request gives way to those of other teams: its team asks for more than its rate,
+   * and others have to wait for capacity.
+   */
+  private static boolean paysForItsDemand(PlacementContext context) {
+    return context.standing() == TeamStanding.OVER_DEMAND && context.load().underPressure();
+  }
+
   private static boolean yields(PlacementContext context) {
     return context.enabled(Mechanism.YIELDING) && context.load().underPressure();
   }
@@ -77,6 +85,7 @@
   public static boolean mayExceedKnee(ServerState server, PlacementContext context) {
     if (!context.enabled(Mechanism.LAST_SLOT)
         || context.timeliness() == Timeliness.LATE
+        || paysForItsDemand(context)
         || !server.hasSample()) {
       return false;
     }
--- a/front/src/main/java/org/magnoliaswitch/front/load/PendingQueue.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/PendingQueue.java
@@ -9,9 +9,10 @@
 /**
  * Requests that wait for capacity at the servers of a service. Not thread-safe.
  *
- * <p>Timely requests go before late ones, then requests of the most urgent routes, and among equals
- * the one whose objective ends first. No request waits long: one that cannot be placed soon is
- * refused while its caller still has time to retry.
+ * <p>Timely requests go before late ones, then requests of the most urgent teams and routes, then
+ * those of teams that do not ask for more than their rate, and among equals the one whose objective
+ * ends first. No request waits long: one that cannot be placed soon is refused while its caller
+ * still has time to retry.
  *
  * @param <T> a waiting request
  */
@@ -21,9 +22,19 @@
     /** Whether the request could still be answered in time when it was queued. */
     Timeliness queuedTimeliness();
 
+    /** Priority of the team; 0 is the most urgent, also for requests without a team. */
+    default int teamPriority() {
+      return 0;
+    }
+
     /** Priority of the route; 0 is the most urgent. */
     int priority();
 
+    /** Whether the team asked for more than its rate when the request was queued. */
+    default TeamStanding queuedStanding() {
+      return TeamStanding.WITHIN_RATE;
+    }
+
     /** When the latency objective ends, after which an answer loses most of its value. */
     long objectiveEndNanos();
   }
@@ -37,7 +48,9 @@
 
   private static <T extends Entry> Comparator<T> byTimeliness() {
     return Comparator.<T, Timeliness>comparing(Entry::queuedTimeliness)
+        .thenComparingInt(Entry::teamPriority)
         .thenComparingInt(Entry::priority)
+        .thenComparing(Entry::queuedStanding)
         .thenComparingLong(Entry::objectiveEndNanos);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/peer/ListenerUpdate.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ListenerUpdate.java
@@ -11,13 +11,27 @@
  * @param held the configuration that the listener holds; absent in messages of an earlier release
  * @param forwarded state that the listener has read from the platform itself, sent when the
  *     instance that it listens to seems unable to read; present only together with {@code held}
+ * @param teams what the listener reports of teams; sent only to instances that tell about teams,
+ *     and present only together with {@code held}
  */
 record ListenerUpdate(
-    List<CrashReport> crashes, Optional<HeldConfiguration> held, Optional<PeerUpdate> forwarded) {
+    List<CrashReport> crashes,
+    Optional<HeldConfiguration> held,
+    Optional<PeerUpdate> forwarded,
+    Optional<TeamReport> teams) {
   ListenerUpdate {
     crashes = List.copyOf(crashes);
+    if (teams.isPresent() && held.isEmpty()) {
+      throw new IllegalArgumentException("a team report requires the held configuration");
+    }
     if (forwarded.isPresent() && held.isEmpty()) {
       throw new IllegalArgumentException("a forwarded update requires the held configuration");
     }
   }
+
+  /** Creates a message that reports nothing of teams. */
+  ListenerUpdate(
+      List<CrashReport> crashes, Optional<HeldConfiguration> held, Optional<PeerUpdate> forwarded) {
+    this(crashes, held, forwarded, Optional.empty());
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/ListenerUpdateCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ListenerUpdateCodec.java
@@ -36,6 +36,11 @@
         byte[] forwarded = Compression.compress(PeerUpdateCodec.encode(update.forwarded().get()));
         out.packBinaryHeader(forwarded.length);
         out.writePayload(forwarded);
+      } else if (update.teams().isPresent()) {
+        out.packBinaryHeader(0);
+      }
+      if (update.teams().isPresent()) {
+        TeamMessageCodec.write(out, update.teams().get());
       }
       return out.toByteArray();
     } catch (IOException e) {
@@ -53,20 +58,26 @@
       List<CrashReport> crashes = CrashReportCodec.read(in);
       Optional<HeldConfiguration> held = in.hasNext() ? Optional.of(held(in)) : Optional.empty();
       Optional<PeerUpdate> forwarded =
-          in.hasNext() ? Optional.of(forwarded(in, bytes.length)) : Optional.empty();
-      return new ListenerUpdate(crashes, held, forwarded);
+          in.hasNext() ? forwarded(in, bytes.length) : Optional.empty();
+      Optional<TeamReport> teams =
+          in.hasNext() ? Optional.of(TeamMessageCodec.readReport(in)) : Optional.empty();
+      return new ListenerUpdate(crashes, held, forwarded, teams);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed listener update", e);
     }
   }
 
-  private static PeerUpdate forwarded(MessageUnpacker in, int messageLength) throws IOException {
+  private static Optional<PeerUpdate> forwarded(MessageUnpacker in, int messageLength)
+      throws IOException {
     int length = in.unpackBinaryHeader();
+    if (length == 0) {
+      return Optional.empty();
+    }
     if (length > messageLength) {
       throw new IOException(
           "forwarded update of " + length + " bytes exceeds the length of its message");
     }
-    return PeerUpdateCodec.decode(Compression.decompress(in.readPayload(length)));
+    return Optional.of(PeerUpdateCodec.decode(Compression.decompress(in.readPayload(length))));
   }
 
   private static HeldConfiguration held(MessageUnpacker in) throws IOException {
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -54,6 +54,7 @@
 
   private static final int LENGTH_BYTES = 4;
   private static final int OWN_INDEX = 0;
+  private static final byte[] NO_NEWS = new byte[0];
   private static final byte[] NO_UPDATE = RouteUpdateCodec.encode(Optional.empty());
 
   /** Size limit of a listener's message, which may forward as much as this instance may send. */
@@ -87,6 +88,8 @@
   private final LongAdder bytesSent = new LongAdder();
   private final LongAdder listenersDropped = new LongAdder();
   private final MessageCache messages = new MessageCache();
+  private final ListenerTeams teams;
+  private long lastListenerId;
   private volatile long listenersBehind;
 
   /**
@@ -95,13 +98,16 @@
    * @param currentState supplies the state to publish
    * @param crashReportHandler receives the crash reports of listeners
    * @param forwardedUpdateHandler receives state that a listener has read from the platform itself
+   * @param teams exchanges quotas and demands of teams
    */
   public PeerHub(
       Loop loop,
       Clocks clocks,
       Supplier<Snapshot> currentState,
       Consumer<List<CrashReport>> crashReportHandler,
-      Consumer<PeerUpdate> forwardedUpdateHandler) {
+      Consumer<PeerUpdate> forwardedUpdateHandler,
+      ListenerTeams teams) {
+    this.teams = teams;
     this.loop = loop;
     this.clocks = clocks;
     this.currentState = currentState;
@@ -163,6 +169,14 @@
     listenersBehind = listeners.stream().filter(listener -> listener.updates.behind()).count();
   }
 
+  /** Sends the current state to some listeners, because they need the news about teams at once. */
+  public void publishTo(Set<Long> listenerIds) {
+    Snapshot current = currentState.get();
+    listeners.stream()
+        .filter(listener -> listenerIds.contains(listener.id))
+        .forEach(listener -> listener.send(current, List.of()));
+  }
+
   /** Number of listeners whose configuration was outdated at the last publication. */
   public long listenersBehind() {
     return listenersBehind;
@@ -187,6 +201,7 @@
     private final UpdateFlowControl updates = new UpdateFlowControl();
     private final StallDetector stallDetector = new StallDetector();
     private final long connectedNanos = clocks.nanos();
+    private final long id = ++lastListenerId;
     private int index = OWN_INDEX;
     private ServerList sentServers = ServerList.EMPTY;
     private boolean reportsSkipped = true;
@@ -217,6 +232,7 @@
           updates.acknowledged(update.held().get(), clocks.nanos());
           sendIfBehind();
         }
+        update.teams().ifPresent(report -> teams.reported(id, report));
         crashReportHandler.accept(update.crashes());
         update.forwarded().ifPresent(forwardedUpdateHandler);
       } catch (IOException e) {
@@ -244,6 +260,7 @@
     public void channelInactive(ChannelHandlerContext context) {
       if (listeners.remove(this)) {
         usedIndexes.clear(index);
+        teams.disconnected(id);
       }
     }
 
@@ -265,6 +282,11 @@
       boolean earlierRelease =
           !updates.hasAcknowledged()
               && clocks.nanos() - connectedNanos >= ACKNOWLEDGEMENT_TIMEOUT_NANOS;
+      if (earlierRelease && !current.routes().teams().isEmpty()) {
+        // It cannot read the teams, and must not take this message as a confirmation of its state.
+        Channels.close(channel);
+        return;
+      }
       byte[] message =
           messages.message(
               current,
@@ -285,8 +307,9 @@
       byte[] revisions =
           PeerUpdateCodec.encodeRevisions(
               current.servers().revision(), current.evacuations().revision());
-      bytesSent.add(message.length + tail.length + update.length + revisions.length);
-      Channels.write(channel, Unpooled.wrappedBuffer(message, tail, update, revisions));
+      byte[] news = teams.nextNews(id).map(TeamMessageCodec::encode).orElse(NO_NEWS);
+      bytesSent.add(message.length + tail.length + update.length + revisions.length + news.length);
+      Channels.write(channel, Unpooled.wrappedBuffer(message, tail, update, revisions, news));
     }
 
     /**
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerSubscription.java
@@ -58,6 +58,9 @@
      * @param servers the peer's complete server list after the update
      */
     void received(PeerUpdate update, ServerList servers);
+
+    /** Called when the connection is lost; the next update comes on another one. */
+    default void disconnected() {}
   }
 
   private final Loop loop;
@@ -134,6 +137,21 @@
     }
   }
 
+  /** Whether the peer is connected and reads what it is sent. */
+  public boolean writable() {
+    return channel != null && channel.isWritable();
+  }
+
+  /**
+   * Sends a report about teams. May be called only after the peer has told about teams on this
+   * connection: an earlier release could not read the message.
+   */
+  public void report(TeamReport report) {
+    send(
+        new ListenerUpdate(
+            List.of(), Optional.of(currentlyHeld()), Optional.empty(), Optional.of(report)));
+  }
+
   /**
    * Whether the peer's state is stale although this instance has received its updates for longer
    * than {@link #STALE_NANOS}.
@@ -174,6 +192,7 @@
     if (channel != null && (silent || !channel.isActive())) {
       Channels.close(channel);
       channel = null;
+      listener.disconnected();
       if (receiving) {
         receiving = false;
         logger.atInfo().log("event=peer_lost peer=%s silent=%s", peer, silent);
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerUpdate.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerUpdate.java
@@ -22,6 +22,8 @@
  *     listener forwards, the listener's own index
  * @param configuration the sender's configuration; absent in messages of an earlier release, and
  *     present only together with an index
+ * @param teams what the sender, as a seed, tells about teams; absent while there are none, and
+ *     present only together with a configuration
  */
 public record PeerUpdate(
     long ageMillis,
@@ -31,11 +33,34 @@
     Evacuations evacuations,
     List<CrashReport> crashes,
     Optional<InstanceIndex> instanceIndex,
-    Optional<ConfigurationUpdate> configuration) {
+    Optional<ConfigurationUpdate> configuration,
+    Optional<TeamNews> teams) {
   public PeerUpdate {
     if (configuration.isPresent() && instanceIndex.isEmpty()) {
       throw new IllegalArgumentException("a configuration requires an instance index");
     }
     crashes = List.copyOf(crashes);
   }
+
+  /** Creates a message that tells nothing about teams. */
+  public PeerUpdate(
+      long ageMillis,
+      int instances,
+      Optional<RouteTable> routes,
+      ServerChanges servers,
+      Evacuations evacuations,
+      List<CrashReport> crashes,
+      Optional<InstanceIndex> instanceIndex,
+      Optional<ConfigurationUpdate> configuration) {
+    this(
+        ageMillis,
+        instances,
+        routes,
+        servers,
+        evacuations,
+        crashes,
+        instanceIndex,
+        configuration,
+        Optional.empty());
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerUpdateCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerUpdateCodec.java
@@ -57,6 +57,9 @@
         out.addPayload(
             encodeRevisions(update.servers().revision(), update.evacuations().revision()));
       }
+      if (update.teams().isPresent()) {
+        out.addPayload(TeamMessageCodec.encode(update.teams().get()));
+      }
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("cannot encode the peer update", e);
@@ -162,8 +165,10 @@
         servers = servers.at(readRevision(in));
         evacuations = new Evacuations(readRevision(in), evacuations.dataCentres());
       }
+      Optional<TeamNews> teams =
+          in.hasNext() ? Optional.of(TeamMessageCodec.readNews(in)) : Optional.empty();
       return new PeerUpdate(
-          age, instances, routes, servers, evacuations, crashes, index, configuration);
+          age, instances, routes, servers, evacuations, crashes, index, configuration, teams);
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new IOException("malformed update", e);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/RouteUpdateCodec.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/RouteUpdateCodec.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteChanges;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.RouteUpdate;
+import org.magnoliaswitch.front.version.Team;
+import org.magnoliaswitch.front.version.TeamChanges;
+import org.magnoliaswitch.front.version.TeamTable;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
@@ -20,6 +22,14 @@
   private static final int FULL = 1;
   private static final int CHANGES = 2;
 
+  /**
+   * Kinds of updates that involve teams. An earlier release treats them as absent: it could not
+   * read the teams, and would serve requests without checking their keys.
+   */
+  private static final int FULL_WITH_TEAMS = 3;
+
+  private static final int CHANGES_WITH_TEAMS = 4;
+
   /** Shorter updates fit into one or two packets without compression. */
   private static final int COMPRESSED_FROM_BYTES = 2 << 10;
 
@@ -43,7 +53,10 @@
     }
   }
 
-  /** Reads an update or its absence; an unknown kind, from a later release, counts as absent. */
+  /**
+   * Reads an update or its absence. An unknown kind, from a later release, counts as absent, and so
+   * does an update of an earlier release, which may come from a configuration with teams.
+   */
   static Optional<RouteUpdate> read(MessageUnpacker in) throws IOException {
     int kind = in.unpackInt();
     if (kind == NONE) {
@@ -58,8 +71,8 @@
     try (MessageUnpacker body =
         MessagePack.newDefaultUnpacker(compressed ? Compression.decompress(sent) : sent)) {
       return switch (kind) {
-        case FULL -> Optional.of(new RouteUpdate.Full(readTable(body)));
-        case CHANGES -> Optional.of(new RouteUpdate.Changes(readChanges(body)));
+        case FULL, FULL_WITH_TEAMS -> readFull(body);
+        case CHANGES, CHANGES_WITH_TEAMS -> readChanges(body);
         default -> Optional.empty();
       };
     }
@@ -67,21 +80,44 @@
 
   private static int kind(RouteUpdate update) {
     return switch (update) {
-      case RouteUpdate.Full full -> FULL;
-      case RouteUpdate.Changes changes -> CHANGES;
+      case RouteUpdate.Full full -> full.table().teams().isEmpty() ? FULL : FULL_WITH_TEAMS;
+      case RouteUpdate.Changes changes ->
+          changes.changes().teams().involvesTeams() ? CHANGES_WITH_TEAMS : CHANGES;
     };
   }
 
   private static byte[] body(RouteUpdate update) throws IOException {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       switch (update) {
-        case RouteUpdate.Full full -> writeTable(out, full.table());
+        case RouteUpdate.Full full -> writeFull(out, full.table());
         case RouteUpdate.Changes changes -> writeChanges(out, changes.changes());
       }
       return out.toByteArray();
     }
   }
 
+  private static void writeFull(MessagePacker out, RouteTable table) throws IOException {
+    writeTable(out, table);
+    List<Team> teams = List.copyOf(table.teams().teams());
+    TeamTableCodec.write(out, new TeamChanges(teams, Set.of(), !teams.isEmpty()), table.routes());
+  }
+
+  private static Optional<RouteUpdate> readFull(MessageUnpacker in) throws IOException {
+    RouteTable table = readTable(in);
+    if (!in.hasNext()) {
+      return Optional.empty();
+    }
+    TeamTableCodec.Decoded decoded = TeamTableCodec.read(in);
+    return Optional.of(
+        new RouteUpdate.Full(
+            new RouteTable(
+                table.version(),
+                decoded.apply(table.routes()),
+                table.services(),
+                table.limits(),
+                new TeamTable(decoded.teams().changed()))));
+  }
+
   private static void writeTable(MessagePacker out, RouteTable table) throws IOException {
     RouteTableCodec.write(out, table);
     RouteExtensionsCodec.write(out, table);
@@ -101,22 +137,29 @@
     writeTable(
         out,
         new RouteTable(changes.version(), changes.changed(), changes.services(), changes.limits()));
+    TeamTableCodec.write(out, changes.teams(), changes.changed());
   }
 
-  private static RouteChanges readChanges(MessageUnpacker in) throws IOException {
+  private static Optional<RouteUpdate> readChanges(MessageUnpacker in) throws IOException {
     long base = in.unpackLong();
     Set<String> removed = new HashSet<>();
     for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
       removed.add(in.unpackString());
     }
     RouteTable changed = readTable(in);
-    List<Route> routes = changed.routes();
-    return new RouteChanges(
-        base,
-        changed.version(),
-        routes,
-        removed,
-        List.copyOf(changed.services()),
-        changed.limits());
+    if (!in.hasNext()) {
+      return Optional.empty();
+    }
+    TeamTableCodec.Decoded decoded = TeamTableCodec.read(in);
+    return Optional.of(
+        new RouteUpdate.Changes(
+            new RouteChanges(
+                base,
+                changed.version(),
+                decoded.apply(changed.routes()),
+                removed,
+                List.copyOf(changed.services()),
+                changed.limits(),
+                decoded.teams())));
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Environment.java
@@ -21,6 +21,8 @@
  * @param quotas limits on requests to servers that accept few
  * @param notices applies the backpressure notices of servers
  * @param crashes requests during which servers crash
+ * @param confirmation when the configuration was last known for certain to be the newest
+ * @param teamQuotas admits requests within the quotas of their teams
  */
 public record Environment(
     FrontSettings settings,
@@ -37,4 +39,6 @@
     ServerNotices notices,
     EventLog log,
     FrontMetrics metrics,
-    CrashWatch crashes) {}
+    CrashWatch crashes,
+    ConfigurationConfirmation confirmation,
+    TeamQuotas teamQuotas) {}
--- a/front/src/main/java/org/magnoliaswitch/front/process/FrontMetrics.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontMetrics.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
@@ -36,7 +37,13 @@
    */
   private record Key(String name, String service, String result) {}
 
+  /** Teams that are counted by name; the requests of further teams are counted together. */
+  private static final int MAX_TEAMS = 500;
+
+  private static final String OTHER_TEAMS = "other";
+
   private final Map<Key, LongAdder> counters = new ConcurrentHashMap<>();
+  private final Set<String> countedTeams = ConcurrentHashMap.newKeySet();
   private final Map<String, ConcurrentHistogram> latencies = new ConcurrentHashMap<>();
   private final Map<String, LongSupplier> gauges = new ConcurrentHashMap<>();
   private final Map<Object, Boolean> registered = new ConcurrentHashMap<>();
@@ -47,6 +54,13 @@
     counters.computeIfAbsent(new Key(name, service, result), key -> new LongAdder()).increment();
   }
 
+  /** Counts one request of a team. */
+  public void countTeam(String team, String result) {
+    boolean byName =
+        countedTeams.contains(team) || (countedTeams.size() < MAX_TEAMS && countedTeams.add(team));
+    count("team.requests", byName ? team : OTHER_TEAMS, result);
+  }
+
   /** Records the time until a response was complete. */
   public void latency(String service, long nanos) {
     long millis = Math.clamp(TimeUnit.NANOSECONDS.toMillis(nanos), 0, HIGHEST_MILLIS);
@@ -81,8 +95,9 @@
   }
 
   private static void register(PrometheusMeterRegistry target, Key key, LongAdder value) {
+    String subject = key.name().startsWith("team.") ? "team" : "service";
     FunctionCounter.builder("magnolia." + key.name(), value, LongAdder::sum)
-        .tags(Tags.of("service", key.service(), "result", key.result()))
+        .tags(Tags.of(subject, key.service(), "result", key.result()))
         .register(target);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontSettings.java
@@ -25,6 +25,7 @@
  * @param coldServerBounds bounds on the requests of all instances together to a cold server
  * @param regions region of each data centre, by the data centre's name
  * @param mechanisms mechanisms of load balancing that are enabled
+ * @param teams bounds on what teams may do; without effect while the configuration has no teams
  */
 public record FrontSettings(
     String instance,
@@ -40,7 +41,8 @@
     double probesPerServer,
     ColdShare.Bounds coldServerBounds,
     Map<String, String> regions,
-    Mechanisms mechanisms) {
+    Mechanisms mechanisms,
+    TeamBounds teams) {
   public FrontSettings {
     seeds = List.copyOf(seeds);
     regions = Map.copyOf(regions);
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -8,6 +8,7 @@
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.ConfigurationUpdate;
 import org.magnoliaswitch.front.peer.PeerUpdate;
+import org.magnoliaswitch.front.process.ConfigurationConfirmation.Moment;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.OperatorState;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -50,6 +51,7 @@
   private final BooleanSupplier receivesFromPeers;
   private final CrashArchive archive;
   private final Freshness operatorState;
+  private final RestoredSourceCheck restoredSource;
   private final ServerListSync servers;
   private final long startedNanos;
   private boolean longPolling;
@@ -90,6 +92,9 @@
     this.environment = environment;
     this.servers = new ServerListSync(knownState, environment);
     this.operatorState = environment.routesFreshness();
+    this.restoredSource =
+        new RestoredSourceCheck(
+            environment.confirmation(), environment.settings().teams().revocationNanos());
     this.clocks = environment.clocks();
     this.random = environment.random();
     this.log = environment.log();
@@ -162,7 +167,6 @@
         .configuration()
         .flatMap(ConfigurationUpdate::update)
         .flatMap(change -> change.applyTo(knownState.routes()))
-        .or(update::routes)
         .orElse(RouteTable.EMPTY);
   }
 
@@ -216,17 +220,17 @@
 
   private void read() {
     reading = true;
-    long asOf = clocks.nanos();
+    Moment asOf = environment.confirmation().now();
     if (longPolling) {
-      source.servers(read -> serversRead(read, asOf));
+      source.servers(read -> serversRead(read, asOf.nanos()));
     } else {
       source.operatorState(read -> operatorStateRead(read, asOf));
     }
   }
 
-  private void operatorStateRead(StateSource.Read<OperatorState> read, long asOf) {
+  private void operatorStateRead(StateSource.Read<OperatorState> read, Moment asOf) {
     if (read instanceof StateSource.Read.Failed<OperatorState> failed) {
-      failed("configuration", failed.reason(), asOf);
+      failed("configuration", failed.reason(), asOf.nanos());
       return;
     }
     if (outdated(read)) {
@@ -234,21 +238,23 @@
       return;
     }
     changesMissed = false;
-    operatorState.confirmed(asOf);
+    operatorState.confirmed(asOf.nanos());
     apply(read);
+    confirm(read, asOf);
     if (schedule.waitsForChanges()) {
       longPolling = true;
       awaitChange();
     }
-    source.servers(list -> serversRead(list, asOf));
+    source.servers(list -> serversRead(list, asOf.nanos()));
   }
 
   private void awaitChange() {
-    long begun = clocks.nanos();
+    Moment begun = environment.confirmation().now();
     source.nextOperatorState(PollingSchedule.WAIT_MILLIS, read -> changeReceived(read, begun));
   }
 
-  private void changeReceived(StateSource.Read<OperatorState> read, long begunNanos) {
+  private void changeReceived(StateSource.Read<OperatorState> read, Moment begun) {
+    long begunNanos = begun.nanos();
     if (read instanceof StateSource.Read.Failed<OperatorState> failed) {
       waitFailed(failed.reason(), begunNanos);
       return;
@@ -263,13 +269,25 @@
     // confirms the state up to then. When an earlier response was created is unknown, so it counts
     // as confirming only the state at the start of the call.
     operatorState.confirmed(waited ? begunNanos + waitNanos : begunNanos);
-    if (!apply(read)) {
+    boolean changed = apply(read);
+    confirm(read, waited ? begun.plusMillis(PollingSchedule.WAIT_MILLIS) : begun);
+    if (!changed) {
       // Only the age is new.
       listener.changed();
     }
     awaitChange();
   }
 
+  /** Records that the configuration in force was the newest when the store was read. */
+  private void confirm(StateSource.Read<OperatorState> read, Moment asOf) {
+    if (read instanceof StateSource.Read.Known<OperatorState> known) {
+      restoredSource.read(known.value(), environment.confirmation().now());
+    }
+    if (restoredSource.confirms(knownState.routesVersion(), environment.confirmation().now())) {
+      environment.confirmation().confirmed(asOf);
+    }
+  }
+
   /**
    * Handles a failed long poll. Earlier responses may have missed changes, so the next read does
    * not wait until it is due.
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.load.InstanceIndex;
@@ -57,12 +58,17 @@
   private final Map<InetSocketAddress, Integer> instancesByPeer = new HashMap<>();
   private final Map<InetSocketAddress, InstanceIndex> indexesBySeed = new HashMap<>();
   private final CrashArchive archive;
+  private final TeamSync teams;
   private final Map<InetSocketAddress, PeerSubscription> subscriptions = new LinkedHashMap<>();
   private final List<CrashReport> pendingReports = new ArrayList<>();
   private final List<CrashReport> pendingPublications = new ArrayList<>();
 
   public StateSync(
-      Environment environment, KnownState knownState, Loop control, StateSource source) {
+      Environment environment,
+      KnownState knownState,
+      Loop control,
+      StateSource source,
+      TeamQuotas.QuotaLinks quotaLinks) {
     this.environment = environment;
     this.knownState = knownState;
     this.loop = control;
@@ -85,6 +91,7 @@
             new PollerListener(),
             this::receivesFromPeers,
             archive);
+    this.teams = new TeamSync(environment, control, quotaLinks, this::subscription, this::sendTo);
     this.hub =
         new PeerHub(
             control,
@@ -98,7 +105,8 @@
                     knownState.servers(),
                     environment.crashes().table()),
             reports -> environment.crashes().receive(reports, CrashWatch.Source.LISTENER),
-            this::receivedFromListener);
+            this::receivedFromListener,
+            teams.listenerTeams());
   }
 
   /** Binds the address for peers, subscribes to the seeds and starts polling. */
@@ -112,7 +120,7 @@
                 loop,
                 environment.clocks(),
                 seed,
-                (update, servers) -> received(seed, update, servers),
+                new SeedListener(seed),
                 () -> environment.crashes().table().reports(),
                 () -> heldConfiguration(seed));
         subscriptions.put(seed, subscription);
@@ -122,7 +130,7 @@
     environment.crashes().addListener(update -> loop.execute(() -> enqueue(update)));
     environment.crashes().allowTrialsWhen(this::reachesOthers);
     loop.everyMillis(EXPIRY_MILLIS, environment.crashes()::removeExpired);
-    loop.everyMillis(ACKNOWLEDGE_MILLIS, this::acknowledge);
+    loop.everyMillis(ACKNOWLEDGE_MILLIS, this::acknowledgeAndTick);
     poller.start();
     environment.metrics().gauge("configuration.version", knownState::routesVersion);
     environment.metrics().gauge("knowledge.age.milliseconds", poller::ageMillis);
@@ -184,7 +192,40 @@
     environment.crashes().receive(update.crashes(), CrashWatch.Source.PEER);
   }
 
+  private Optional<PeerSubscription> subscription(int seed) {
+    return Optional.ofNullable(subscriptions.get(environment.settings().seeds().get(seed)));
+  }
+
+  private void sendTo(Set<Long> listeners) {
+    hub.publishTo(listeners);
+  }
+
+  /** Handles the messages of one seed. */
+  private final class SeedListener implements PeerSubscription.Listener {
+    private final InetSocketAddress seed;
+
+    SeedListener(InetSocketAddress seed) {
+      this.seed = seed;
+    }
+
+    @Override
+    public void received(PeerUpdate update, ServerList servers) {
+      StateSync.this.received(seed, update, servers);
+      int position = environment.settings().seeds().indexOf(seed);
+      long version =
+          update.configuration().map(ConfigurationUpdate::version).orElse(Long.MAX_VALUE);
+      boolean upToDate = version <= knownState.routesVersion();
+      update.teams().ifPresent(news -> teams.received(position, news, upToDate));
+    }
+
+    @Override
+    public void disconnected() {
+      teams.disconnected(environment.settings().seeds().indexOf(seed));
+    }
+  }
+
   private void publish() {
+    teams.tick();
     updateInstances();
     hub.publish();
     acknowledge();
@@ -254,6 +295,11 @@
     return settings.seeds().contains(settings.peers());
   }
 
+  private void acknowledgeAndTick() {
+    teams.tick();
+    acknowledge();
+  }
+
   private void acknowledge() {
     subscriptions.values().forEach(PeerSubscription::acknowledge);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -189,6 +189,13 @@
       exchange.notAdmitted(this);
       return;
     }
+    Optional<Denial> denial = exchange.access().check();
+    if (denial.isPresent()) {
+      pool.release(target);
+      end();
+      exchange.denied(this, denial.get());
+      return;
+    }
     trial = verdict == Verdict.TRIAL;
     connection = target;
     sentNanos = environment.clocks().nanos();
@@ -202,6 +209,7 @@
             request.target(),
             Unpooled.wrappedBuffer(request.body()));
     message.headers().set(EndToEndHeaders.copyOf(request.headers()));
+    exchange.access().replaceHeaders(message.headers());
     message.headers().set(environment.names().deadlineMillis(), remainingMillis);
     message.headers().set(environment.names().expectedServer(), serverId());
     boolean declaresLength =
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -0,0 +1,101 @@
+package org.magnoliaswitch.front.request;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.magnoliaswitch.front.process.Environment;
+import org.magnoliaswitch.front.process.TeamBounds;
+import org.magnoliaswitch.front.version.Route;
+import org.magnoliaswitch.front.version.Team;
+import org.magnoliaswitch.front.version.TeamTable;
+
+/** Finds the team that a request belongs to by the key that it carries. */
+final class Authenticator {
+  private static final String SCHEME = "Token ";
+
+  /**
+   * Time within which a change of the configuration is in force everywhere. If the configuration
+   * has not been confirmed as the newest for longer, an unknown key may have been added since.
+   */
+  private static final long MAX_CONFIGURATION_AGE_MILLIS = 2_000;
+
+  /**
+   * Part of the revocation time that is kept for the way of a request from this check to the
+   * server.
+   */
+  private static final long REVOCATION_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private static final Access OPEN = new Access.Open();
+
+  private final Environment environment;
+  private final TeamAccess openAccess;
+
+  /** What a request may do by its key. */
+  sealed interface Access {
+    /** No key is needed. */
+    record Open() implements Access {}
+
+    /** The key belongs to a team. */
+    record Member(Team team) implements Access {}
+
+    /** The key is missing or unknown. */
+    record Rejected(String reason) implements Access {}
+
+    /** The configuration may be outdated, so the key may have been added or revoked since. */
+    record Unconfirmed(String reason) implements Access {}
+  }
+
+  Authenticator(Environment environment) {
+    this.environment = environment;
+    this.openAccess = new TeamAccess.Open(environment);
+  }
+
+  /** Returns the access of requests while the configuration has no teams. */
+  TeamAccess openAccess() {
+    return openAccess;
+  }
+
+  /** Checks the key of a request against the configuration in force. */
+  Access check(Route route, HttpHeaders headers) {
+    if (environment.routes().get().teams().isEmpty() || route.anonymous()) {
+      return OPEN;
+    }
+    // The age is read before the teams: they may be newer than the confirmation, but not older.
+    boolean current = !revocationsMayBeMissing();
+    TeamTable teams = environment.routes().get().teams();
+    Team team = find(teams, headers);
+    if (team == null) {
+      return additionsMayBeMissing()
+          ? new Access.Unconfirmed("stale_configuration")
+          : new Access.Rejected(headers.contains(HttpHeaderNames.AUTHORIZATION) ? "key" : "no_key");
+    }
+    return current ? new Access.Member(team) : new Access.Unconfirmed("unconfirmed_key");
+  }
+
+  private boolean revocationsMayBeMissing() {
+    TeamBounds bounds = environment.settings().teams();
+    return bounds.strictRevocation()
+        && environment.confirmation().ageNanos()
+            >= bounds.revocationNanos() - REVOCATION_MARGIN_NANOS;
+  }
+
+  private boolean additionsMayBeMissing() {
+    long age = environment.routesFreshness().ageMillis(environment.clocks().nanos());
+    return age > MAX_CONFIGURATION_AGE_MILLIS;
+  }
+
+  private static @Nullable Team find(TeamTable teams, HttpHeaders headers) {
+    List<String> values = headers.getAll(HttpHeaderNames.AUTHORIZATION);
+    if (values.size() != 1 || !carriesToken(values.getFirst())) {
+      return null;
+    }
+    return teams.find(values.getFirst().substring(SCHEME.length()).strip());
+  }
+
+  /** Whether the value of an Authorization header has the scheme of the keys. */
+  static boolean carriesToken(String authorization) {
+    return authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length());
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/request/CallerResponses.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/CallerResponses.java
@@ -21,10 +21,33 @@
    * @param retryAfterNanos time after which the caller may retry
    */
   static CallerResponse notExecuted(String reason, long retryAfterNanos) {
+    return plainText(
+        HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterHeaders(retryAfterNanos), reason);
+  }
+
+  private static HttpHeaders retryAfterHeaders(long retryAfterNanos) {
     HttpHeaders headers = new DefaultHttpHeaders();
     BigDecimal seconds = BigDecimal.valueOf(TimeUnit.NANOSECONDS.toMillis(retryAfterNanos), 3);
     headers.set(HttpHeaderNames.RETRY_AFTER, seconds.toPlainString());
-    return plainText(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
+    return headers;
+  }
+
+  /**
+   * Creates a response stating that the request is beyond the quota of its team, was not executed
+   * and will not be.
+   *
+   * @param retryAfterNanos time after which the quota allows it
+   */
+  static CallerResponse overQuota(String reason, long retryAfterNanos) {
+    return plainText(
+        HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterHeaders(retryAfterNanos), reason);
+  }
+
+  /** Creates a response stating that the request carries no valid key. */
+  static CallerResponse unauthorized(String reason) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Token");
+    return plainText(HttpResponseStatus.UNAUTHORIZED, headers, reason);
   }
 
   /**
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -34,6 +34,7 @@
 
   private final Environment environment;
   private final ServerFinder finder;
+  private final Authenticator authenticator;
   private final PendingQueue<RequestPlacement> pendingQueue;
   private final CallerRequest request;
   private final Consumer<CallerResponse> respond;
@@ -44,11 +45,13 @@
   Exchange(
       Environment environment,
       ServerFinder finder,
+      Authenticator authenticator,
       PendingQueue<RequestPlacement> pendingQueue,
       CallerRequest request,
       Consumer<CallerResponse> respond) {
     this.environment = environment;
     this.finder = finder;
+    this.authenticator = authenticator;
     this.pendingQueue = pendingQueue;
     this.request = request;
     this.respond = respond;
@@ -71,13 +74,38 @@
       refuseUnrouted();
       return;
     }
+    TeamAccess access = access(route.get());
+    Optional<Denial> denial = access.check();
+    if (denial.isPresent()) {
+      refuse(denial.get());
+      return;
+    }
+    report.team(access);
     RoutedExchange exchange =
         new RoutedExchange(
-            environment, finder, pendingQueue, request, route.get(), report, respond);
+            environment, finder, pendingQueue, request, route.get(), access, report, respond);
     routed = Optional.of(exchange);
     exchange.start();
   }
 
+  private TeamAccess access(Route route) {
+    return environment.routes().get().teams().isEmpty()
+        ? authenticator.openAccess()
+        : new KeyedAccess(environment, authenticator, route, request.headers());
+  }
+
+  private void refuse(Denial denial) {
+    switch (denial) {
+      case Denial.Unauthorized unauthorized ->
+          finish(CallerResponses.unauthorized(denial.reason()), "unauthorized");
+      case Denial.Unavailable unavailable -> refuse(denial.reason());
+      case Denial.OverQuota over -> {
+        report.requestRefused("", over.reason(), waitedNanos(), over.retryAfterNanos());
+        finish(CallerResponses.overQuota(over.reason(), over.retryAfterNanos()), over.reason());
+      }
+    }
+  }
+
   /**
    * Answers 404 only while the configuration is fresh, because callers do not retry after a 404.
    */
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -21,6 +21,7 @@
 
   private final Environment environment;
   private final ServerSearch finder;
+  private final Authenticator authenticator;
   private final PendingQueue<RequestPlacement> pendingQueue;
   private final Set<Exchange> activeExchanges = new HashSet<>();
 
@@ -28,6 +29,7 @@
     this.environment = environment;
     this.pendingQueue = new PendingQueue<>(environment.settings().mechanisms());
     this.finder = new ServerSearch(environment, new LoadProber(environment));
+    this.authenticator = new Authenticator(environment);
     environment.crashes().addListener(change -> environment.loop().execute(this::crashesChanged));
   }
 
@@ -81,6 +83,7 @@
           new Exchange(
               environment,
               finder,
+              authenticator,
               pendingQueue,
               request,
               result -> {
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
@@ -11,6 +11,7 @@
 import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.TeamStanding;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.load.WaitLimit;
 import org.magnoliaswitch.front.loop.Loop;
@@ -46,6 +47,7 @@
   private final Route route;
   private final String service;
   private final RequestTimes times;
+  private final TeamAccess access;
   private final RequestReport report;
   private final Owner owner;
   private final Set<String> attemptedServerIds = new HashSet<>();
@@ -53,6 +55,7 @@
   private boolean firstSearchDone;
   private boolean queued;
   private Timeliness queuedTimeliness = Timeliness.IN_TIME;
+  private TeamStanding queuedStanding = TeamStanding.WITHIN_RATE;
 
   RequestPlacement(
       Loop loop,
@@ -62,6 +65,7 @@
       Route route,
       String service,
       RequestTimes times,
+      TeamAccess access,
       RequestReport report,
       Owner owner) {
     this.loop = loop;
@@ -71,6 +75,7 @@
     this.route = route;
     this.service = service;
     this.times = times;
+    this.access = access;
     this.report = report;
     this.owner = owner;
   }
@@ -155,7 +160,7 @@
     Timeliness timeliness = times.timeliness();
     long allowed =
         timeliness == Timeliness.IN_TIME ? times.objectiveRemainingNanos() : times.remainingNanos();
-    return new ServerQuery(route, service, timeliness, allowed);
+    return new ServerQuery(route, service, timeliness, access.standing(), allowed);
   }
 
   private void handleResult(ServerFinder.Result result) {
@@ -185,6 +190,7 @@
     if (!queued) {
       queued = true;
       queuedTimeliness = times.timeliness();
+      queuedStanding = access.standing();
       pendingQueue.add(service, this);
       report.requestQueued(service, times, limit, pendingQueue.size(service));
     }
@@ -203,11 +209,21 @@
     return queuedTimeliness;
   }
 
+  @Override
+  public int teamPriority() {
+    return access.priority();
+  }
+
   @Override
   public int priority() {
     return route.priority();
   }
 
+  @Override
+  public TeamStanding queuedStanding() {
+    return queuedStanding;
+  }
+
   @Override
   public long objectiveEndNanos() {
     return times.objectiveEndNanos();
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.core.crash.RequestIdentity;
 import org.magnoliaswitch.front.process.Environment;
@@ -19,6 +20,7 @@
 
   private final Environment environment;
   private final String requestId;
+  private Optional<TeamAccess> access = Optional.empty();
 
   RequestReport(Environment environment, String requestId) {
     this.environment = environment;
@@ -30,6 +32,11 @@
     return requestId;
   }
 
+  /** Sets the access of the request, whose team the lines name. */
+  void team(TeamAccess teamAccess) {
+    access = Optional.of(teamAccess).filter(known -> !known.team().isEmpty());
+  }
+
   /** Reports an attempt at a server that was unreachable or rejected the request. */
   void attemptFailed(String event, String service, String server, String key, String cause) {
     environment.metrics().count("attempts", service, event);
@@ -110,15 +117,17 @@
    * @param retryAfterNanos time after which the caller may retry
    */
   void requestRefused(String service, String reason, long waitedNanos, long retryAfterNanos) {
-    environment
-        .log()
-        .failure("refused")
-        .add("request", requestId)
-        .add("service", service)
-        .add("reason", reason)
-        .add("waited_ms", millis(waitedNanos))
-        .add("retry_after_ms", millis(retryAfterNanos))
-        .write();
+    EventLog.Line line =
+        environment
+            .log()
+            .failure("refused")
+            .add("request", requestId)
+            .add("service", service)
+            .add("reason", reason)
+            .add("waited_ms", millis(waitedNanos))
+            .add("retry_after_ms", millis(retryAfterNanos));
+    addTeam(line);
+    line.write();
   }
 
   private static long millis(long nanos) {
@@ -156,7 +165,14 @@
         .add("servers", String.join("/", servers))
         .add("took_ms", millis(tookNanos))
         .add("objective_left_ms", millis(objectiveRemainingNanos))
-        .add("version", environment.routes().get().version())
-        .write();
+        .add("version", environment.routes().get().version());
+    addTeam(line);
+    line.write();
+    access.ifPresent(known -> environment.metrics().countTeam(known.team(), outcome));
+  }
+
+  private void addTeam(EventLog.Line line) {
+    access.ifPresent(
+        known -> line.add("team", known.team()).add("quota_age_ms", known.quotaAgeMillis()));
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.magnoliaswitch.core.crash.Verdict;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.connection.CallerResponse;
@@ -40,6 +41,7 @@
   private final Environment environment;
   private final CallerRequest request;
   private final Route route;
+  private final TeamAccess access;
   private final Consumer<CallerResponse> respond;
   private final RequestReport report;
   private final CrashDetector crashDetector;
@@ -60,11 +62,13 @@
       PendingQueue<RequestPlacement> pendingQueue,
       CallerRequest request,
       Route route,
+      TeamAccess access,
       RequestReport report,
       Consumer<CallerResponse> respond) {
     this.environment = environment;
     this.request = request;
     this.route = route;
+    this.access = access;
     this.respond = respond;
     this.report = report;
     this.crashDetector = new CrashDetector(environment, request);
@@ -81,6 +85,7 @@
             route,
             service,
             times,
+            access,
             report,
             this);
     this.hedgeSearch = hedgeSearch();
@@ -108,6 +113,7 @@
     done = true;
     placement.leaveQueue();
     timer.cancel();
+    returnUnusedQuota();
     // Cancelled only if idempotent, since a partial execution of other requests may do harm.
     if (route.idempotent()) {
       openAttempts.forEach(Attempt::cancel);
@@ -159,6 +165,36 @@
     return crashDetector;
   }
 
+  /** Returns the right of the request to be sent. */
+  TeamAccess access() {
+    return access;
+  }
+
+  /** Handles an attempt that was not written because the request may not be sent any more. */
+  void denied(Attempt attempt, Denial denial) {
+    openAttempts.remove(attempt);
+    if (doneOrOthersOpen()) {
+      return;
+    }
+    switch (denial) {
+      case Denial.Unauthorized unauthorized ->
+          giveUpWith(denial.reason(), () -> CallerResponses.unauthorized(denial.reason()));
+      case Denial.Unavailable unavailable -> giveUp(denial.reason(), RetryAfter.Cause.BUSY);
+      case Denial.OverQuota over ->
+          giveUpWith(
+              denial.reason(),
+              () -> CallerResponses.overQuota(denial.reason(), over.retryAfterNanos()));
+    }
+  }
+
+  private void giveUpWith(String reason, Supplier<CallerResponse> notExecuted) {
+    executionState
+        .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
+        .ifPresentOrElse(
+            finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
+            () -> finish(notExecuted.get(), reason));
+  }
+
   /**
    * Handles an attempt that was not written: its server may not receive a request now, or the
    * verdict on the request forbids or delays it.
@@ -347,10 +383,17 @@
     done = true;
     placement.leaveQueue();
     timer.cancel();
+    returnUnusedQuota();
     reportEnd(outcome, result.status().code());
     respond.accept(result);
   }
 
+  private void returnUnusedQuota() {
+    if (attempts.count() == 0) {
+      access.giveBack();
+    }
+  }
+
   private void reportEnd(String outcome, int status) {
     long tookNanos = environment.clocks().nanos() - request.readNanos();
     report.requestEnded(
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerQuery.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerQuery.java
@@ -1,5 +1,6 @@
 package org.magnoliaswitch.front.request;
 
+import org.magnoliaswitch.front.load.TeamStanding;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.version.Route;
 
@@ -9,6 +10,8 @@
  * @param route route of the request
  * @param service service whose servers may get the request
  * @param timeliness whether a response can still be in time
+ * @param standing whether the request's team asks for more than its rate
  * @param allowedNanos time until a response loses most of the value that it can still have
  */
-record ServerQuery(Route route, String service, Timeliness timeliness, long allowedNanos) {}
+record ServerQuery(
+    Route route, String service, Timeliness timeliness, TeamStanding standing, long allowedNanos) {}
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -149,6 +149,7 @@
         environment.routeState().baseline(query.route()).nanos(),
         query.allowedNanos(),
         query.timeliness(),
+        query.standing(),
         environment.routeState().load(query.service()),
         environment.settings().dataCentre(),
         environment.settings().mechanisms(),
--- a/front/src/main/java/org/magnoliaswitch/front/version/HeaderNames.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/HeaderNames.java
@@ -15,6 +15,7 @@
  * @param leaving 0 or absent on a response unless the server is leaving
  * @param requestLimit requests per second that the responding server accepts from all instances
  *     together
+ * @param team name of the team whose key a request carried, for the server
  */
 public record HeaderNames(
     String requestId,
@@ -25,4 +26,5 @@
     String serverId,
     String warmupLeft,
     String leaving,
-    String requestLimit) {}
+    String requestLimit,
+    String team) {}
--- a/front/src/main/java/org/magnoliaswitch/front/version/Route.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Route.java
@@ -16,6 +16,7 @@
  * @param maxServers maximum number of backend servers that one request is sent to
  * @param services services that share the route's traffic; never empty
  * @param regions regions whose servers may receive its requests; empty if all may
+ * @param anonymous whether its requests need no key although the configuration has teams
  */
 public record Route(
     String name,
@@ -27,7 +28,8 @@
     int priority,
     int maxServers,
     List<WeightedService> services,
-    Set<String> regions) {
+    Set<String> regions,
+    boolean anonymous) {
   public Route {
     services = List.copyOf(services);
     regions = Set.copyOf(regions);
@@ -36,7 +38,7 @@
     }
   }
 
-  /** Creates a route whose requests may go to servers in all regions. */
+  /** Creates a route whose requests may go to servers in all regions and need a key. */
   public Route(
       String name,
       String host,
@@ -57,7 +59,8 @@
         priority,
         maxServers,
         services,
-        Set.of());
+        Set.of(),
+        false);
   }
 
   /** Returns a copy of the route for servers in the given regions only. */
@@ -72,7 +75,24 @@
         priority,
         maxServers,
         services,
-        allowedRegions);
+        allowedRegions,
+        anonymous);
+  }
+
+  /** Returns a copy of the route whose requests need no key. */
+  public Route withoutKeys() {
+    return new Route(
+        name,
+        host,
+        prefix,
+        idempotent,
+        timeoutNanos,
+        objectiveNanos,
+        priority,
+        maxServers,
+        services,
+        regions,
+        true);
   }
 
   /** Whether servers in a region may receive its requests. */
--- a/front/src/main/java/org/magnoliaswitch/front/version/RouteChanges.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/RouteChanges.java
@@ -1,9 +1,7 @@
 package org.magnoliaswitch.front.version;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +16,7 @@
  * @param removed names of the removed routes
  * @param services all services of the later version
  * @param limits limits of the later version
+ * @param teams differences between the teams of both versions
  */
 public record RouteChanges(
     long base,
@@ -25,43 +24,35 @@
     List<Route> changed,
     Set<String> removed,
     List<ServicePolicy> services,
-    CallerLimits limits) {
+    CallerLimits limits,
+    TeamChanges teams) {
   public RouteChanges {
     changed = List.copyOf(changed);
     removed = Set.copyOf(removed);
     services = List.copyOf(services);
   }
 
-  /** Returns the changes from a base version, given the names of the routes that differ. */
-  static RouteChanges of(long base, RouteTable after, Collection<String> names) {
-    Map<String, Route> routes = byName(after);
-    List<Route> changed = new ArrayList<>();
-    Set<String> removed = new HashSet<>();
-    for (String name : names) {
-      Route route = routes.get(name);
-      if (route == null) {
-        removed.add(name);
-      } else {
-        changed.add(route);
-      }
-    }
+  /**
+   * Returns the changes from a base version, given the names of the routes and teams that differ.
+   */
+  static RouteChanges of(
+      long base, RouteTable after, Collection<String> routes, Collection<String> teams) {
+    Difference<Route> difference = Difference.of(byName(after), routes);
     return new RouteChanges(
-        base, after.version(), changed, removed, List.copyOf(after.services()), after.limits());
+        base,
+        after.version(),
+        difference.changed(),
+        difference.removed(),
+        List.copyOf(after.services()),
+        after.limits(),
+        TeamChanges.of(after.teams(), teams));
   }
 
   /**
    * Returns the names of the routes that differ between two versions or exist in only one of them.
    */
   static Set<String> differingNames(RouteTable before, RouteTable after) {
-    Map<String, Route> remaining = byName(before);
-    Set<String> names = new HashSet<>();
-    for (Route route : after.routes()) {
-      if (!route.equals(remaining.remove(route.name()))) {
-        names.add(route.name());
-      }
-    }
-    names.addAll(remaining.keySet());
-    return names;
+    return Difference.names(byName(before), after.routes(), Route::name);
   }
 
   /** Returns the later version; empty if the given one is not the base version. */
@@ -72,7 +63,8 @@
     Map<String, Route> routes = byName(before);
     removed.forEach(routes::remove);
     changed.forEach(route -> routes.put(route.name(), route));
-    return Optional.of(new RouteTable(version, routes.values(), services, limits));
+    return Optional.of(
+        new RouteTable(version, routes.values(), services, limits, teams.applyTo(before.teams())));
   }
 
   private static Map<String, Route> byName(RouteTable table) {
--- a/front/src/main/java/org/magnoliaswitch/front/version/RouteHistory.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/RouteHistory.java
@@ -7,9 +7,9 @@
 import java.util.Set;
 
 /**
- * Tracks which routes the last configuration versions changed, so that an instance which has one of
- * them is sent the difference only. Only names are stored, since many versions of a large
- * configuration would exhaust the memory.
+ * Tracks which routes and teams the last configuration versions changed, so that an instance which
+ * has one of them is sent the difference only. Only names are stored, since many versions of a
+ * large configuration would exhaust the memory.
  */
 public final class RouteHistory {
   private static final int MAX_STEPS = 64;
@@ -18,9 +18,10 @@
    * A change of the configuration in force on this instance.
    *
    * @param before version before the change
-   * @param names names of the changed routes
+   * @param routes names of the changed routes
+   * @param teams names of the changed teams
    */
-  private record Step(long before, Set<String> names) {}
+  private record Step(long before, Set<String> routes, Set<String> teams) {}
 
   private final Deque<Step> newestFirst = new ArrayDeque<>();
   private RouteTable newest = RouteTable.EMPTY;
@@ -30,7 +31,11 @@
     if (next.version() <= newest.version()) {
       return false;
     }
-    newestFirst.addFirst(new Step(newest.version(), RouteChanges.differingNames(newest, next)));
+    newestFirst.addFirst(
+        new Step(
+            newest.version(),
+            RouteChanges.differingNames(newest, next),
+            TeamChanges.differingNames(newest.teams(), next.teams())));
     if (newestFirst.size() > MAX_STEPS) {
       newestFirst.removeLast();
     }
@@ -51,13 +56,15 @@
    * @param version version that the receiver has; 0 if none
    */
   public RouteUpdate since(long version) {
-    Set<String> names = new HashSet<>();
+    Set<String> routes = new HashSet<>();
+    Set<String> teams = new HashSet<>();
     Iterator<Step> steps = newestFirst.iterator();
     while (version > 0 && steps.hasNext()) {
       Step step = steps.next();
-      names.addAll(step.names());
+      routes.addAll(step.routes());
+      teams.addAll(step.teams());
       if (step.before() == version) {
-        return new RouteUpdate.Changes(RouteChanges.of(version, newest, names));
+        return new RouteUpdate.Changes(RouteChanges.of(version, newest, routes, teams));
       }
     }
     return new RouteUpdate.Full(newest);
--- a/front/src/main/java/org/magnoliaswitch/front/version/RouteTable.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/RouteTable.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** The routes, services and limits of one configuration version; immutable. */
+/** The routes, services, teams and limits of one configuration version; immutable. */
 public final class RouteTable {
   /** Table of an instance that has not received a configuration yet. */
   public static final RouteTable EMPTY =
@@ -22,14 +22,26 @@
   private final Map<String, List<Route>> byHost = new HashMap<>();
   private final Map<String, ServicePolicy> services = new HashMap<>();
   private final CallerLimits limits;
+  private final TeamTable teams;
 
+  /** Creates a configuration without teams. */
   public RouteTable(
       long version,
       Collection<Route> routes,
       Collection<ServicePolicy> services,
       CallerLimits limits) {
+    this(version, routes, services, limits, TeamTable.EMPTY);
+  }
+
+  public RouteTable(
+      long version,
+      Collection<Route> routes,
+      Collection<ServicePolicy> services,
+      CallerLimits limits,
+      TeamTable teams) {
     this.version = version;
     this.limits = limits;
+    this.teams = teams;
     services.forEach(service -> this.services.put(service.name(), service));
     routes.forEach(r -> byHost.computeIfAbsent(r.host(), host -> new ArrayList<>()).add(r));
     byHost.values().forEach(list -> list.sort(LONGEST_PREFIX_FIRST));
@@ -50,6 +62,11 @@
     return limits;
   }
 
+  /** Returns the teams; empty if requests carry no keys. */
+  public TeamTable teams() {
+    return teams;
+  }
+
   /** Whether a configuration has been received. */
   public boolean known() {
     return version > 0;
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Team.java
@@ -0,0 +1,21 @@
+package org.magnoliaswitch.front.version;
+
+import java.util.Set;
+
+/**
+ * A team whose callers send requests with its keys.
+ *
+ * @param name unique among the teams; sent to backend servers
+ * @param keys all keys that are valid for it
+ * @param quota limit on its requests
+ * @param priority rank among teams; 0 is the most urgent, and goes before the priority of a route
+ */
+public record Team(String name, Set<ApiKey> keys, Quota quota, int priority) {
+  /** Checks that the name can be sent as a header. */
+  public Team {
+    if (name.isBlank() || name.chars().anyMatch(c -> c < ' ' || c > '~')) {
+      throw new IllegalArgumentException("the team name is empty or no valid header value");
+    }
+    keys = Set.copyOf(keys);
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerHubTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerHubTest.java
@@ -56,7 +56,8 @@
                       ServerList.EMPTY,
                       new CrashWatch(Clocks.system()).table()),
               reports -> {},
-              updates -> {});
+              updates -> {},
+              ListenerTeams.NONE);
       hub.bind(address);
     }
 
--- a/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
@@ -22,6 +22,7 @@
 import org.magnoliaswitch.front.version.RouteUpdate;
 import org.magnoliaswitch.front.version.ServerList;
 import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.TeamChanges;
 import org.magnoliaswitch.front.version.Warmup;
 import org.magnoliaswitch.front.version.WeightedService;
 import org.testng.annotations.Test;
@@ -42,7 +43,8 @@
         3,
         2,
         List.of(new WeightedService("s", 0.9), new WeightedService("t", 0.1)),
-        Set.of("north"));
+        Set.of("north"),
+        false);
   }
 
   private static PeerUpdate peerUpdate(RouteUpdate update) {
@@ -69,7 +71,13 @@
     RouteUpdate changes =
         new RouteUpdate.Changes(
             new RouteChanges(
-                7, 9, List.of(route("a")), Set.of("b"), SERVICES, CallerLimits.DEFAULT));
+                7,
+                9,
+                List.of(route("a")),
+                Set.of("b"),
+                SERVICES,
+                CallerLimits.DEFAULT,
+                TeamChanges.NONE));
     assertEquals(roundTrip(changes), changes);
   }
 
@@ -111,7 +119,13 @@
                 peerUpdate(
                     new RouteUpdate.Changes(
                         new RouteChanges(
-                            7, 9, List.of(), Set.of("b"), SERVICES, CallerLimits.DEFAULT)))));
+                            7,
+                            9,
+                            List.of(),
+                            Set.of("b"),
+                            SERVICES,
+                            CallerLimits.DEFAULT,
+                            TeamChanges.NONE)))));
 
     @Test
     public void encodedUpdateIsDecoded() throws IOException {
--- a/front/src/test/java/org/magnoliaswitch/front/process/StateSyncTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/StateSyncTest.java
@@ -111,6 +111,7 @@
               instances,
               coldServers);
       FrontMetrics metrics = new FrontMetrics();
+      TeamQuotas.QuotaLinks links = TeamQuotas.QuotaLinks.of(settings);
       environment =
           new Environment(
               settings,
@@ -127,9 +128,11 @@
               new ServerNotices(servers, clocks, log, metrics),
               log,
               metrics,
-              new CrashWatch(clocks));
+              new CrashWatch(clocks),
+              new ConfigurationConfirmation(clocks),
+              new TeamQuotas(links, clocks, random, instances, settings.teams()));
       knownState = new KnownState(environment.routes(), servers, requests, log);
-      new StateSync(environment, knownState, control, source).start();
+      new StateSync(environment, knownState, control, source, links).start();
     }
 
     void awaitVersion(long version) {
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -22,6 +22,7 @@
 import org.magnoliaswitch.front.process.Front;
 import org.magnoliaswitch.front.process.FrontSettings;
 import org.magnoliaswitch.front.process.StateSource;
+import org.magnoliaswitch.front.process.TeamBounds;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.OperatorState;
@@ -99,7 +100,8 @@
             100,
             ColdShare.Bounds.NONE,
             Map.of(),
-            Mechanisms.ALL);
+            Mechanisms.ALL,
+            TeamBounds.DEFAULT);
     front =
         FrontProcess.start(
             settings,
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -15,6 +15,7 @@
 import org.magnoliaswitch.front.load.SharedRetryBudget;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.ColdServerQuotas;
+import org.magnoliaswitch.front.process.ConfigurationConfirmation;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.process.EventLog;
 import org.magnoliaswitch.front.process.Freshness;
@@ -25,6 +26,8 @@
 import org.magnoliaswitch.front.process.ServerDirectory;
 import org.magnoliaswitch.front.process.ServerNotices;
 import org.magnoliaswitch.front.process.ServerQuotas;
+import org.magnoliaswitch.front.process.TeamBounds;
+import org.magnoliaswitch.front.process.TeamQuotas;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.HeaderNames;
 import org.magnoliaswitch.front.version.Revision;
@@ -79,7 +82,10 @@
         new ServerNotices(servers, clocks, log, metrics),
         log,
         metrics,
-        new CrashWatch(clocks));
+        new CrashWatch(clocks),
+        new ConfigurationConfirmation(clocks),
+        new TeamQuotas(
+            TeamQuotas.QuotaLinks.of(settings), clocks, random, instances, settings.teams()));
   }
 
   /** Settings of an instance without peers. */
@@ -110,7 +116,8 @@
         1,
         ColdShare.Bounds.NONE,
         Map.of("here", "region", "abroad", "other region"),
-        Mechanisms.ALL);
+        Mechanisms.ALL,
+        TeamBounds.DEFAULT);
   }
 
   /** Puts a configuration with one route and a list of servers in force. */
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestHeaders.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestHeaders.java
@@ -15,7 +15,8 @@
           "Server-Id",
           "Warmup-Left",
           "Leaving",
-          "Request-Limit");
+          "Request-Limit",
+          "Team");
 
   private TestHeaders() {}
 }
--- a/front/src/test/java/org/magnoliaswitch/front/version/RouteHistoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/version/RouteHistoryTest.java
@@ -54,7 +54,13 @@
           update,
           new RouteUpdate.Changes(
               new RouteChanges(
-                  5, 9, List.of(route("c", "1")), Set.of("b"), SERVICES, CallerLimits.DEFAULT)));
+                  5,
+                  9,
+                  List.of(route("c", "1")),
+                  Set.of("b"),
+                  SERVICES,
+                  CallerLimits.DEFAULT,
+                  TeamChanges.NONE)));
     }
 
     @Test
