--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaReturns.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaReturns.java
@@ -41,7 +41,7 @@
     long slot = Math.max(nextNanos, nowNanos);
     long delay = (long) (slot - nowNanos + spacing * (0.5 + 0.5 * random.nextDouble()));
     if (delay > maxNanos) {
-      return maxNanos / 2 + (long) (maxNanos / 2 * random.nextDouble());
+      return (long) (maxNanos * (0.5 + 0.5 * random.nextDouble()));
     }
     nextNanos = (long) (slot + spacing);
     return delay;
