--- a/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
@@ -130,7 +130,7 @@
   void remove(long instance) {
     InstanceAccount account = instances.remove(instance);
     if (account != null) {
-      bucket.add(-account.outstanding());
+      bucket.add((double) -account.outstanding());
     }
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/request/OverdueRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/OverdueRequestTest.java
@@ -98,6 +98,7 @@
           new Exchange(
               environment,
               finder,
+              new Authenticator(environment),
               new PendingQueue<>(Mechanisms.ALL),
               request(environment),
               responses::add);
@@ -125,6 +126,7 @@
           new Exchange(
               environment,
               finder,
+              new Authenticator(environment),
               new PendingQueue<>(Mechanisms.ALL),
               request(environment),
               responses::add);
