--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
@@ -73,7 +73,7 @@
   /** Applies the teams of a configuration version. */
   public void configure(TeamTable teams, long nowNanos) {
     for (Team team : teams.teams()) {
-      double perSecond = team.quota().requestsPerSecond() / seeds.size();
+      double perSecond = bounds.refillPerSecond(team.quota()) / seeds.size();
       double capacity = capacityShare(team.name()) * bounds.capacity(team.quota());
       removedNanos.remove(team.name());
       TeamAccount known = accounts.get(team.name());
--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
@@ -12,10 +12,10 @@
  */
 public record QuotaBounds(long windowNanos, double excess, double slack) {
   /**
-   * Part of the allowed excess that buckets hold on top of the burst. The rest covers requests of
-   * instances that the seed has not heard of yet.
+   * Part of the allowed excess that the buckets give out. The rest covers requests of instances
+   * that the seed has not heard of yet.
    */
-  private static final double EXCESS_SHARE = 0.25;
+  private static final double EXCESS_SHARE = 0.5;
 
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -26,7 +26,20 @@
 
   /** Tokens that the buckets of all seeds hold together. */
   double capacity(Quota quota) {
-    return quota.burst() + EXCESS_SHARE * (excess * declared(quota) + slack);
+    return quota.burst() + usedExcess(quota) / 2;
+  }
+
+  /**
+   * Tokens per second that the buckets of all seeds receive together. With the capacity, they add
+   * up to what a window may contain. A team whose rate is below the slack needs a part of the slack
+   * as rate: its few requests arrive at random, and some of them would be refused otherwise.
+   */
+  double refillPerSecond(Quota quota) {
+    return quota.requestsPerSecond() + usedExcess(quota) / 2 / (windowNanos / NANOS_PER_SECOND);
+  }
+
+  private double usedExcess(Quota quota) {
+    return EXCESS_SHARE * (excess * declared(quota) + slack);
   }
 
   private double declared(Quota quota) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -76,11 +76,11 @@
     }
     TeamAccess access = access(route.get());
     Optional<Denial> denial = access.check();
+    report.team(access);
     if (denial.isPresent()) {
       refuse(denial.get());
       return;
     }
-    report.team(access);
     RoutedExchange exchange =
         new RoutedExchange(
             environment, finder, pendingQueue, request, route.get(), access, report, respond);
--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -21,6 +21,7 @@
   private final Authenticator authenticator;
   private final Route route;
   private final HttpHeaders headers;
+  private @Nullable Team team;
   private Admission.@Nullable Permit permit;
 
   KeyedAccess(
@@ -44,12 +45,13 @@
   }
 
   /** Admits the request once for each team that its key belongs to while it is processed. */
-  private Optional<Denial> admit(Team team) {
-    if (permit != null && permit.team().name().equals(team.name())) {
+  private Optional<Denial> admit(Team member) {
+    team = member;
+    if (permit != null && permit.team().name().equals(member.name())) {
       return Optional.empty();
     }
     giveBack();
-    return switch (environment.teamQuotas().admit(team)) {
+    return switch (environment.teamQuotas().admit(member)) {
       case Admission.Admitted admitted -> {
         permit = admitted.permit();
         yield Optional.empty();
@@ -70,24 +72,22 @@
 
   @Override
   public String team() {
-    return permit == null ? "" : permit.team().name();
+    return team == null ? "" : team.name();
   }
 
   @Override
   public int priority() {
-    return permit == null ? 0 : permit.team().priority();
+    return team == null ? 0 : team.priority();
   }
 
   @Override
   public TeamStanding standing() {
-    return permit == null
-        ? TeamStanding.WITHIN_RATE
-        : environment.teamQuotas().standing(permit.team().name());
+    return team == null ? TeamStanding.WITHIN_RATE : environment.teamQuotas().standing(team.name());
   }
 
   @Override
   public long quotaAgeMillis() {
-    return permit == null ? -1 : environment.teamQuotas().knownSinceMillis(permit.team().name());
+    return team == null ? -1 : environment.teamQuotas().knownSinceMillis(team.name());
   }
 
   @Override
