--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -105,8 +105,17 @@
     }
   }
 
+  /**
+   * Whether requests with keys are served, if there are teams. While they are not, callers are
+   * better served by other instances.
+   */
+  private boolean servesKeys() {
+    return environment.routes().get().teams().isEmpty()
+        || environment.settings().teams().allowKeys(environment.confirmation());
+  }
+
   private StatusListener.Status readiness() {
-    boolean ready = knownState.complete() && !stopping;
+    boolean ready = knownState.complete() && servesKeys() && !stopping;
     if (ready != reportedReady) {
       reportedReady = ready;
       environment
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -283,7 +283,9 @@
     if (read instanceof StateSource.Read.Known<OperatorState> known) {
       restoredSource.read(known.value(), environment.confirmation().now());
     }
-    if (restoredSource.confirms(knownState.routesVersion(), environment.confirmation().now())) {
+    boolean newest =
+        restoredSource.confirms(knownState.routesVersion(), environment.confirmation().now());
+    if (newest && source.newestConfigurationDecoded()) {
       environment.confirmation().confirmed(asOf);
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSource.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSource.java
@@ -52,6 +52,14 @@
    */
   void nextOperatorState(long waitMillis, Consumer<Read<OperatorState>> listener);
 
+  /**
+   * Whether the newest configuration of the source could be decoded. If not, the one in force is
+   * not known to be the newest: the other one may have revoked keys.
+   */
+  default boolean newestConfigurationDecoded() {
+    return true;
+  }
+
   /** Returns the store for server crashes; by default one that stores nothing. */
   default CrashStore crashStore() {
     return CrashStore.NONE;
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamBounds.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamBounds.java
@@ -13,8 +13,21 @@
  * @param quota how the quotas of teams are counted
  */
 public record TeamBounds(boolean strictRevocation, long revocationNanos, QuotaBounds quota) {
+  /**
+   * Part of the revocation time that is kept for the way of a request from a check to its server.
+   */
+  private static final long REVOCATION_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   /** Bounds of a deployment that sets none. */
   public static final TeamBounds DEFAULT =
       new TeamBounds(
           false, TimeUnit.SECONDS.toNanos(5), new QuotaBounds(TimeUnit.SECONDS.toNanos(5), 0, 0));
+
+  /**
+   * Whether requests with a key may be served: no revocation can be missing that is older than the
+   * revocation time.
+   */
+  public boolean allowKeys(ConfigurationConfirmation confirmation) {
+    return !strictRevocation || confirmation.ageNanos() < revocationNanos - REVOCATION_MARGIN_NANOS;
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -3,10 +3,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.process.Environment;
-import org.magnoliaswitch.front.process.TeamBounds;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.Team;
 import org.magnoliaswitch.front.version.TeamTable;
@@ -63,7 +61,7 @@
       return OPEN;
     }
     // The age is read before the teams: they may be newer than the confirmation, but not older.
-    boolean current = !revocationsMayBeMissing();
+    boolean current = environment.settings().teams().allowKeys(environment.confirmation());
     TeamTable teams = environment.routes().get().teams();
     Team team = find(teams, headers);
     if (team == null) {
@@ -74,13 +72,6 @@
     return current ? new Access.Member(team) : new Access.Unconfirmed("unconfirmed_key");
   }
 
-  private boolean revocationsMayBeMissing() {
-    TeamBounds bounds = environment.settings().teams();
-    return bounds.strictRevocation()
-        && environment.confirmation().ageNanos()
-            >= bounds.revocationNanos() - REVOCATION_MARGIN_NANOS;
-  }
-
   private boolean additionsMayBeMissing() {
     long age = environment.routesFreshness().ageMillis(environment.clocks().nanos());
     return age > MAX_CONFIGURATION_AGE_MILLIS;
