--- a/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -19,12 +19,6 @@
    */
   private static final long MAX_CONFIGURATION_AGE_MILLIS = 2_000;
 
-  /**
-   * Part of the revocation time that is kept for the way of a request from this check to the
-   * server.
-   */
-  private static final long REVOCATION_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
   private static final Access OPEN = new Access.Open();
 
   private final Environment environment;
