Quota: a lowered allowance counts until its own message is processed

Cause: a seed that lowered an instance's allowance took the acknowledgement of any earlier message for the acknowledgement of the new one, and allowed the tokens to another instance while the first could still use them.

Change: an allowance that no message contains yet cannot be acknowledged.

The new test Acknowledgements fails without the change: all 28 tokens are passed on although more than 10 of them are allowed.

--- a/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
@@ -63,7 +63,10 @@
     private long possiblyAllowed;
 
     private long allowed;
-    private long allowedSince;
+
+    /** Number of the message that contains the allowance; the highest while none does yet. */
+    private long allowedSince = Long.MAX_VALUE;
+
     private long askedNanos;
     private boolean changed;
 
@@ -82,6 +85,7 @@
     void allow(long remaining) {
       allowed = counted + remaining;
       possiblyAllowed = Math.max(possiblyAllowed, allowed);
+      allowedSince = Long.MAX_VALUE;
       changed = true;
     }
   }
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaAllocatorTest.java
@@ -0,0 +1,305 @@
+package org.magnoliaswitch.front.load;
+
+import static org.magnoliaswitch.front.load.QuotaSimulation.millis;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.DoubleUnaryOperator;
+import java.util.function.Function;
+import org.magnoliaswitch.front.load.QuotaSimulation.Node;
+import org.magnoliaswitch.front.version.Quota;
+import org.magnoliaswitch.front.version.Team;
+import org.magnoliaswitch.front.version.TeamTable;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that the allowances of all instances keep teams within their quotas. */
+public final class QuotaAllocatorTest {
+  private static final long SECOND = millis(1_000);
+  private static final double[] RATES = {2, 9, 40, 130, 430};
+
+  /** Sends 0.6 of the rate, a multiple at once, 0.6 again, and the multiple during a fault. */
+  private static DoubleUnaryOperator steps(double factor) {
+    return seconds -> seconds < 6 || (seconds >= 12 && seconds < 14) ? 0.6 : factor;
+  }
+
+  private static List<Team> teams(String prefix) {
+    List<Team> teams = new ArrayList<>();
+    for (double rate : RATES) {
+      teams.add(QuotaSimulation.team(prefix + rate, rate));
+    }
+    return teams;
+  }
+
+  private static List<QuotaCallers> startCallers(
+      QuotaSimulation simulation,
+      List<Team> teams,
+      Function<Team, DoubleUnaryOperator> demand,
+      long seed) {
+    List<QuotaCallers> callers = new ArrayList<>();
+    for (Team team : teams) {
+      callers.add(new QuotaCallers(simulation, team, demand.apply(team), seed + callers.size()));
+    }
+    callers.forEach(QuotaCallers::start);
+    return callers;
+  }
+
+  /**
+   * What happens to instances 9 s after the start, for 9 s at most.
+   *
+   * @param name shown when a test fails
+   */
+  private record Fault(String name, Consumer<QuotaSimulation> begin) {
+    static final Fault NONE = new Fault("none", simulation -> {});
+    static final Fault ALL_KILLED = new Fault("all killed", Fault::killAll);
+    static final Fault OTHERS_KILLED = new Fault("all but seeds killed", Fault::killOthers);
+    static final Fault CUT_OFF = new Fault("cut off", simulation -> cut(simulation, true, true));
+    static final List<Fault> ALL =
+        List.of(
+            NONE,
+            ALL_KILLED,
+            OTHERS_KILLED,
+            CUT_OFF,
+            new Fault("killed in turn", Fault::killInTurn),
+            new Fault("frozen for 3 s", simulation -> freeze(simulation, 3)),
+            new Fault("frozen for 6 s", simulation -> freeze(simulation, 6)),
+            new Fault("seeds frozen", Fault::freezeSeeds),
+            new Fault("cannot send", simulation -> cut(simulation, true, false)),
+            new Fault("cannot receive", simulation -> cut(simulation, false, true)),
+            new Fault("seed lost", simulation -> simulation.nodes.getFirst().kill()),
+            new Fault("seed cut off", Fault::cutSeed),
+            new Fault("messages late by 2 s", simulation -> delay(simulation, 2_000)),
+            new Fault("messages late by 0.7 s", simulation -> delay(simulation, 700)));
+
+    @Override
+    public String toString() {
+      return name;
+    }
+
+    private static void restart(QuotaSimulation simulation, Node node, long pause) {
+      node.kill();
+      simulation.after(pause, node::start);
+    }
+
+    private static void killInTurn(QuotaSimulation simulation) {
+      List<Node> nodes = simulation.nodes;
+      for (Node node : nodes) {
+        simulation.after(
+            9 * SECOND * node.id / nodes.size(), () -> restart(simulation, node, SECOND / 2));
+      }
+    }
+
+    private static void killAll(QuotaSimulation simulation) {
+      simulation.nodes.forEach(
+          node -> restart(simulation, node, simulation.random.nextLong(SECOND)));
+    }
+
+    private static void killOthers(QuotaSimulation simulation) {
+      for (int round = 0; round < 3; round++) {
+        simulation.after(
+            2 * SECOND * round,
+            () ->
+                simulation.nodes.stream()
+                    .filter(node -> !node.isSeed())
+                    .forEach(node -> restart(simulation, node, millis(200))));
+      }
+    }
+
+    private static void freeze(QuotaSimulation simulation, int seconds) {
+      simulation.nodes.stream()
+          .filter(node -> node.id % 3 == 1)
+          .forEach(node -> node.freeze(seconds * SECOND));
+    }
+
+    private static void freezeSeeds(QuotaSimulation simulation) {
+      simulation.nodes.stream().filter(Node::isSeed).forEach(node -> node.freeze(6 * SECOND));
+    }
+
+    /** Cuts every third instance, one of the seeds among them, off from the others. */
+    private static void cut(QuotaSimulation simulation, boolean sending, boolean receiving) {
+      simulation.cut(
+          (from, to) ->
+              from.id % 3 != to.id % 3
+                  && ((sending && from.id % 3 == 1) || (receiving && to.id % 3 == 1)),
+          8 * SECOND);
+    }
+
+    private static void cutSeed(QuotaSimulation simulation) {
+      Node seed = simulation.nodes.get(1);
+      simulation.cut((from, to) -> (from == seed) != (to == seed), 8 * SECOND);
+    }
+
+    private static void delay(QuotaSimulation simulation, long millis) {
+      simulation.lateness = millis(millis);
+      simulation.after(8 * SECOND, () -> simulation.lateness = 0);
+    }
+  }
+
+  /** Tests that no window of the quota holds too many requests. */
+  public static final class Limits {
+    /** Each row: instances, fault, seed of random numbers. */
+    @DataProvider
+    public Object[][] faults() {
+      List<Object[]> rows = new ArrayList<>();
+      for (Fault fault : Fault.ALL) {
+        rows.add(new Object[] {18, fault, 1L});
+        rows.add(new Object[] {103, fault, 2L});
+      }
+      rows.add(new Object[] {300, Fault.ALL_KILLED, 3L});
+      rows.add(new Object[] {300, Fault.CUT_OFF, 4L});
+      rows.add(new Object[] {1_500, Fault.OTHERS_KILLED, 5L});
+      return rows.toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against quotas that are exceeded because tokens are spent twice while a team sends a
+     * sudden multiple of its rate and instances are lost, start, freeze or hear nothing.
+     */
+    @Test(dataProvider = "faults")
+    public void noWindowExceedsTheQuota(int instances, Fault fault, long seed) {
+      List<Team> teams = new ArrayList<>(teams("double-"));
+      teams.addAll(teams("many-"));
+      QuotaSimulation simulation = new QuotaSimulation(instances, new TeamTable(teams), seed);
+      List<QuotaCallers> callers =
+          startCallers(
+              simulation, teams, team -> steps(team.name().startsWith("double") ? 2 : 7.5), seed);
+      simulation.after(9 * SECOND, () -> fault.begin().accept(simulation));
+      simulation.runUntil(22 * SECOND);
+      assertWithinQuota(callers, instances, fault, seed);
+    }
+
+    /** Guards against a lowered quota that is not in force one window after 2.5 s. */
+    @Test
+    public void loweredQuotaBindsAfterOneWindow() {
+      for (int instances : new int[] {18, 103}) {
+        List<Team> teams = teams("lowered-");
+        List<Team> lowered =
+            teams.stream()
+                .map(
+                    team ->
+                        QuotaSimulation.team(team.name(), team.quota().requestsPerSecond() / 10))
+                .toList();
+        QuotaSimulation simulation = new QuotaSimulation(instances, new TeamTable(teams), 6);
+        List<QuotaCallers> callers = startCallers(simulation, teams, team -> seconds -> 1.1, 6);
+        simulation.after(
+            8 * SECOND,
+            () -> {
+              for (int i = 0; i < teams.size(); i++) {
+                callers.get(i).changeQuota(lowered.get(i).quota());
+              }
+              simulation.nodes.forEach(
+                  node ->
+                      simulation.after(
+                          simulation.random.nextLong(millis(2_500)),
+                          () -> node.run(() -> node.configure(new TeamTable(lowered)))));
+            });
+        simulation.runUntil(20 * SECOND);
+        assertWithinQuota(callers, instances, Fault.NONE, 6);
+      }
+    }
+
+    private static void assertWithinQuota(
+        List<QuotaCallers> callers, int instances, Fault fault, long seed) {
+      List<String> exceeded =
+          callers.stream()
+              .filter(of -> of.maxExcess() > 0)
+              .map(
+                  of ->
+                      String.format(
+                          Locale.ROOT, "%s by %.1f requests", of.team.name(), of.maxExcess()))
+              .toList();
+      assertTrue(
+          exceeded.isEmpty(),
+          instances + " instances, " + fault + ", seed " + seed + ": " + exceeded);
+    }
+  }
+
+  /** Tests what an allocator assumes that an instance may still use. */
+  public static final class Acknowledgements {
+    /**
+     * Guards against tokens that are allowed twice: the seed lowers the allowance of one instance,
+     * and before it says so, the instance acknowledges an earlier message. It may still use the
+     * higher allowance, so another instance must not get its tokens.
+     */
+    @Test
+    public void loweredAllowanceCountsUntilItsOwnMessageIsProcessed() {
+      QuotaAllocator allocator =
+          new QuotaAllocator(QuotaSimulation.BOUNDS, List.of("seed"), 0, new Random(1));
+      allocator.configure(new TeamTable(List.of(QuotaSimulation.team("t", 20))), 0);
+      long now = 5 * SECOND;
+      allocator.report(1, "t", 0, 100, 0, now);
+      allocator.allocate(now);
+      long allowed = allocator.changes(1, 1).getFirst().granted();
+      assertTrue(allowed > 10, "allowed: " + allowed);
+      allocator.acknowledge(1, 1);
+
+      now += 4 * SECOND;
+      allocator.report(1, "t", 0, 0, 0, now);
+      allocator.allocate(now);
+      allocator.acknowledge(1, 1);
+      double tokens = allocator.take("t", 1_000, now);
+      double capacity = QuotaSimulation.BOUNDS.capacity(new Quota(20, 20));
+      assertTrue(tokens <= capacity - allowed, "tokens for another seed: " + tokens);
+
+      assertEquals(allocator.changes(1, 2).getFirst().granted(), 0);
+      allocator.acknowledge(1, 2);
+      assertEquals(allocator.take("t", 1_000, now), allowed, 1e-6);
+    }
+  }
+
+  /** Tests that teams can use what they are entitled to. */
+  public static final class Use {
+    /** Each row: instances, seed of random numbers. */
+    @DataProvider
+    public Object[][] sizes() {
+      return new Object[][] {{18, 11L}, {103, 12L}, {103, 13L}, {300, 14L}, {1_500, 15L}};
+    }
+
+    /**
+     * Guards against tokens that no instance with callers gets: a team that asks for twice its rate
+     * must get the rate in any ten seconds, but for a twentieth.
+     */
+    @Test(dataProvider = "sizes")
+    public void busyTeamGetsItsRate(int instances, long seed) {
+      List<Team> teams = teams("busy-");
+      QuotaSimulation simulation = new QuotaSimulation(instances, new TeamTable(teams), seed);
+      List<QuotaCallers> callers = startCallers(simulation, teams, team -> seconds -> 2, seed);
+      simulation.runUntil(24 * SECOND);
+      List<String> failed = new ArrayList<>();
+      for (QuotaCallers of : callers) {
+        for (int second = 3; second <= 14; second++) {
+          double used = of.usedShare(second * SECOND, (second + 10) * SECOND);
+          if (used < 0.95) {
+            failed.add(of.team.name() + " from " + second + " s: " + used);
+          }
+        }
+      }
+      assertTrue(failed.isEmpty(), instances + " instances, seed " + seed + ": " + failed);
+    }
+
+    /**
+     * Guards against refusing a team within its rate because its few requests reach instances that
+     * have no allowance for it.
+     */
+    @Test(dataProvider = "sizes")
+    public void teamWithinItsRateIsHardlyRefused(int instances, long seed) {
+      List<Team> teams = teams("modest-");
+      QuotaSimulation simulation = new QuotaSimulation(instances, new TeamTable(teams), seed);
+      List<QuotaCallers> callers = startCallers(simulation, teams, team -> seconds -> 0.9, seed);
+      simulation.runUntil(30 * SECOND);
+      List<String> failed = new ArrayList<>();
+      for (QuotaCallers of : callers) {
+        double refused = of.refusedShare(3 * SECOND, 30 * SECOND);
+        if (refused >= 0.01) {
+          failed.add(of.team.name() + ": " + refused);
+        }
+      }
+      assertTrue(failed.isEmpty(), instances + " instances, seed " + seed + ": " + failed);
+    }
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
@@ -0,0 +1,490 @@
+package org.magnoliaswitch.front.load;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
+import org.magnoliaswitch.front.load.QuotaAllocator.Allowance;
+import org.magnoliaswitch.front.version.Quota;
+import org.magnoliaswitch.front.version.Team;
+import org.magnoliaswitch.front.version.TeamTable;
+
+/**
+ * Instances, three of which are seeds, that divide quotas in virtual time. Connections keep the
+ * order of messages, hold them back while the path is cut, and are replaced after silence, as TCP
+ * connections between instances are. Delays are those of the product.
+ */
+final class QuotaSimulation {
+  static final int SEEDS = 3;
+  static final QuotaBounds BOUNDS = new QuotaBounds(millis(5_000), 0.1, 20);
+
+  private static final long REPORT_AFTER = millis(50);
+  private static final long ANSWER_AFTER = millis(15);
+  private static final long REALLOCATE_AFTER = millis(100);
+  private static final long HEARTBEAT = millis(400);
+  private static final long MAX_SILENCE = millis(300);
+  private static final long EXPIRY = millis(2_000);
+  private static final long CONNECTION_CHECK = millis(500);
+  private static final long CONNECTION_SILENT = millis(1_600);
+  private static final List<String> SEED_NAMES = List.of("seed-a", "seed-b", "seed-c");
+
+  final List<Node> nodes = new ArrayList<>();
+  final Random random;
+
+  /** Time that every message takes on top of its usual delay. */
+  long lateness;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Map<String, List<Integer>> orders = new HashMap<>();
+  private final Map<Path, Deque<Runnable>> held = new LinkedHashMap<>();
+  private BiPredicate<Node, Node> cut = (from, to) -> false;
+  private long now;
+  private long scheduled;
+  private long lastListener;
+
+  private record Event(long at, long order, Runnable action) {}
+
+  private record Path(Node from, Node to) {}
+
+  private record Sent(long sequence, long at) {}
+
+  private record Demand(String team, QuotaAllowance.Usage usage, double tokens) {}
+
+  private record News(
+      long number,
+      long echoed,
+      Set<String> closed,
+      List<Allowance> allowances,
+      Map<String, Double> requested) {}
+
+  /** Result of a request. */
+  enum Result {
+    ADMITTED,
+    OVER_QUOTA,
+    UNKNOWN
+  }
+
+  QuotaSimulation(int instances, TeamTable teams, long seed) {
+    this.random = new Random(seed);
+    for (int i = 0; i < instances; i++) {
+      nodes.add(new Node(i, teams));
+    }
+    nodes.forEach(Node::start);
+  }
+
+  static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  static Team team(String name, double rate) {
+    return new Team(name, Set.of(), new Quota(rate, rate), 0);
+  }
+
+  long now() {
+    return now;
+  }
+
+  void after(long delay, Runnable action) {
+    events.add(new Event(now + delay, scheduled++, action));
+  }
+
+  void runUntil(long end) {
+    while (!events.isEmpty() && events.peek().at() <= end) {
+      Event next = events.remove();
+      now = next.at();
+      next.action().run();
+    }
+    now = end;
+  }
+
+  /** The connection of an instance to a seed, with what both sides keep for it. */
+  private final class Link {
+    private final long listener = ++lastListener;
+    private final Node node;
+    private final Seed seed;
+    private final Map<String, QuotaAllowance> allowances = new HashMap<>();
+    private final Deque<Sent> sent = new ArrayDeque<>();
+    private Set<String> closed = Set.of();
+    private Map<String, Double> requested = Map.of();
+    private long validSince = Long.MIN_VALUE / 2;
+    private long receivedAt = now;
+    private long reportedAt;
+    private long sequence;
+    private long lastNews;
+    private long newsNumber;
+    private long echoed;
+    private long lastToSeed;
+    private long lastToNode;
+
+    Link(Node node, Seed seed) {
+      this.node = node;
+      this.seed = seed;
+    }
+
+    boolean open() {
+      return node.alive && node.links[seed.node.id] == this && seed.node.seed == seed;
+    }
+
+    QuotaAllowance allowance(String team) {
+      return allowances.computeIfAbsent(team, name -> new QuotaAllowance());
+    }
+
+    void received(News news) {
+      receivedAt = now;
+      lastNews = news.number();
+      closed = news.closed();
+      requested = news.requested();
+      news.allowances().forEach(a -> allowance(a.team()).update(a.counted(), a.granted()));
+      while (!sent.isEmpty() && sent.getFirst().sequence() < news.echoed()) {
+        sent.removeFirst();
+      }
+      if (!sent.isEmpty() && sent.getFirst().sequence() == news.echoed()) {
+        validSince = sent.getFirst().at();
+      }
+      if (news.echoed() == 0 || now - reportedAt >= MAX_SILENCE) {
+        report(demands());
+      } else if (!requested.isEmpty()) {
+        node.scheduleReports();
+      }
+    }
+
+    List<Demand> demands() {
+      List<Demand> demands = new ArrayList<>();
+      allowances.forEach(
+          (team, allowance) -> {
+            QuotaAllowance.Usage usage = allowance.takeUsage();
+            if (!usage.isEmpty()) {
+              demands.add(new Demand(team, usage, 0));
+            }
+          });
+      if (node.seed != null && node.seed != seed) {
+        requested.forEach(
+            (team, wanted) -> {
+              List<Integer> order = order(team);
+              if (order.indexOf(seed.node.id) < order.indexOf(node.id)) {
+                double tokens = node.seed.allocator.take(team, wanted, now);
+                demands.add(new Demand(team, new QuotaAllowance.Usage(0, 0), tokens));
+              }
+            });
+        requested = Map.of();
+      }
+      return demands;
+    }
+
+    void report(List<Demand> demands) {
+      reportedAt = now;
+      sent.addLast(new Sent(++sequence, now));
+      long number = sequence;
+      long processed = lastNews;
+      if (node == seed.node) {
+        seed.reported(this, number, processed, demands);
+      } else {
+        lastToSeed =
+            transmit(
+                node,
+                seed.node,
+                lastToSeed,
+                () -> {
+                  if (seed.node.seed == seed && seed.links.containsKey(listener)) {
+                    seed.reported(this, number, processed, demands);
+                  }
+                });
+      }
+    }
+
+    void sendNews(News news) {
+      if (node == seed.node) {
+        received(news);
+      } else {
+        lastToNode =
+            transmit(
+                seed.node,
+                node,
+                lastToNode,
+                () -> {
+                  if (open()) {
+                    received(news);
+                  }
+                });
+      }
+    }
+
+    /** Closes the connection; the seed notices when it can. */
+    void close() {
+      node.links[seed.node.id] = null;
+      lastToSeed = transmit(node, seed.node, lastToSeed, () -> seed.disconnected(this));
+    }
+  }
+
+  /** Delivers a message after those sent before it; held back while the path is cut. */
+  private long transmit(Node from, Node to, long notBefore, Runnable delivery) {
+    long arrival = Math.max(notBefore, now + lateness + millis(1) + random.nextLong(millis(4)));
+    events.add(new Event(arrival, scheduled++, () -> arrive(from, to, delivery)));
+    return arrival;
+  }
+
+  private void arrive(Node from, Node to, Runnable delivery) {
+    Deque<Runnable> before = held.computeIfAbsent(new Path(from, to), path -> new ArrayDeque<>());
+    before.addLast(delivery);
+    if (!cut.test(from, to)) {
+      release(to, before);
+    }
+  }
+
+  private static void release(Node to, Deque<Runnable> messages) {
+    while (!messages.isEmpty()) {
+      to.run(messages.removeFirst());
+    }
+  }
+
+  /** Holds messages back while a condition on sender and receiver holds, for some time. */
+  void cut(BiPredicate<Node, Node> condition, long duration) {
+    cut = condition;
+    after(
+        duration,
+        () -> {
+          cut = (from, to) -> false;
+          held.forEach((path, messages) -> release(path.to(), messages));
+        });
+  }
+
+  private List<Integer> order(String team) {
+    return orders.computeIfAbsent(team, name -> SeedOrder.of(name, SEED_NAMES));
+  }
+
+  /** One instance. */
+  final class Node {
+    final int id;
+    private final Link[] links = new Link[SEEDS];
+    private TeamTable teams;
+    private boolean alive;
+    private long frozenUntil;
+    private boolean reportsScheduled;
+    private Seed seed;
+
+    Node(int id, TeamTable teams) {
+      this.id = id;
+      this.teams = teams;
+    }
+
+    boolean alive() {
+      return alive;
+    }
+
+    boolean isSeed() {
+      return id < SEEDS;
+    }
+
+    /** Runs an action, after the end of a freeze if there is one. */
+    void run(Runnable action) {
+      if (now < frozenUntil) {
+        events.add(new Event(frozenUntil, scheduled++, action));
+      } else if (alive) {
+        action.run();
+      }
+    }
+
+    void start() {
+      alive = true;
+      reportsScheduled = false;
+      if (isSeed()) {
+        Seed started = new Seed(this);
+        seed = started;
+        started.allocator.configure(teams, now);
+        links[id] = new Link(this, started);
+        started.links.put(links[id].listener, links[id]);
+        after(random.nextLong(HEARTBEAT), started::heartbeat);
+      }
+      after(random.nextLong(CONNECTION_CHECK), this::checkConnections);
+    }
+
+    void kill() {
+      alive = false;
+      seed = null;
+      for (Link link : links) {
+        if (link != null) {
+          link.close();
+        }
+      }
+    }
+
+    void freeze(long duration) {
+      frozenUntil = now + duration;
+    }
+
+    void configure(TeamTable next) {
+      teams = next;
+      if (seed != null) {
+        seed.allocator.configure(next, now);
+        seed.scheduleAllocation(0);
+      }
+    }
+
+    private void checkConnections() {
+      if (!alive) {
+        return;
+      }
+      for (int i = 0; i < SEEDS; i++) {
+        Node other = nodes.get(i);
+        Link link = links[i];
+        if (other == this) {
+          continue;
+        }
+        if (link != null && (!link.open() || now - link.receivedAt > CONNECTION_SILENT)) {
+          link.close();
+        }
+        if (links[i] == null
+            && other.seed != null
+            && !cut.test(this, other)
+            && !cut.test(other, this)) {
+          Link next = new Link(this, other.seed);
+          links[i] = next;
+          other.seed.links.put(next.listener, next);
+        }
+      }
+      after(CONNECTION_CHECK, () -> run(this::checkConnections));
+    }
+
+    private void scheduleReports() {
+      if (!reportsScheduled) {
+        reportsScheduled = true;
+        after(REPORT_AFTER, () -> run(this::report));
+      }
+    }
+
+    private void report() {
+      reportsScheduled = false;
+      for (Link link : links) {
+        if (link != null) {
+          List<Demand> demands = link.demands();
+          if (!demands.isEmpty() || link.node == link.seed.node) {
+            link.report(demands);
+          }
+        }
+      }
+    }
+
+    /** Decides on a request as {@code TeamQuotas} does. */
+    Result request(String team) {
+      Optional<Link> home =
+          order(team).stream()
+              .map(i -> links[i])
+              .filter(link -> link != null && now - link.validSince < EXPIRY)
+              .findFirst();
+      if (home.isEmpty()) {
+        return Result.UNKNOWN;
+      }
+      QuotaAllowance allowance = home.get().allowance(team);
+      boolean admitted = allowance.tryAdmit(!home.get().closed.contains(team));
+      scheduleReports();
+      return admitted ? Result.ADMITTED : Result.OVER_QUOTA;
+    }
+  }
+
+  /** The part of a seed, as {@code QuotaSeed} plays it. */
+  private final class Seed {
+    private final Node node;
+    private final QuotaAllocator allocator;
+    private final Map<Long, Link> links = new HashMap<>();
+    private final Set<Long> unanswered = new HashSet<>();
+    private Set<String> closed = Set.of();
+    private boolean allocationScheduled;
+
+    Seed(Node node) {
+      this.node = node;
+      this.allocator =
+          new QuotaAllocator(BOUNDS, SEED_NAMES, node.id, new Random(random.nextLong()));
+    }
+
+    private boolean running() {
+      return node.seed == this;
+    }
+
+    void reported(Link link, long number, long processed, List<Demand> demands) {
+      boolean first = link.echoed == 0;
+      link.echoed = number;
+      allocator.acknowledge(link.listener, processed);
+      for (Demand demand : demands) {
+        allocator.report(
+            link.listener,
+            demand.team(),
+            demand.usage().admitted(),
+            demand.usage().asked(),
+            demand.tokens(),
+            now);
+      }
+      if (first || !demands.isEmpty()) {
+        unanswered.add(link.listener);
+        scheduleAllocation(first ? 0 : ANSWER_AFTER);
+      }
+    }
+
+    void disconnected(Link link) {
+      if (links.remove(link.listener) != null) {
+        unanswered.remove(link.listener);
+        allocator.remove(link.listener);
+      }
+    }
+
+    private void scheduleAllocation(long delay) {
+      if (!allocationScheduled) {
+        allocationScheduled = true;
+        after(delay, () -> node.run(this::allocate));
+      }
+    }
+
+    private void allocate() {
+      if (!running()) {
+        return;
+      }
+      allocationScheduled = false;
+      boolean unsatisfied = allocator.allocate(now);
+      Set<Long> receivers = new HashSet<>(unanswered);
+      unanswered.clear();
+      Set<String> next = allocator.closedTeams();
+      if (!next.equals(closed)) {
+        closed = next;
+        receivers.addAll(links.keySet());
+      } else if (unsatisfied) {
+        receivers.addAll(allocator.changedInstances());
+      }
+      receivers.forEach(this::answer);
+      if (unsatisfied) {
+        scheduleAllocation(REALLOCATE_AFTER);
+      }
+    }
+
+    private void answer(long listener) {
+      Link link = links.get(listener);
+      if (link != null) {
+        link.newsNumber++;
+        link.sendNews(
+            new News(
+                link.newsNumber,
+                link.echoed,
+                closed,
+                allocator.changes(listener, link.newsNumber),
+                allocator.requestedTokens(now)));
+      }
+    }
+
+    private void heartbeat() {
+      if (running()) {
+        List.copyOf(links.keySet()).forEach(this::answer);
+        after(HEARTBEAT, () -> node.run(this::heartbeat));
+      }
+    }
+  }
+}
