Teams: a name with a space at an end is rejected

Cause: receivers strip spaces at both ends of a header value, so a server saw another name than the declared one, perhaps that of another team.

Change: such a name is no valid header value, and the configuration is rejected.

Result: two cases of ConfigurationDecoderTest.Teams fail without it.

--- a/front/src/main/java/org/magnoliaswitch/front/version/Team.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Team.java
@@ -13,7 +13,10 @@
 public record Team(String name, Set<ApiKey> keys, Quota quota, int priority) {
   /** Checks that the name can be sent as a header. */
   public Team {
-    if (name.isBlank() || name.chars().anyMatch(c -> c < ' ' || c > '~')) {
+    // Receivers of a header strip spaces at both ends.
+    if (name.isBlank()
+        || !name.equals(name.strip())
+        || name.chars().anyMatch(c -> c < ' ' || c > '~')) {
       throw new IllegalArgumentException("the team name is empty or no valid header value");
     }
     keys = Set.copyOf(keys);
