--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -22,6 +22,7 @@
   private final Route route;
   private final HttpHeaders headers;
   private @Nullable Team team;
+  private TeamStanding standing = TeamStanding.WITHIN_RATE;
   private Admission.@Nullable Permit permit;
 
   KeyedAccess(
@@ -50,7 +51,9 @@
     if (permit != null && permit.team().name().equals(member.name())) {
       return Optional.empty();
     }
-    giveBack();
+    // The place within the quota of an earlier team stays taken: the request may have been sent.
+    permit = null;
+    standing = environment.teamQuotas().standing(member.name());
     return switch (environment.teamQuotas().admit(member)) {
       case Admission.Admitted admitted -> {
         permit = admitted.permit();
@@ -82,7 +85,7 @@
 
   @Override
   public TeamStanding standing() {
-    return team == null ? TeamStanding.WITHIN_RATE : environment.teamQuotas().standing(team.name());
+    return standing;
   }
 
   @Override
