Messages about teams: numbers are checked when they are read

Cause: a damaged report whose tokens are not a finite count spoiled the bucket of a team for good: with NaN, the team stayed open and no allowance was granted any more.

--- a/front/src/main/java/org/magnoliaswitch/front/peer/TeamNews.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/TeamNews.java
@@ -24,7 +24,13 @@
     Optional<States> states,
     List<QuotaAllocator.Allowance> allowances,
     Map<String, Double> requestedTokens) {
+  /** Checks the figures, which come from other instances and change buckets. */
   public TeamNews {
+    for (double tokens : requestedTokens.values()) {
+      if (!(tokens >= 0 && tokens < Double.POSITIVE_INFINITY)) {
+        throw new IllegalArgumentException("a request of " + tokens + " tokens");
+      }
+    }
     allowances = List.copyOf(allowances);
     requestedTokens = Map.copyOf(requestedTokens);
   }
--- a/front/src/main/java/org/magnoliaswitch/front/peer/TeamReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/TeamReport.java
@@ -23,5 +23,12 @@
    * @param asked all requests
    * @param tokens tokens of the quota that the instance, as another seed, passes on
    */
-  public record Demand(String team, int admitted, int asked, double tokens) {}
+  public record Demand(String team, int admitted, int asked, double tokens) {
+    /** Checks the figures, which come from other instances and change buckets. */
+    public Demand {
+      if (asked < 0 || !(tokens >= 0 && tokens < Double.POSITIVE_INFINITY)) {
+        throw new IllegalArgumentException("a demand of " + asked + " with " + tokens + " tokens");
+      }
+    }
+  }
 }
