--- a/front/src/test/java/org/magnoliaswitch/front/peer/PeerHubTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/PeerHubTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -12,18 +13,23 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.HeldConfiguration.Delivery;
+import org.magnoliaswitch.front.version.ApiKey;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Quota;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.RouteUpdate;
 import org.magnoliaswitch.front.version.ServerList;
+import org.magnoliaswitch.front.version.Team;
+import org.magnoliaswitch.front.version.TeamTable;
 import org.magnoliaswitch.front.version.WeightedService;
 import org.testng.annotations.Test;
 
@@ -180,4 +186,36 @@
       assertEquals(routes.get().routes().size(), 3);
     }
   }
+
+  /**
+   * Guards against an instance of an earlier release that goes on with a version without teams: it
+   * would serve requests without keys. It is disconnected and reads the store, and is told no
+   * version as the newest that it could take for its own.
+   */
+  @Test
+  public void listenerOfAnEarlierReleaseIsDisconnectedWhileThereAreTeams() throws IOException {
+    Team team = new Team("t", Set.of(new ApiKey("k")), Quota.UNLIMITED, 0);
+    RouteTable table =
+        new RouteTable(
+            1, List.of(route("r")), List.of(), CallerLimits.DEFAULT, new TeamTable(List.of(team)));
+    try (TestHub hub = new TestHub(table);
+        TestListener listener = new TestListener(hub);
+        TestListener current = new TestListener(hub)) {
+      current.acknowledge(0, 0);
+      List<PeerUpdate> updates = new ArrayList<>();
+      expectThrows(
+          IOException.class,
+          () -> {
+            for (int i = 0; i < 10; i++) {
+              updates.add(listener.read());
+            }
+          });
+      for (PeerUpdate update : updates) {
+        assertEquals(update.routes(), Optional.empty());
+        assertEquals(update.configuration().flatMap(ConfigurationUpdate::update), Optional.empty());
+      }
+      RouteTable received = current.readUpdate().applyTo(RouteTable.EMPTY).orElseThrow();
+      assertEquals(received.teams().find("k"), team);
+    }
+  }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.front.peer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -14,17 +15,24 @@
 import org.magnoliaswitch.core.peer.CrashReportCodec;
 import org.magnoliaswitch.front.load.InstanceIndex;
 import org.magnoliaswitch.front.testing.CorruptedMessages;
+import org.magnoliaswitch.front.version.ApiKey;
 import org.magnoliaswitch.front.version.CallerLimits;
 import org.magnoliaswitch.front.version.Evacuations;
+import org.magnoliaswitch.front.version.Quota;
 import org.magnoliaswitch.front.version.Route;
 import org.magnoliaswitch.front.version.RouteChanges;
 import org.magnoliaswitch.front.version.RouteTable;
 import org.magnoliaswitch.front.version.RouteUpdate;
 import org.magnoliaswitch.front.version.ServerList;
 import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.Team;
 import org.magnoliaswitch.front.version.TeamChanges;
+import org.magnoliaswitch.front.version.TeamTable;
 import org.magnoliaswitch.front.version.Warmup;
 import org.magnoliaswitch.front.version.WeightedService;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.testng.annotations.Test;
 
 /** Tests the encoding of configuration updates and of the messages of listeners. */
@@ -107,6 +115,129 @@
     CorruptedMessages.assertDecodedOrRejected(good, 8, PeerUpdateCodec::decode);
   }
 
+  /** Tests versions with teams. */
+  public static final class Teams {
+    private static final Team RED =
+        new Team("red", Set.of(new ApiKey("r1"), new ApiKey("r2")), new Quota(2.5, 4), 1);
+    private static final Team BLUE = new Team("blue", Set.of(new ApiKey("b1")), Quota.UNLIMITED, 0);
+    private static final RouteUpdate FULL = new RouteUpdate.Full(table(List.of(RED, BLUE)));
+    private static final RouteUpdate CHANGES = changes(List.of(RED), Set.of("green"), true);
+
+    private static RouteTable table(List<Team> teams) {
+      return new RouteTable(
+          9,
+          List.of(route("a"), route("b").withoutKeys()),
+          SERVICES,
+          CallerLimits.DEFAULT,
+          new TeamTable(teams));
+    }
+
+    private static RouteUpdate changes(List<Team> changed, Set<String> removed, boolean declared) {
+      return new RouteUpdate.Changes(
+          new RouteChanges(
+              7,
+              9,
+              List.of(route("b").withoutKeys(), route("c")),
+              Set.of("d"),
+              SERVICES,
+              CallerLimits.DEFAULT,
+              new TeamChanges(changed, removed, declared)));
+    }
+
+    private static int kind(RouteUpdate update) throws IOException {
+      try (MessageUnpacker in =
+          MessagePack.newDefaultUnpacker(RouteUpdateCodec.encode(Optional.of(update)))) {
+        return in.unpackInt();
+      }
+    }
+
+    @Test
+    public void wholeVersionIsDecoded() throws IOException {
+      RouteTable read = roundTrip(FULL).applyTo(RouteTable.EMPTY).orElseThrow();
+      assertEquals(new HashSet<>(read.teams().teams()), Set.of(RED, BLUE));
+      assertEquals(read.teams().find("r2"), RED);
+      assertEquals(new HashSet<>(read.routes()), Set.of(route("a"), route("b").withoutKeys()));
+    }
+
+    @Test
+    public void changesAreDecoded() throws IOException {
+      assertEquals(roundTrip(CHANGES), CHANGES);
+    }
+
+    /**
+     * Guards against an instance of an earlier release that applies a version without its teams: it
+     * would serve requests without keys. It knows kinds 1 and 2 and takes others for absent.
+     */
+    @Test
+    public void updatesThatInvolveTeamsHaveOtherKinds() throws IOException {
+      assertEquals(kind(FULL), 3);
+      assertEquals(kind(CHANGES), 4);
+      assertEquals(kind(changes(List.of(), Set.of(), true)), 4, "teams are unchanged");
+      assertEquals(kind(changes(List.of(), Set.of("red"), false)), 4, "the last team is removed");
+      assertEquals(kind(new RouteUpdate.Full(table(List.of()))), 1);
+      assertEquals(kind(changes(List.of(), Set.of(), false)), 2);
+    }
+
+    /**
+     * Guards against applying a version from an instance of an earlier release, which does not know
+     * whether the version has teams. Such an update ends before the teams.
+     */
+    @Test
+    public void updatesOfAnEarlierReleaseAreAbsent() throws IOException {
+      for (RouteUpdate update :
+          List.of(new RouteUpdate.Full(table(List.of())), changes(List.of(), Set.of(), false))) {
+        assertTrue(read(update, 0).isPresent());
+        byte[] teams = noTeams(update);
+        assertEquals(read(update, teams.length), Optional.empty());
+      }
+    }
+
+    private static byte[] noTeams(RouteUpdate update) throws IOException {
+      List<Route> routes =
+          switch (update) {
+            case RouteUpdate.Full full -> List.copyOf(full.table().routes());
+            case RouteUpdate.Changes changes -> changes.changes().changed();
+          };
+      try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+        TeamTableCodec.write(out, TeamChanges.NONE, routes);
+        return out.toByteArray();
+      }
+    }
+
+    /** Reads an update whose body ends earlier by a number of bytes. */
+    private static Optional<RouteUpdate> read(RouteUpdate update, int withoutLast)
+        throws IOException {
+      byte[] encoded = RouteUpdateCodec.encode(Optional.of(update));
+      try (MessageUnpacker in = MessagePack.newDefaultUnpacker(encoded);
+          MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+        out.packInt(in.unpackInt());
+        assertFalse(in.unpackBoolean(), "compressed");
+        out.packBoolean(false);
+        int length = in.unpackBinaryHeader() - withoutLast;
+        out.packBinaryHeader(length);
+        out.writePayload(in.readPayload(length));
+        try (MessageUnpacker shortened = MessagePack.newDefaultUnpacker(out.toByteArray())) {
+          return RouteUpdateCodec.read(shortened);
+        }
+      }
+    }
+
+    @Test
+    public void corruptedUpdatesAreDecodedOrRejected() {
+      for (RouteUpdate update : List.of(FULL, CHANGES)) {
+        byte[] good = PeerUpdateCodec.encode(peerUpdate(update));
+        CorruptedMessages.assertDecodedOrRejected(good, 14, PeerUpdateCodec::decode);
+      }
+    }
+
+    /** Guards against keys in log lines that show an update. */
+    @Test
+    public void textOfAnUpdateContainsNoKey() {
+      String text = FULL + " " + CHANGES + " " + RED;
+      assertFalse(text.contains("r1") || text.contains("b1"), text);
+    }
+  }
+
   /** Tests the messages of listeners. */
   public static final class ListenerUpdates {
     private static final List<CrashReport> REPORTS =
--- a/front/src/test/java/org/magnoliaswitch/front/version/RouteHistoryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/version/RouteHistoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -130,4 +131,76 @@
       assertEquals(history.version(), 9);
     }
   }
+
+  /** Versions whose teams differ. */
+  public static final class Teams {
+    private static Team team(String name, String... keys) {
+      Set<ApiKey> all = new HashSet<>();
+      for (String key : keys) {
+        all.add(new ApiKey(key));
+      }
+      return new Team(name, all, Quota.UNLIMITED, 0);
+    }
+
+    private static RouteTable version(long version, Team... teams) {
+      return new RouteTable(
+          version,
+          List.of(route("a", "1")),
+          SERVICES,
+          CallerLimits.DEFAULT,
+          new TeamTable(List.of(teams)));
+    }
+
+    private static RouteTable applied(RouteTable base, RouteTable... later) {
+      RouteHistory history = history(base);
+      for (RouteTable next : later) {
+        assertTrue(history.add(next));
+      }
+      RouteUpdate update = history.since(base.version());
+      assertTrue(update instanceof RouteUpdate.Changes);
+      return update.applyTo(base).orElseThrow();
+    }
+
+    private static void assertSameTeams(RouteTable actual, RouteTable expected) {
+      assertSame(actual, expected);
+      assertEquals(new HashSet<>(actual.teams().teams()), new HashSet<>(expected.teams().teams()));
+    }
+
+    /** Guards against sending a thousand teams because one of them has changed. */
+    @Test
+    public void onlyChangedTeamsAreSent() {
+      RouteUpdate update =
+          history(
+                  version(3, team("a", "1"), team("b", "2"), team("c", "3")),
+                  version(4, team("a", "1"), team("b", "2", "4")))
+              .since(3);
+      TeamChanges changes = ((RouteUpdate.Changes) update).changes().teams();
+      assertEquals(changes, new TeamChanges(List.of(team("b", "2", "4")), Set.of("c"), true));
+    }
+
+    /** Guards against an update that cannot be applied because two teams have a key meanwhile. */
+    @Test
+    public void movedKeyIsApplied() {
+      RouteTable base = version(3, team("a", "1", "x"), team("b", "2"));
+      RouteTable next = version(4, team("a", "1"), team("b", "2", "x"));
+      assertSameTeams(applied(base, next), next);
+      assertEquals(applied(base, next).teams().find("x"), team("b", "2", "x"));
+    }
+
+    /** Guards against a revoked key that stays valid on instances that have skipped a version. */
+    @Test
+    public void revokedKeyIsUnknownAfterSeveralVersions() {
+      RouteTable base = version(3, team("a", "1", "x"));
+      RouteTable last = version(9, team("a", "1"), team("b", "2"));
+      RouteTable received = applied(base, version(4, team("a", "1")), last);
+      assertSameTeams(received, last);
+      assertNull(received.teams().find("x"));
+    }
+
+    @Test
+    public void lastTeamIsRemoved() {
+      assertTrue(applied(version(3, team("a", "1")), version(4)).teams().isEmpty());
+      assertFalse(applied(version(3), version(4, team("a", "1"))).teams().isEmpty());
+    }
+  }
 }
