Authentication: a suspended machine does not reject unknown keys

Cause: whether a key may have been added since was decided by the monotonic clock alone, which stands still while the machine is suspended. After a suspension, keys added meanwhile were answered with 401, after which callers do not return, until the next read.

Change: the time by which the wall clock has advanced more than the monotonic clock since the last confirmation counts, too.

--- a/front/src/main/java/org/magnoliaswitch/front/process/ConfigurationConfirmation.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ConfigurationConfirmation.java
@@ -71,4 +71,17 @@
     Moment confirmed = last;
     return confirmed == null ? NEVER_NANOS : confirmed.nanosUntil(now());
   }
+
+  /**
+   * Returns the time for which the machine has been suspended since the configuration was
+   * confirmed: what the wall clock shows more than the monotonic clock.
+   */
+  public long suspendedNanos() {
+    Moment confirmed = last;
+    if (confirmed == null) {
+      return 0;
+    }
+    Moment now = now();
+    return confirmed.nanosUntil(now) - (now.nanos() - confirmed.nanos());
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -83,7 +83,8 @@
 
   private boolean additionsMayBeMissing() {
     long age = environment.routesFreshness().ageMillis(environment.clocks().nanos());
-    return age > MAX_CONFIGURATION_AGE_MILLIS;
+    long suspended = TimeUnit.NANOSECONDS.toMillis(environment.confirmation().suspendedNanos());
+    return age + suspended > MAX_CONFIGURATION_AGE_MILLIS;
   }
 
   private static @Nullable Team find(TeamTable teams, HttpHeaders headers) {
