Quota: attempts count for the team that they were sent for

Cause: when a key moved to another team after an attempt had been sent, the first team got the place of that attempt back. When a request ended unsent, its place was returned before the request was reported, so that it was counted for no team. The key was checked after the server's quota and the crash detector had admitted the attempt, which used up a place at the server, or the only trial of a request that makes servers crash, for an attempt that was not written.

Change: a permit knows whether something was sent with it; the request is reported first; the key is checked first.

Result: KeyedAccessTest.Quotas: attemptsCountForTheTeamsThatTheyWereSentFor and requestThatEndsUnsentIsCountedForItsTeam fail without the change. The order of the checks has no test.

--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -176,24 +176,24 @@
       exchange.unreachable(this, "deadline");
       return;
     }
-    if (!environment.quotas().allowed(pool.state())) {
+    Optional<Denial> denial = exchange.access().check();
+    if (denial.isPresent()) {
       pool.release(target);
       end();
-      exchange.notAdmitted(this);
+      exchange.denied(this, denial.get());
       return;
     }
-    Verdict verdict = exchange.crashDetector().crashes().admit();
-    if (verdict == Verdict.REFUSED || verdict == Verdict.WAIT) {
+    if (!environment.quotas().allowed(pool.state())) {
       pool.release(target);
       end();
       exchange.notAdmitted(this);
       return;
     }
-    Optional<Denial> denial = exchange.access().check();
-    if (denial.isPresent()) {
+    Verdict verdict = exchange.crashDetector().crashes().admit();
+    if (verdict == Verdict.REFUSED || verdict == Verdict.WAIT) {
       pool.release(target);
       end();
-      exchange.denied(this, denial.get());
+      exchange.notAdmitted(this);
       return;
     }
     trial = verdict == Verdict.TRIAL;
--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -23,6 +23,9 @@
   private final HttpHeaders headers;
   private Admission.@Nullable Permit permit;
 
+  /** Whether the request has been sent to a server with the permit. */
+  private boolean sent;
+
   KeyedAccess(
       Environment environment, Authenticator authenticator, Route route, HttpHeaders headers) {
     this.environment = environment;
@@ -52,6 +55,7 @@
     return switch (environment.teamQuotas().admit(team)) {
       case Admission.Admitted admitted -> {
         permit = admitted.permit();
+        sent = false;
         yield Optional.empty();
       }
       case Admission.OverQuota over ->
@@ -62,10 +66,10 @@
 
   @Override
   public void giveBack() {
-    if (permit != null) {
+    if (permit != null && !sent) {
       permit.giveBack();
-      permit = null;
     }
+    permit = null;
   }
 
   @Override
@@ -104,6 +108,7 @@
     }
     forwarded.remove(environment.names().team());
     if (permit != null) {
+      sent = true;
       forwarded.set(environment.names().team(), permit.team().name());
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -113,12 +113,12 @@
     done = true;
     placement.leaveQueue();
     timer.cancel();
-    returnUnusedQuota();
     // Cancelled only if idempotent, since a partial execution of other requests may do harm.
     if (route.idempotent()) {
       openAttempts.forEach(Attempt::cancel);
     }
     reportEnd("caller_left", 0);
+    access.giveBack();
   }
 
   @Override
@@ -383,17 +383,11 @@
     done = true;
     placement.leaveQueue();
     timer.cancel();
-    returnUnusedQuota();
     reportEnd(outcome, result.status().code());
+    access.giveBack();
     respond.accept(result);
   }
 
-  private void returnUnusedQuota() {
-    if (attempts.count() == 0) {
-      access.giveBack();
-    }
-  }
-
   private void reportEnd(String outcome, int status) {
     long tookNanos = environment.clocks().nanos() - request.readNanos();
     report.requestEnded(
--- a/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
@@ -13,7 +13,7 @@
   /** Checks whether the request may be sent now; empty if it may. */
   Optional<Denial> check();
 
-  /** Returns the place within the quota, because the request was not sent to any server. */
+  /** Ends the access; returns the place within the quota if nothing was sent to any server. */
   void giveBack();
 
   /** Name of the team; empty if the request needs no key. */
@@ -29,8 +29,8 @@
   long quotaAgeMillis();
 
   /**
-   * Replaces the headers about keys and teams in a request to a server: the server must not see the
-   * key, and must be able to rely on the team.
+   * Replaces the headers about keys and teams in a request that is sent to a server now: the server
+   * must not see the key, and must be able to rely on the team.
    */
   void replaceHeaders(HttpHeaders forwarded);
 
