--- a/front/src/test/java/org/magnoliaswitch/front/testing/Requests.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/Requests.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.front.testing;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -26,12 +27,18 @@
 
   /** Starts a request; the future completes with the final response. */
   public static CompletableFuture<CallerResponse> send(Environment environment) {
+    return send(environment, new DefaultHttpHeaders());
+  }
+
+  /** Starts a request with further headers; the future completes with the final response. */
+  public static CompletableFuture<CallerResponse> send(
+      Environment environment, HttpHeaders headers) {
     CompletableFuture<CallerResponse> response = new CompletableFuture<>();
     CallerRequest request =
         new CallerRequest(
             HttpMethod.POST,
             "/x",
-            new DefaultHttpHeaders().set("Host", "h").set("Request-Id", "1"),
+            new DefaultHttpHeaders().set(headers).set("Host", "h").set("Request-Id", "1"),
             new byte[0],
             environment.clocks().nanos(),
             false,
--- a/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/ScriptedServer.java
@@ -45,6 +45,11 @@
       return head.substring(start, head.indexOf("\r\n", start)).strip();
     }
 
+    /** Request line and headers as received. */
+    public String head() {
+      return head;
+    }
+
     /** Request line. */
     public String line() {
       return head.substring(0, head.indexOf("\r\n"));
--- a/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/TestEnvironment.java
@@ -38,6 +38,10 @@
 
 /** Creates the environment of an instance for tests of single requests, without open ports. */
 public final class TestEnvironment {
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+  private static final SharedRetryBudget.Limits RETRY_BUDGET =
+      new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
+
   private TestEnvironment() {}
 
   /** An environment with one route and its servers in force. */
@@ -49,13 +53,23 @@
 
   /** An environment that has not received a configuration yet. */
   public static Environment withoutConfiguration() {
-    Clocks clocks = Clocks.system();
+    return withoutConfiguration(Clocks.system(), TeamBounds.DEFAULT);
+  }
+
+  /** An environment with clocks of the test that has not received a configuration yet. */
+  public static Environment withoutConfiguration(Clocks clocks, TeamBounds teams) {
+    return withoutConfiguration(clocks, teams, TeamQuotas.QuotaLinks.of(settings()));
+  }
+
+  /** An environment with connections to seeds that the test sets. */
+  public static Environment withoutConfiguration(
+      Clocks clocks, TeamBounds teams, TeamQuotas.QuotaLinks links) {
     EventLog log = new EventLog(clocks);
     FrontMetrics metrics = new FrontMetrics();
     Loop loop = Loop.start();
     HeaderNames names = TestHeaders.NAMES;
     Random random = new Random(1);
-    FrontSettings settings = settings();
+    FrontSettings settings = settings(ANY, List.of(), RETRY_BUDGET, teams);
     AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
     InstanceCount instances = new InstanceCount(1, clocks);
     ColdServerQuotas coldServers = new ColdServerQuotas(settings, clocks, routes, instances);
@@ -84,16 +98,12 @@
         metrics,
         new CrashWatch(clocks),
         new ConfigurationConfirmation(clocks),
-        new TeamQuotas(
-            TeamQuotas.QuotaLinks.of(settings), clocks, random, instances, settings.teams()));
+        new TeamQuotas(links, clocks, random, instances, settings.teams()));
   }
 
   /** Settings of an instance without peers. */
   public static FrontSettings settings() {
-    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-    SharedRetryBudget.Limits retryBudget =
-        new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
-    return settings(any, List.of(), retryBudget);
+    return settings(ANY, List.of(), RETRY_BUDGET);
   }
 
   /** Settings of an instance with a peer address and seeds. */
@@ -101,12 +111,19 @@
       InetSocketAddress peers,
       List<InetSocketAddress> seeds,
       SharedRetryBudget.Limits retryBudget) {
-    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    return settings(peers, seeds, retryBudget, TeamBounds.DEFAULT);
+  }
+
+  private static FrontSettings settings(
+      InetSocketAddress peers,
+      List<InetSocketAddress> seeds,
+      SharedRetryBudget.Limits retryBudget,
+      TeamBounds teams) {
     return new FrontSettings(
         "t",
         "here",
-        any,
-        any,
+        ANY,
+        ANY,
         peers,
         seeds,
         false,
@@ -117,12 +134,19 @@
         ColdShare.Bounds.NONE,
         Map.of("here", "region", "abroad", "other region"),
         Mechanisms.ALL,
-        TeamBounds.DEFAULT);
+        teams);
   }
 
   /** Puts a configuration with one route and a list of servers in force. */
   public static void configure(Environment environment, Route route, ScriptedServer... servers) {
-    environment.routes().set(new RouteTable(1, List.of(route), List.of(), CallerLimits.DEFAULT));
+    configure(
+        environment, new RouteTable(1, List.of(route), List.of(), CallerLimits.DEFAULT), servers);
+  }
+
+  /** Puts a configuration and a list of servers in force. */
+  public static void configure(
+      Environment environment, RouteTable routes, ScriptedServer... servers) {
+    environment.routes().set(routes);
     environment.routesFreshness().confirmed(environment.clocks().nanos());
     Map<String, ServerEntry> entries = new HashMap<>();
     for (ScriptedServer server : servers) {
