--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -25,6 +25,9 @@
   private TeamStanding standing = TeamStanding.WITHIN_RATE;
   private Admission.@Nullable Permit permit;
 
+  /** Whether the request has been sent to a server with the permit. */
+  private boolean sent;
+
   KeyedAccess(
       Environment environment, Authenticator authenticator, Route route, HttpHeaders headers) {
     this.environment = environment;
@@ -57,6 +60,7 @@
     return switch (environment.teamQuotas().admit(member)) {
       case Admission.Admitted admitted -> {
         permit = admitted.permit();
+        sent = false;
         yield Optional.empty();
       }
       case Admission.OverQuota over ->
@@ -67,10 +71,10 @@
 
   @Override
   public void giveBack() {
-    if (permit != null) {
+    if (permit != null && !sent) {
       permit.giveBack();
-      permit = null;
     }
+    permit = null;
   }
 
   @Override
@@ -107,6 +111,7 @@
     }
     forwarded.remove(environment.names().team());
     if (permit != null) {
+      sent = true;
       forwarded.set(environment.names().team(), permit.team().name());
     }
   }
