--- a/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
--- a/front/src/main/java/org/magnoliaswitch/front/request/CallerResponses.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/CallerResponses.java
@@ -33,18 +33,23 @@
   }
 
   /**
-   * Creates a response stating that the request is beyond the quota of its team, was not executed
-   * and will not be.
+   * Creates a response stating why the request may not be sent; it was not executed.
    *
-   * @param retryAfterNanos time after which the quota allows it
+   * @param busyRetryAfterNanos time after which the caller may retry if the reason may have changed
    */
-  static CallerResponse overQuota(String reason, long retryAfterNanos) {
-    return plainText(
-        HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterHeaders(retryAfterNanos), reason);
+  static CallerResponse denied(Denial denial, long busyRetryAfterNanos) {
+    return switch (denial) {
+      case Denial.Unauthorized unauthorized -> unauthorized(unauthorized.reason());
+      case Denial.Unavailable unavailable -> notExecuted(unavailable.reason(), busyRetryAfterNanos);
+      case Denial.OverQuota over ->
+          plainText(
+              HttpResponseStatus.TOO_MANY_REQUESTS,
+              retryAfterHeaders(over.retryAfterNanos()),
+              over.reason());
+    };
   }
 
-  /** Creates a response stating that the request carries no valid key. */
-  static CallerResponse unauthorized(String reason) {
+  private static CallerResponse unauthorized(String reason) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Token");
     return plainText(HttpResponseStatus.UNAUTHORIZED, headers, reason);
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -95,15 +95,11 @@
   }
 
   private void refuse(Denial denial) {
-    switch (denial) {
-      case Denial.Unauthorized unauthorized ->
-          finish(CallerResponses.unauthorized(denial.reason()), "unauthorized");
-      case Denial.Unavailable unavailable -> refuse(denial.reason());
-      case Denial.OverQuota over -> {
-        report.requestRefused("", over.reason(), waitedNanos(), over.retryAfterNanos());
-        finish(CallerResponses.overQuota(over.reason(), over.retryAfterNanos()), over.reason());
-      }
-    }
+    long busyRetryAfter = busyRetryAfterNanos();
+    long retryAfter =
+        denial instanceof Denial.OverQuota over ? over.retryAfterNanos() : busyRetryAfter;
+    report.requestRefused("", denial.reason(), waitedNanos(), retryAfter);
+    finish(CallerResponses.denied(denial, busyRetryAfter), denial.reason());
   }
 
   /**
@@ -127,16 +123,19 @@
    * later.
    */
   private void refuse(String reason) {
-    long retryAfter =
-        RetryAfter.nanos(
-            RetryAfter.Cause.BUSY,
-            UNKNOWN_LATENCY_NANOS,
-            environment.random(),
-            environment.settings().mechanisms());
+    long retryAfter = busyRetryAfterNanos();
     report.requestRefused("", reason, waitedNanos(), retryAfter);
     finish(CallerResponses.notExecuted(reason, retryAfter), reason);
   }
 
+  private long busyRetryAfterNanos() {
+    return RetryAfter.nanos(
+        RetryAfter.Cause.BUSY,
+        UNKNOWN_LATENCY_NANOS,
+        environment.random(),
+        environment.settings().mechanisms());
+  }
+
   @Override
   public void callerDisconnected() {
     if (routed.isPresent()) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
@@ -40,6 +40,15 @@
     void giveUp(String reason, RetryAfter.Cause cause);
   }
 
+  /**
+   * The request that is placed.
+   *
+   * @param service service whose servers may get it
+   * @param access its right to be sent
+   */
+  record Request(
+      Route route, String service, RequestTimes times, TeamAccess access, RequestReport report) {}
+
   private final Loop loop;
   private final ServerFinder finder;
   private final PendingQueue<RequestPlacement> pendingQueue;
@@ -62,21 +71,17 @@
       ServerFinder finder,
       PendingQueue<RequestPlacement> pendingQueue,
       Mechanisms mechanisms,
-      Route route,
-      String service,
-      RequestTimes times,
-      TeamAccess access,
-      RequestReport report,
+      Request request,
       Owner owner) {
     this.loop = loop;
     this.finder = finder;
     this.pendingQueue = pendingQueue;
     this.mechanisms = mechanisms;
-    this.route = route;
-    this.service = service;
-    this.times = times;
-    this.access = access;
-    this.report = report;
+    this.route = request.route();
+    this.service = request.service();
+    this.times = request.times();
+    this.access = request.access();
+    this.report = request.report();
     this.owner = owner;
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -82,11 +82,7 @@
             finder,
             pendingQueue,
             environment.settings().mechanisms(),
-            route,
-            service,
-            times,
-            access,
-            report,
+            new RequestPlacement.Request(route, service, times, access, report),
             this);
     this.hedgeSearch = hedgeSearch();
     this.timer = environment.loop().after(times.remainingNanos(), this::timedOut);
@@ -176,23 +172,9 @@
     if (doneOrOthersOpen()) {
       return;
     }
-    switch (denial) {
-      case Denial.Unauthorized unauthorized ->
-          giveUpWith(denial.reason(), () -> CallerResponses.unauthorized(denial.reason()));
-      case Denial.Unavailable unavailable -> giveUp(denial.reason(), RetryAfter.Cause.BUSY);
-      case Denial.OverQuota over ->
-          giveUpWith(
-              denial.reason(),
-              () -> CallerResponses.overQuota(denial.reason(), over.retryAfterNanos()));
-    }
-  }
-
-  private void giveUpWith(String reason, Supplier<CallerResponse> notExecuted) {
-    executionState
-        .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
-        .ifPresentOrElse(
-            finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> finish(notExecuted.get(), reason));
+    conclude(
+        denial.reason(),
+        () -> CallerResponses.denied(denial, retryAfterNanos(RetryAfter.Cause.BUSY)));
   }
 
   /**
@@ -341,17 +323,26 @@
   }
 
   private void giveUp(String reason, LongSupplier retryAfterNanos) {
+    conclude(reason, () -> refusal(reason, retryAfterNanos.getAsLong()));
+  }
+
+  /**
+   * Ends the request without a successful response.
+   *
+   * @param notExecuted creates the response if it was not executed
+   */
+  private void conclude(String reason, Supplier<CallerResponse> notExecuted) {
     executionState
         .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
         .ifPresentOrElse(
             finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> refuse(reason, retryAfterNanos.getAsLong()));
+            () -> finish(notExecuted.get(), reason));
   }
 
-  private void refuse(String reason, long retryAfterNanos) {
+  private CallerResponse refusal(String reason, long retryAfterNanos) {
     long waitedNanos = environment.clocks().nanos() - request.readNanos();
     report.requestRefused(service, reason, waitedNanos, retryAfterNanos);
-    finish(CallerResponses.notExecuted(reason, retryAfterNanos), reason);
+    return CallerResponses.notExecuted(reason, retryAfterNanos);
   }
 
   private long retryAfterNanos(RetryAfter.Cause cause) {
@@ -368,11 +359,14 @@
     }
     boolean written = openAttempts.stream().anyMatch(Attempt::written);
     List<Attempt> cancelled = List.copyOf(openAttempts);
-    executionState
-        .finalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", written)
-        .ifPresentOrElse(
-            finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> refuse("timeout_before_send", retryAfterNanos(RetryAfter.Cause.BUSY)));
+    Optional<ExecutionState.FinalResponse> executed =
+        executionState.finalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", written);
+    if (executed.isPresent()) {
+      finish(executed.get().response(), executed.get().outcome());
+    } else {
+      String reason = "timeout_before_send";
+      finish(refusal(reason, retryAfterNanos(RetryAfter.Cause.BUSY)), reason);
+    }
     cancelled.forEach(attempt -> attempt.callerTimedOut(route.idempotent()));
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaAllocatorTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaAllocatorTest.java
@@ -248,7 +248,7 @@
 
       assertEquals(allocator.changes(1, 2).getFirst().granted(), 0);
       allocator.acknowledge(1, 2);
-      assertEquals(allocator.take("t", 1_000, now), allowed, 1e-6);
+      assertEquals(allocator.take("t", 1_000, now), (double) allowed, 1e-6);
     }
   }
 
