--- a/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/PeerHub.java
@@ -156,6 +156,10 @@
   public void publish(List<CrashReport> crashes) {
     Snapshot current = currentState.get();
     messages.recordInForce(current.routes());
+    if (listeners.isEmpty()) {
+      listenersBehind = 0;
+      return;
+    }
     listeners.stream()
         .sorted(Comparator.comparingInt(listener -> listener.updates.sendOrder()))
         .toList()
--- a/front/src/main/java/org/magnoliaswitch/front/peer/ServerChanges.java
+++ b/front/src/main/java/org/magnoliaswitch/front/peer/ServerChanges.java
@@ -42,6 +42,10 @@
 
   /** Applies the changes to the earlier list and returns the later one. */
   public ServerList applyTo(ServerList before) {
+    if (changed.isEmpty() && removed.isEmpty()) {
+      // Most messages of a peer only confirm the list, several times a second.
+      return new ServerList(revision, before.servers());
+    }
     Map<String, ServerEntry> servers = new HashMap<>(before.servers());
     changed.forEach(entry -> servers.put(entry.id(), entry));
     removed.forEach(servers::remove);
