Cancel timers of requests and health checks that have ended

Cause: each health check left two timers and each attempt one, which woke the event loop after the request had been answered and found nothing to do. Two header names were hashed for each message.

Change: the timers are cancelled when their work ends; the names keep their hash.

--- a/front/src/main/java/org/magnoliaswitch/front/request/EndToEndHeaders.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/EndToEndHeaders.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.List;
 
 /** Selects the headers that are forwarded to the next hop. */
@@ -10,8 +11,8 @@
   private static final List<CharSequence> HOP_BY_HOP =
       List.of(
           HttpHeaderNames.CONNECTION,
-          "keep-alive",
-          "proxy-connection",
+          AsciiString.cached("keep-alive"),
+          AsciiString.cached("proxy-connection"),
           HttpHeaderNames.PROXY_AUTHENTICATE,
           HttpHeaderNames.PROXY_AUTHORIZATION,
           HttpHeaderNames.TE,
--- a/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
@@ -19,6 +19,7 @@
 import org.magnoliaswitch.front.load.ProbeShare;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.TokenBucket;
+import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
 
 /**
@@ -97,6 +98,7 @@
     private final Runnable onComplete;
     private int outstanding;
     private boolean completed;
+    private Loop.Timer timeout = () -> {};
 
     ProbeRound(Runnable onComplete) {
       this.onComplete = onComplete;
@@ -137,14 +139,14 @@
       request.headers().set(environment.names().expectedServer(), pool.state().entry().id());
       Probe probe = new Probe(this, pool, connection);
       connection.send(request, Optional.empty(), probe::handleReply);
-      environment.loop().afterMillis(PROBE_TIMEOUT_MILLIS, probe::handleTimeout);
+      probe.startTimeout();
     }
 
     void start() {
       if (outstanding == 0) {
         complete();
       } else {
-        environment.loop().afterMillis(ROUND_TIMEOUT_MILLIS, this::complete);
+        timeout = environment.loop().afterMillis(ROUND_TIMEOUT_MILLIS, this::complete);
       }
     }
 
@@ -159,6 +161,7 @@
     private void complete() {
       if (!completed) {
         completed = true;
+        timeout.cancel();
         onComplete.run();
       }
     }
@@ -170,6 +173,7 @@
     private final ServerPool pool;
     private final ServerConnection connection;
     private boolean ended;
+    private Loop.Timer timeout = () -> {};
 
     Probe(ProbeRound round, ServerPool pool, ServerConnection connection) {
       this.round = round;
@@ -177,8 +181,16 @@
       this.connection = connection;
     }
 
+    /** Starts the time limit, unless the probe has failed at once. */
+    void startTimeout() {
+      if (!ended) {
+        timeout = environment.loop().afterMillis(PROBE_TIMEOUT_MILLIS, this::handleTimeout);
+      }
+    }
+
     void handleReply(ServerReply reply) {
       ended = true;
+      timeout.cancel();
       boolean answered = reply instanceof ServerReply.Complete;
       environment.metrics().count("probes", service(), answered ? "answered" : "broken");
       if (reply instanceof ServerReply.Complete complete) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -50,6 +50,7 @@
   private final Optional<HedgeSearch> hedgeSearch;
   private final Loop.Timer timer;
   private final List<Attempt> openAttempts = new ArrayList<>();
+  private final List<Loop.Timer> overdueTimers = new ArrayList<>(1);
   private final ExecutionState executionState = new ExecutionState();
   private int unreachableAttempts;
   private boolean done;
@@ -107,7 +108,7 @@
     }
     done = true;
     placement.leaveQueue();
-    timer.cancel();
+    cancelTimers();
     // Cancelled only if idempotent, since a partial execution of other requests may do harm.
     if (route.idempotent()) {
       openAttempts.forEach(Attempt::cancel);
@@ -123,7 +124,7 @@
     attempt.start(route.idempotent());
     double usualLatencyNanos = times.usualLatencyNanos();
     long delay = HedgeDelay.nanos(usualLatencyNanos, times.objectiveRemainingNanos());
-    environment.loop().after(delay, () -> overdue(attempt, usualLatencyNanos));
+    overdueTimers.add(environment.loop().after(delay, () -> overdue(attempt, usualLatencyNanos)));
   }
 
   /**
@@ -346,11 +347,17 @@
     }
     done = true;
     placement.leaveQueue();
-    timer.cancel();
+    cancelTimers();
     reportEnd(outcome, result.status().code());
     respond.accept(result);
   }
 
+  /** Cancels what would wake the loop again for a request that is done. */
+  private void cancelTimers() {
+    timer.cancel();
+    overdueTimers.forEach(Loop.Timer::cancel);
+  }
+
   private void reportEnd(String outcome, int status) {
     long tookNanos = environment.clocks().nanos() - request.readNanos();
     report.requestEnded(
