--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
@@ -17,6 +17,13 @@
    */
   private static final double EXCESS_SHARE = 0.5;
 
+  /**
+   * Part of what a window may contain beyond the rate that can be used at once. The rest is
+   * refilled over the window, which serves a team that asks for a little more than its rate all the
+   * time.
+   */
+  private static final double CAPACITY_SHARE = 0.4;
+
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   /** Requests that may be executed in any window over all instances. */
@@ -26,16 +33,21 @@
 
   /** Tokens that the buckets of all seeds hold together. */
   double capacity(Quota quota) {
-    return quota.burst() + usedExcess(quota) / 2;
+    return CAPACITY_SHARE * beyondRate(quota);
   }
 
   /**
-   * Tokens per second that the buckets of all seeds receive together. With the capacity, they add
-   * up to what a window may contain. A team whose rate is below the slack needs a part of the slack
-   * as rate: its few requests arrive at random, and some of them would be refused otherwise.
+   * Tokens per second that the buckets of all seeds receive together. A window may contain the
+   * burst on top of the rate, so a team may use the burst in each window; with the capacity, the
+   * refill of a window adds up to what it may contain.
    */
   double refillPerSecond(Quota quota) {
-    return quota.requestsPerSecond() + usedExcess(quota) / 2 / (windowNanos / NANOS_PER_SECOND);
+    return quota.requestsPerSecond()
+        + (1 - CAPACITY_SHARE) * beyondRate(quota) / (windowNanos / NANOS_PER_SECOND);
+  }
+
+  private double beyondRate(Quota quota) {
+    return quota.burst() + usedExcess(quota);
   }
 
   private double usedExcess(Quota quota) {
--- a/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
@@ -84,10 +84,8 @@
   }
 
   /** Returns the tokens that the seed asks this instance, as another seed, to pass on. */
-  Map<String, Double> takeRequestedTokens() {
-    Map<String, Double> requested = requestedTokens;
-    requestedTokens = Map.of();
-    return requested;
+  Map<String, Double> requestedTokens(Moment now) {
+    return fresh(now) ? requestedTokens : Map.of();
   }
 
   /** Returns the requests by team that have not been reported yet. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 import org.magnoliaswitch.front.load.SeedOrder;
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.ListenerTeams;
@@ -27,6 +28,12 @@
    */
   private static final long COLLECT_MILLIS = 50;
 
+  /**
+   * Interval at which tokens are passed on while another seed asks for them. The bucket of a seed
+   * that is not responsible for a team holds the refill of little more than this time.
+   */
+  private static final long PASS_ON_MILLIS = 100;
+
   /** A seed is sent a report at least this often, so that its messages count as current. */
   private static final long MAX_SILENCE_MILLIS = 300;
 
@@ -124,8 +131,12 @@
 
   /** Schedules a report; called by any thread. */
   private void scheduleFlush() {
+    scheduleFlush(COLLECT_MILLIS);
+  }
+
+  private void scheduleFlush(long delayMillis) {
     if (flushPending.compareAndSet(false, true)) {
-      loop.afterMillis(COLLECT_MILLIS, this::flush);
+      loop.afterMillis(delayMillis, this::flush);
     }
   }
 
@@ -139,6 +150,17 @@
         links.at(seed).ifPresent(link -> reportIfAny(position, link));
       }
     }
+    if (ownSeed.isPresent() && tokensRequested()) {
+      scheduleFlush(PASS_ON_MILLIS);
+    }
+  }
+
+  private boolean tokensRequested() {
+    Moment now = environment.confirmation().now();
+    return IntStream.range(0, links.seeds().size())
+        .mapToObj(links::at)
+        .flatMap(Optional::stream)
+        .anyMatch(link -> !link.requestedTokens(now).isEmpty());
   }
 
   private void reportIfAny(int seed, SeedLink link) {
@@ -170,7 +192,7 @@
     List<TeamReport.Demand> demands = new ArrayList<>(link.takeDemands());
     ownSeed.ifPresent(
         own ->
-            link.takeRequestedTokens()
+            link.requestedTokens(environment.confirmation().now())
                 .forEach(
                     (team, requested) -> {
                       double tokens = precedes(seed, team) ? own.take(team, requested) : 0;
