Requests: classes within the limits of the style check

Cause: the constructor of RequestPlacement had 10 parameters and RoutedExchange 409 lines, so that the build failed at Checkstyle.

Change: RequestPlacement takes the environment in place of two of its parts; the two ways to end a request that was not sent share one method.

Result: Checkstyle and Error Prone pass; no change of behaviour.

--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
@@ -7,14 +7,13 @@
 import java.util.function.Consumer;
 import org.magnoliaswitch.core.crash.Verdict;
 import org.magnoliaswitch.front.load.Mechanism;
-import org.magnoliaswitch.front.load.Mechanisms;
 import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.TeamStanding;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.load.WaitLimit;
-import org.magnoliaswitch.front.loop.Loop;
+import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
 
 /** Finds servers for one request, and keeps it in a queue while all of them are busy. */
@@ -40,10 +39,9 @@
     void giveUp(String reason, RetryAfter.Cause cause);
   }
 
-  private final Loop loop;
+  private final Environment environment;
   private final ServerFinder finder;
   private final PendingQueue<RequestPlacement> pendingQueue;
-  private final Mechanisms mechanisms;
   private final Route route;
   private final String service;
   private final RequestTimes times;
@@ -58,20 +56,18 @@
   private TeamStanding queuedStanding = TeamStanding.WITHIN_RATE;
 
   RequestPlacement(
-      Loop loop,
+      Environment environment,
       ServerFinder finder,
       PendingQueue<RequestPlacement> pendingQueue,
-      Mechanisms mechanisms,
       Route route,
       String service,
       RequestTimes times,
       TeamAccess access,
       RequestReport report,
       Owner owner) {
-    this.loop = loop;
+    this.environment = environment;
     this.finder = finder;
     this.pendingQueue = pendingQueue;
-    this.mechanisms = mechanisms;
     this.route = route;
     this.service = service;
     this.times = times;
@@ -92,7 +88,7 @@
     }
     switch (owner.verdict()) {
       case ALLOWED, TRIAL -> search(this::handleResult);
-      case WAIT -> loop.afterMillis(SEARCH_INTERVAL_MILLIS, this::place);
+      case WAIT -> environment.loop().afterMillis(SEARCH_INTERVAL_MILLIS, this::place);
       case REFUSED -> owner.refuseCrashing();
     }
   }
@@ -130,7 +126,7 @@
     Optional<RequestPlacement> first = pendingQueue.peek(service);
     if (first.isPresent() && finder.isSuitable(server, first.get().query())) {
       // Deferred, so that the connection that brought the response is back in its pool.
-      loop.execute(() -> first.get().acceptOffer(server));
+      environment.loop().execute(() -> first.get().acceptOffer(server));
     }
   }
 
@@ -183,7 +179,8 @@
             times.usualLatencyNanos(),
             route.objectiveNanos(),
             times.callerTimeoutNanos());
-    if (times.waitedNanos() + minWaitNanos > limit || !mechanisms.enabled(Mechanism.WAITING)) {
+    boolean allowed = environment.settings().mechanisms().enabled(Mechanism.WAITING);
+    if (times.waitedNanos() + minWaitNanos > limit || !allowed) {
       owner.giveUp("no_room", RetryAfter.Cause.BUSY);
       return;
     }
@@ -195,7 +192,7 @@
       report.requestQueued(service, times, limit, pendingQueue.size(service));
     }
     int searchNumber = searchCount;
-    loop.afterMillis(SEARCH_INTERVAL_MILLIS, () -> searchAgain(searchNumber));
+    environment.loop().afterMillis(SEARCH_INTERVAL_MILLIS, () -> searchAgain(searchNumber));
   }
 
   private void searchAgain(int searchNumber) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.magnoliaswitch.core.crash.Verdict;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.connection.CallerResponse;
@@ -78,16 +77,7 @@
         new FurtherAttempts(environment, route, service, times, report, crashDetector.crashes());
     this.placement =
         new RequestPlacement(
-            environment.loop(),
-            finder,
-            pendingQueue,
-            environment.settings().mechanisms(),
-            route,
-            service,
-            times,
-            access,
-            report,
-            this);
+            environment, finder, pendingQueue, route, service, times, access, report, this);
     this.hedgeSearch = hedgeSearch();
     this.timer = environment.loop().after(times.remainingNanos(), this::timedOut);
   }
@@ -176,23 +166,25 @@
     if (doneOrOthersOpen()) {
       return;
     }
+    String reason = denial.reason();
     switch (denial) {
       case Denial.Unauthorized unauthorized ->
-          giveUpWith(denial.reason(), () -> CallerResponses.unauthorized(denial.reason()));
-      case Denial.Unavailable unavailable -> giveUp(denial.reason(), RetryAfter.Cause.BUSY);
+          endUnsent(reason, () -> finish(CallerResponses.unauthorized(reason), reason));
+      case Denial.Unavailable unavailable -> giveUp(reason, RetryAfter.Cause.BUSY);
       case Denial.OverQuota over ->
-          giveUpWith(
-              denial.reason(),
-              () -> CallerResponses.overQuota(denial.reason(), over.retryAfterNanos()));
+          endUnsent(
+              reason,
+              () -> finish(CallerResponses.overQuota(reason, over.retryAfterNanos()), reason));
     }
   }
 
-  private void giveUpWith(String reason, Supplier<CallerResponse> notExecuted) {
+  /** Ends the request; says that it was not executed only if that is certain. */
+  private void endUnsent(String reason, Runnable notExecuted) {
     executionState
         .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
         .ifPresentOrElse(
             finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> finish(notExecuted.get(), reason));
+            notExecuted);
   }
 
   /**
@@ -341,11 +333,7 @@
   }
 
   private void giveUp(String reason, LongSupplier retryAfterNanos) {
-    executionState
-        .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
-        .ifPresentOrElse(
-            finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> refuse(reason, retryAfterNanos.getAsLong()));
+    endUnsent(reason, () -> refuse(reason, retryAfterNanos.getAsLong()));
   }
 
   private void refuse(String reason, long retryAfterNanos) {
