--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
@@ -25,7 +25,7 @@
  */
 public final class QuotaAllocator {
   /** Part of a team's capacity that its first seed holds; the others share the rest. */
-  private static final double FIRST_SEED_SHARE = 0.6;
+  private static final double FIRST_SEED_SHARE = 0.8;
 
   /**
    * Time for which the bucket of a removed team is kept. A team that is removed and added again
--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllowance.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllowance.java
@@ -9,6 +9,13 @@
  * counted from the start of the connection to the seed, and reported as differences.
  */
 public final class QuotaAllowance {
+  /**
+   * Requests that an instance may admit to an open team before the seed has counted them. Most
+   * instances see a request of a team now and then, but some see a second one before the first is
+   * answered.
+   */
+  static final int OPEN_ALLOWANCE = 3;
+
   /**
    * An allowance of the seed.
    *
@@ -39,12 +46,12 @@
   /**
    * Admits a request if the allowance is not used up.
    *
-   * @param open whether one request may be admitted ahead of any grant
+   * @param open whether {@link #OPEN_ALLOWANCE} requests may be admitted without a grant
    */
   public boolean tryAdmit(boolean open) {
     asked.incrementAndGet();
     Grant current = grant;
-    long limit = current.counted() + (open ? Math.max(1, current.granted()) : current.granted());
+    long limit = current.counted() + Math.max(open ? OPEN_ALLOWANCE : 0, current.granted());
     long before = admitted.get();
     while (before < limit) {
       if (admitted.compareAndSet(before, before + 1)) {
--- a/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
@@ -95,7 +95,7 @@
     this.bucket = bucket;
     this.demand = new DemandRate(TEAM_SPAN_SECONDS, nowNanos);
     this.usualDemand = new DemandRate(USUAL_SPAN_SECONDS, nowNanos);
-    updateClosed();
+    updateClosed(0);
   }
 
   void configure(Quota newQuota, double perSecond, double capacity, long nowNanos) {
@@ -141,7 +141,7 @@
   /** Distributes the tokens among the instances that ask; returns whether any got too few. */
   boolean allocate(RandomGenerator random, long nowNanos) {
     bucket.refill(nowNanos);
-    updateClosed();
+    updateClosed(outstanding());
     List<InstanceAccount> wanting = new ArrayList<>();
     long wanted = 0;
     long outstanding = 0;
@@ -163,6 +163,14 @@
     return wanted > available || closed;
   }
 
+  private long outstanding() {
+    long outstanding = 0;
+    for (InstanceAccount account : instances.values()) {
+      outstanding += account.outstanding();
+    }
+    return outstanding;
+  }
+
   private double commitment() {
     boolean overcommitted = bucket.tokens() >= OVERCOMMITTED_FROM * bucket.capacity();
     return overcommitted ? OVERCOMMITMENT * bucket.tokens() : bucket.tokens();
@@ -189,12 +197,12 @@
     }
     double expected = account.demand.perSecond(nowNanos) * ROUND_TRIP_SECONDS;
     long target = (long) Math.ceil(expected + DEMAND_MARGIN * Math.sqrt(expected));
-    // While the team is open, the first request of an instance needs no allowance.
-    return target <= 1 && !closed ? 0 : target;
+    return target <= QuotaAllowance.OPEN_ALLOWANCE && !closed ? 0 : target;
   }
 
-  private void updateClosed() {
-    double level = bucket.tokens() / Math.max(1e-9, bucket.capacity());
+  /** Tokens that are allowed to instances do not count: they may be used at any moment. */
+  private void updateClosed(long outstanding) {
+    double level = (bucket.tokens() - outstanding) / Math.max(1e-9, bucket.capacity());
     closed = level < (closed ? OPEN_FROM : CLOSED_BELOW);
   }
 
@@ -234,11 +242,7 @@
   /** Takes out tokens for another seed that are not allowed to any instance. */
   double take(double wanted, long nowNanos) {
     bucket.refill(nowNanos);
-    long outstanding = 0;
-    for (InstanceAccount account : instances.values()) {
-      outstanding += account.outstanding();
-    }
-    double taken = Math.max(0, Math.min(wanted, bucket.tokens() - outstanding));
+    double taken = Math.max(0, Math.min(wanted, bucket.tokens() - outstanding()));
     bucket.add(-taken);
     return taken;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.load.QuotaAllocator;
 import org.magnoliaswitch.front.load.QuotaAllowance;
+import org.magnoliaswitch.front.load.SeedContact;
 import org.magnoliaswitch.front.peer.TeamNews;
 import org.magnoliaswitch.front.peer.TeamReport;
 import org.magnoliaswitch.front.process.ConfigurationConfirmation.Moment;
@@ -29,6 +30,7 @@
 
   private final Map<String, QuotaAllowance> allowances = new ConcurrentHashMap<>();
   private final Deque<SentReport> sent = new ArrayDeque<>();
+  private final SeedContact contact = new SeedContact();
   private volatile TeamNews.States states = TeamNews.States.NONE;
   private volatile @Nullable Moment validSince;
   private Map<String, Double> requestedTokens = Map.of();
@@ -55,6 +57,11 @@
     return allowances.computeIfAbsent(team, name -> new QuotaAllowance());
   }
 
+  /** Whether requests of a team may be admitted without an allowance. */
+  boolean open(String team, Moment now) {
+    return !states.closed().contains(team) && contact.answers(now.nanos());
+  }
+
   TeamNews.States states() {
     return states;
   }
@@ -65,7 +72,8 @@
    * @return when this instance sent the report that the message echoes; the message was written
    *     after that. Empty if it echoes none
    */
-  Optional<Moment> received(TeamNews news) {
+  Optional<Moment> received(TeamNews news, Moment now) {
+    contact.received(news.echoed(), now.nanos());
     lastNews = news.number();
     news.states().ifPresent(changed -> states = changed);
     requestedTokens = news.requestedTokens();
@@ -105,6 +113,9 @@
   TeamReport report(List<TeamReport.Demand> demands, Moment now) {
     lastSequence++;
     sent.addLast(new SentReport(lastSequence, now));
+    if (!demands.isEmpty()) {
+      contact.reported(lastSequence, now.nanos());
+    }
     return new TeamReport(lastSequence, lastNews, demands);
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamQuotas.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamQuotas.java
@@ -102,7 +102,7 @@
       links.onUse.run();
       return new Admission.Admitted(new Admission.Unlimited(team));
     }
-    boolean open = !link.states().closed().contains(team.name());
+    boolean open = link.open(team.name(), new Moment(clocks.nanos(), clocks.millis()));
     boolean admitted = allowance.tryAdmit(open);
     links.onUse.run();
     QuotaReturns schedule =
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
@@ -108,7 +108,7 @@
       links.set(seed, new SeedLink());
     }
     SeedLink link = links.at(seed).orElseThrow();
-    Optional<Moment> asked = link.received(news);
+    Optional<Moment> asked = link.received(news, environment.confirmation().now());
     if (upToDate && asked.isPresent()) {
       environment.confirmation().confirmed(asked.get().minusMillis(news.confirmationAgeMillis()));
     }
@@ -218,13 +218,19 @@
     }
     SeedLink link = links.at(position).orElseThrow();
     own.reported(LOCAL_LISTENER, link.report(link.takeDemands(), environment.confirmation().now()));
-    own.nextNews(LOCAL_LISTENER).ifPresent(link::received);
+    own.nextNews(LOCAL_LISTENER).ifPresent(news -> receivedLocally(link, news));
+  }
+
+  private void receivedLocally(SeedLink link, TeamNews news) {
+    var unused = link.received(news, environment.confirmation().now());
   }
 
   private void answer(Set<Long> listeners, Consumer<Set<Long>> sender) {
     if (listeners.contains(LOCAL_LISTENER) && links.at(ownPosition).isPresent()) {
       SeedLink link = links.at(ownPosition).orElseThrow();
-      ownSeed.flatMap(seed -> seed.nextNews(LOCAL_LISTENER)).ifPresent(link::received);
+      ownSeed
+          .flatMap(seed -> seed.nextNews(LOCAL_LISTENER))
+          .ifPresent(news -> receivedLocally(link, news));
     }
     sender.accept(listeners);
   }
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.magnoliaswitch.front.load.QuotaMessages.Demand;
 import org.magnoliaswitch.front.load.QuotaMessages.News;
 import org.magnoliaswitch.front.load.QuotaMessages.Sent;
@@ -25,6 +26,7 @@
 
   private static final long REPORT_AFTER = millis(50);
   private static final long ANSWER_AFTER = millis(15);
+  private static final long PASS_ON = millis(100);
   private static final long REALLOCATE_AFTER = millis(100);
   private static final long HEARTBEAT = millis(400);
   private static final long MAX_SILENCE = millis(300);
@@ -59,6 +61,7 @@
     private final Seed seed;
     private final Map<String, QuotaAllowance> allowances = new HashMap<>();
     private final Deque<Sent> sent = new ArrayDeque<>();
+    private final SeedContact contact = new SeedContact();
     private Set<String> closed = Set.of();
     private Map<String, Double> requested = Map.of();
     private long validSince = Long.MIN_VALUE / 2;
@@ -86,6 +89,7 @@
 
     void received(News news) {
       receivedAt = now();
+      contact.received(news.echoed(), now());
       lastNews = news.number();
       closed = news.closed();
       requested = news.requested();
@@ -118,10 +122,11 @@
               List<Integer> order = order(team);
               if (order.indexOf(seed.node.id) < order.indexOf(node.id)) {
                 double tokens = node.seed.allocator.take(team, wanted, now());
-                demands.add(new Demand(team, new QuotaAllowance.Usage(0, 0), tokens));
+                if (tokens > 0) {
+                  demands.add(new Demand(team, new QuotaAllowance.Usage(0, 0), tokens));
+                }
               }
             });
-        requested = Map.of();
       }
       return demands;
     }
@@ -129,6 +134,9 @@
     void report(List<Demand> demands) {
       reportedAt = now();
       sent.addLast(new Sent(++sequence, now()));
+      if (!demands.isEmpty()) {
+        contact.reported(sequence, now());
+      }
       long number = sequence;
       long processed = lastNews;
       if (node == seed.node) {
@@ -263,12 +271,23 @@
     }
 
     private void scheduleReports() {
+      scheduleReports(REPORT_AFTER);
+    }
+
+    private void scheduleReports(long delay) {
       if (!reportsScheduled) {
         reportsScheduled = true;
-        after(REPORT_AFTER, () -> run(this::report));
+        after(delay, () -> run(this::report));
       }
     }
 
+    private boolean tokensRequested() {
+      return Stream.of(links)
+          .anyMatch(
+              link ->
+                  link != null && !link.requested.isEmpty() && now() - link.validSince < EXPIRY);
+    }
+
     private void report() {
       reportsScheduled = false;
       for (Link link : links) {
@@ -279,6 +298,9 @@
           }
         }
       }
+      if (seed != null && tokensRequested()) {
+        scheduleReports(PASS_ON);
+      }
     }
 
     /** Decides on a request as {@code TeamQuotas} does. */
@@ -292,7 +314,9 @@
         return Result.UNKNOWN;
       }
       QuotaAllowance allowance = home.get().allowance(team);
-      boolean admitted = allowance.tryAdmit(!home.get().closed.contains(team));
+      boolean admitted =
+          allowance.tryAdmit(
+              !home.get().closed.contains(team) && home.get().contact.answers(now()));
       scheduleReports();
       return admitted ? Result.ADMITTED : Result.OVER_QUOTA;
     }
--- a/front/src/test/java/org/magnoliaswitch/front/process/GrantedQuotas.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/GrantedQuotas.java
@@ -15,7 +15,8 @@
   /** Creates the connection; no team may admit anything beyond the given allowances. */
   public GrantedQuotas(Clocks clocks, Map<String, Integer> allowances) {
     SeedLink link = new SeedLink();
-    link.report(List.of(), new ConfigurationConfirmation(clocks).now());
+    ConfigurationConfirmation.Moment now = new ConfigurationConfirmation(clocks).now();
+    link.report(List.of(), now);
     link.received(
         new TeamNews(
             1,
@@ -25,7 +26,8 @@
             allowances.entrySet().stream()
                 .map(e -> new QuotaAllocator.Allowance(e.getKey(), 0, e.getValue()))
                 .toList(),
-            Map.of()));
+            Map.of()),
+        now);
     links.set(0, link);
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/process/SeedLinkTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/SeedLinkTest.java
@@ -37,7 +37,7 @@
   }
 
   private void receive(TeamNews news) {
-    var unused = link.received(news);
+    var unused = link.received(news, now());
   }
 
   private void advanceMillis(long millis) {
