--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
@@ -157,7 +157,7 @@
   }
 
   private void allocate(String name, TeamAccount account, long nowNanos) {
-    if (account.limited() && account.allocate(random, nowNanos)) {
+    if (account.limited() && (account.allocate(random, nowNanos) || needsTokens(account))) {
       unallocated.add(name);
     }
     setMember(closed, name, account.closed());
@@ -227,11 +227,16 @@
   private void addRequested(
       String name, TeamAccount account, Map<String, Double> requested, long nowNanos) {
     double missing = account.missing(nowNanos);
-    if (account.tokens() < REQUEST_BELOW * (account.tokens() + missing)) {
+    if (needsTokens(account)) {
       requested.put(name, missing / (seeds.size() - 1));
     }
   }
 
+  /** Whether a team needs the tokens of other seeds; asked for before the bucket runs empty. */
+  private boolean needsTokens(TeamAccount account) {
+    return seeds.size() > 1 && account.level() < REQUEST_BELOW;
+  }
+
   /** Takes tokens out of a team's bucket for another seed; returns how many. */
   public double take(String team, double wanted, long nowNanos) {
     return account(team).map(account -> account.take(wanted, nowNanos)).orElse(0.0);
--- a/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
@@ -26,6 +26,12 @@
 
   private static final double OVERCOMMITTED_FROM = 0.5;
 
+  /**
+   * Part of the tokens that is allowed while the team is closed. If all were, a small team whose
+   * instances rarely use their allowances would stay closed.
+   */
+  private static final double CLOSED_COMMITMENT = 0.5;
+
   /** Time in which an instance reports a request and receives its next allowance, in seconds. */
   private static final double ROUND_TRIP_SECONDS = 0.2;
 
@@ -172,6 +178,9 @@
   }
 
   private double commitment() {
+    if (closed) {
+      return CLOSED_COMMITMENT * bucket.tokens();
+    }
     boolean overcommitted = bucket.tokens() >= OVERCOMMITTED_FROM * bucket.capacity();
     return overcommitted ? OVERCOMMITMENT * bucket.tokens() : bucket.tokens();
   }
@@ -230,8 +239,9 @@
     return bucket.capacity() - bucket.tokens();
   }
 
-  double tokens() {
-    return bucket.tokens();
+  /** Fill level of the bucket, from 0 to 1; negative while more was admitted than it held. */
+  double level() {
+    return bucket.tokens() / Math.max(1e-9, bucket.capacity());
   }
 
   /** Adds tokens that another seed has taken out of its bucket. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -54,8 +54,7 @@
     if (permit != null && permit.team().name().equals(member.name())) {
       return Optional.empty();
     }
-    // The place within the quota of an earlier team stays taken: the request may have been sent.
-    permit = null;
+    giveBack();
     standing = environment.teamQuotas().standing(member.name());
     return switch (environment.teamQuotas().admit(member)) {
       case Admission.Admitted admitted -> {
