--- a/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/WaitingRequestTest.java
@@ -77,7 +77,8 @@
               "127.0.0.1");
       Consumer<CallerResponse> respond = result -> answered.countDown();
       PendingQueue<RequestPlacement> pendingQueue = new PendingQueue<>(Mechanisms.ALL);
-      Exchange exchange = new Exchange(
+      Exchange exchange =
+          new Exchange(
               environment, finder, new Authenticator(environment), pendingQueue, request, respond);
       environment
           .loop()
