Visibility of teams: who is refused and why, and when a seed closes or opens a team

Cause: requests refused with 429 or 503 named no team in logs and metrics, because only an admitted request had one; 401 had no line with its reason; nothing told when a seed closed a team or took it for over-demanding. Change: KeyedAccess remembers the team of a refused request, so refused and end lines name it and team.requests counts it by reason; refused lines carry confirmation_age_ms; 401 writes one. The age of the confirmation is a gauge. Without teams nothing is added, and an Optional per request is gone. TeamMetrics has no unit test yet.

--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaAllocator.java
@@ -237,6 +237,21 @@
     return account(team).map(account -> account.take(wanted, nowNanos)).orElse(0.0);
   }
 
+  /**
+   * The quota of a team at this seed.
+   *
+   * @param perSecond rate of the team over all seeds; 0 without a limit
+   * @param demandPerSecond requests that it asks for per second
+   * @param tokens tokens in the bucket; negative if more was admitted than refilled
+   * @param capacity tokens that a full bucket holds
+   */
+  public record Usage(double perSecond, double demandPerSecond, double tokens, double capacity) {}
+
+  /** Returns how much of a team's quota is used at this seed; empty for an unknown team. */
+  public Optional<Usage> usage(String team, long nowNanos) {
+    return account(team).map(account -> account.usage(nowNanos));
+  }
+
   /** Returns the demand of a team in requests per second. */
   public double demandPerSecond(String team, long nowNanos) {
     return account(team).map(account -> account.demandPerSecond(nowNanos)).orElse(0.0);
--- a/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
@@ -212,6 +212,12 @@
     return demand.perSecond(nowNanos);
   }
 
+  QuotaAllocator.Usage usage(long nowNanos) {
+    bucket.refill(nowNanos);
+    return new QuotaAllocator.Usage(
+        quota.requestsPerSecond(), demand.perSecond(nowNanos), bucket.tokens(), bucket.capacity());
+  }
+
   /** Tokens that are missing from a full bucket. */
   double missing(long nowNanos) {
     bucket.refill(nowNanos);
--- a/front/src/main/java/org/magnoliaswitch/front/process/QuotaSeed.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/QuotaSeed.java
@@ -42,6 +42,7 @@
   private final Set<Long> unanswered = new HashSet<>();
   private TeamTable teams = TeamTable.EMPTY;
   private TeamNews.States states = TeamNews.States.NONE;
+  private Optional<TeamMetrics> teamMetrics = Optional.empty();
   private boolean allocationPending;
 
   /** The messages exchanged with one listener. */
@@ -67,6 +68,11 @@
     this.sender = sender;
   }
 
+  /** Sets what logs changes in the states of teams. */
+  void logStates(TeamMetrics metrics) {
+    teamMetrics = Optional.of(metrics);
+  }
+
   /** Applies the teams of the configuration in force. */
   void configure(TeamTable next) {
     if (next != teams) {
@@ -145,6 +151,7 @@
     unanswered.clear();
     if (!next.equals(states)) {
       states = next;
+      teamMetrics.ifPresent(metrics -> metrics.changed(next, allocator));
       receivers.addAll(conversations.keySet());
     } else if (unsatisfied) {
       receivers.addAll(allocator.changedInstances());
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.core.crash.CrashReport;
 import org.magnoliaswitch.core.process.CrashWatch;
 import org.magnoliaswitch.front.load.InstanceIndex;
@@ -136,6 +137,11 @@
     environment.metrics().gauge("knowledge.age.milliseconds", poller::ageMillis);
     environment.metrics().gauge("configuration.age.milliseconds", poller::operatorStateAgeMillis);
     environment.metrics().gauge("servers.age.milliseconds", poller::serversAgeMillis);
+    environment
+        .metrics()
+        .gauge(
+            "configuration.confirmation.age.milliseconds",
+            () -> TimeUnit.NANOSECONDS.toMillis(environment.confirmation().ageNanos()));
     environment.metrics().gauge("peer.bytes.told", hub::bytesSent);
     environment.metrics().gauge("peer.listeners.dropped", hub::listenersDropped);
     environment.metrics().gauge("peer.listeners.behind", hub::listenersBehind);
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
@@ -75,6 +75,10 @@
                     loop,
                     environment.random(),
                     listeners -> answer(listeners, sender)));
+    ownSeed.ifPresent(
+        seed ->
+            seed.logStates(
+                new TeamMetrics(environment.log(), environment.metrics(), environment.clocks())));
     links.onUse(this::scheduleFlush);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.front.process.Environment;
@@ -74,6 +75,11 @@
     return current ? new Access.Member(team) : new Access.Unconfirmed("unconfirmed_key");
   }
 
+  /** Returns the team that the key of a request belongs to in the configuration in force. */
+  Optional<Team> teamOf(HttpHeaders headers) {
+    return Optional.ofNullable(find(environment.routes().get().teams(), headers));
+  }
+
   private boolean revocationsMayBeMissing() {
     TeamBounds bounds = environment.settings().teams();
     return bounds.strictRevocation()
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -76,11 +76,11 @@
     }
     TeamAccess access = access(route.get());
     Optional<Denial> denial = access.check();
+    report.team(access);
     if (denial.isPresent()) {
       refuse(denial.get());
       return;
     }
-    report.team(access);
     RoutedExchange exchange =
         new RoutedExchange(
             environment, finder, pendingQueue, request, route.get(), access, report, respond);
@@ -96,8 +96,10 @@
 
   private void refuse(Denial denial) {
     switch (denial) {
-      case Denial.Unauthorized unauthorized ->
-          finish(CallerResponses.unauthorized(denial.reason()), "unauthorized");
+      case Denial.Unauthorized unauthorized -> {
+        report.requestRefused("", unauthorized.reason(), waitedNanos(), 0);
+        finish(CallerResponses.unauthorized(unauthorized.reason()), "unauthorized");
+      }
       case Denial.Unavailable unavailable -> refuse(denial.reason());
       case Denial.OverQuota over -> {
         report.requestRefused("", over.reason(), waitedNanos(), over.retryAfterNanos());
--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -23,6 +23,9 @@
   private final HttpHeaders headers;
   private Admission.@Nullable Permit permit;
 
+  /** Name of the team, also of one whose request is refused. */
+  private String team = "";
+
   KeyedAccess(
       Environment environment, Authenticator authenticator, Route route, HttpHeaders headers) {
     this.environment = environment;
@@ -35,11 +38,16 @@
   public Optional<Denial> check() {
     return switch (authenticator.check(route, headers)) {
       case Authenticator.Access.Open open -> Optional.empty();
-      case Authenticator.Access.Member member -> admit(member.team());
+      case Authenticator.Access.Member member -> {
+        team = member.team().name();
+        yield admit(member.team());
+      }
       case Authenticator.Access.Rejected rejected ->
           Optional.of(new Denial.Unauthorized(rejected.reason()));
-      case Authenticator.Access.Unconfirmed unconfirmed ->
-          Optional.of(new Denial.Unavailable(unconfirmed.reason()));
+      case Authenticator.Access.Unconfirmed unconfirmed -> {
+        team = authenticator.teamOf(headers).map(Team::name).orElse("");
+        yield Optional.of(new Denial.Unavailable(unconfirmed.reason()));
+      }
     };
   }
 
@@ -70,7 +78,7 @@
 
   @Override
   public String team() {
-    return permit == null ? "" : permit.team().name();
+    return team;
   }
 
   @Override
@@ -87,7 +95,7 @@
 
   @Override
   public long quotaAgeMillis() {
-    return permit == null ? -1 : environment.teamQuotas().knownSinceMillis(permit.team().name());
+    return team.isEmpty() ? -1 : environment.teamQuotas().knownSinceMillis(team);
   }
 
   @Override
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -32,9 +32,11 @@
     return requestId;
   }
 
-  /** Sets the access of the request, whose team the lines name. */
+  /** Sets the access of the request, whose team the lines name if the configuration has teams. */
   void team(TeamAccess teamAccess) {
-    access = Optional.of(teamAccess).filter(known -> !known.team().isEmpty());
+    if (teamAccess instanceof KeyedAccess) {
+      access = Optional.of(teamAccess);
+    }
   }
 
   /** Reports an attempt at a server that was unreachable or rejected the request. */
@@ -126,6 +128,9 @@
             .add("reason", reason)
             .add("waited_ms", millis(waitedNanos))
             .add("retry_after_ms", millis(retryAfterNanos));
+    if (access.isPresent()) {
+      line.add("confirmation_age_ms", millis(environment.confirmation().ageNanos()));
+    }
     addTeam(line);
     line.write();
   }
@@ -168,11 +173,16 @@
         .add("version", environment.routes().get().version());
     addTeam(line);
     line.write();
-    access.ifPresent(known -> environment.metrics().countTeam(known.team(), outcome));
+    access
+        .map(TeamAccess::team)
+        .filter(team -> !team.isEmpty())
+        .ifPresent(team -> environment.metrics().countTeam(team, outcome));
   }
 
   private void addTeam(EventLog.Line line) {
-    access.ifPresent(
-        known -> line.add("team", known.team()).add("quota_age_ms", known.quotaAgeMillis()));
+    access
+        .filter(known -> !known.team().isEmpty())
+        .ifPresent(
+            known -> line.add("team", known.team()).add("quota_age_ms", known.quotaAgeMillis()));
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
@@ -16,7 +16,7 @@
   /** Returns the place within the quota, because the request was not sent to any server. */
   void giveBack();
 
-  /** Name of the team; empty if the request needs no key. */
+  /** Name of the team; empty if the request needs no key or its key is unknown. */
   String team();
 
   /** Priority of the team; 0 without one. */
