--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
@@ -12,10 +12,10 @@
  */
 public record QuotaBounds(long windowNanos, double excess, double slack) {
   /**
-   * Part of the allowed excess that the buckets give out. The rest covers requests of instances
-   * that the seed has not heard of yet.
+   * Part of the slack that the buckets give out. The rest, and the excess that grows with the quota,
+   * cover requests that the seed has not been told of yet; these grow with the rate as well.
    */
-  private static final double EXCESS_SHARE = 0.5;
+  private static final double USED_SLACK_SHARE = 0.5;
 
   /**
    * Part of what a window may contain beyond the rate that can be used at once. The rest is
@@ -47,11 +47,7 @@
   }
 
   private double beyondRate(Quota quota) {
-    return quota.burst() + usedExcess(quota);
-  }
-
-  private double usedExcess(Quota quota) {
-    return EXCESS_SHARE * (excess * declared(quota) + slack);
+    return quota.burst() + USED_SLACK_SHARE * slack;
   }
 
   private double declared(Quota quota) {
--- a/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TeamAccount.java
@@ -27,14 +27,17 @@
   private static final double OVERCOMMITTED_FROM = 0.5;
 
   /**
-   * Part of the tokens that is allowed while the team is closed. If all were, a small team whose
+   * Part of the tokens that is allowed while the bucket is low. If all were, a small team whose
    * instances rarely use their allowances would stay closed.
    */
-  private static final double CLOSED_COMMITMENT = 0.5;
+  private static final double LOW_COMMITMENT = 0.5;
 
   /** Time in which an instance reports a request and receives its next allowance, in seconds. */
   private static final double ROUND_TRIP_SECONDS = 0.2;
 
+  /** Time until an instance knows that the seed has closed a team, in seconds. */
+  private static final double CLOSING_SECONDS = 0.1;
+
   /** Standard deviations of the demand in a round trip that an allowance covers. */
   private static final double DEMAND_MARGIN = 1.5;
 
@@ -58,6 +61,7 @@
   private final DemandRate demand;
   private final DemandRate usualDemand;
   private Quota quota;
+  private boolean low;
   private boolean closed;
 
   /** The requests of one instance and its allowance, as totals since it connected. */
@@ -101,7 +105,7 @@
     this.bucket = bucket;
     this.demand = new DemandRate(TEAM_SPAN_SECONDS, nowNanos);
     this.usualDemand = new DemandRate(USUAL_SPAN_SECONDS, nowNanos);
-    updateClosed(0);
+    updateClosed(nowNanos);
   }
 
   void configure(Quota newQuota, double perSecond, double capacity, long nowNanos) {
@@ -147,7 +151,7 @@
   /** Distributes the tokens among the instances that ask; returns whether any got too few. */
   boolean allocate(RandomGenerator random, long nowNanos) {
     bucket.refill(nowNanos);
-    updateClosed(outstanding());
+    updateClosed(nowNanos);
     List<InstanceAccount> wanting = new ArrayList<>();
     long wanted = 0;
     long outstanding = 0;
@@ -179,7 +183,7 @@
 
   private double commitment() {
     if (closed) {
-      return CLOSED_COMMITMENT * bucket.tokens();
+      return low ? LOW_COMMITMENT * bucket.tokens() : bucket.tokens();
     }
     boolean overcommitted = bucket.tokens() >= OVERCOMMITTED_FROM * bucket.capacity();
     return overcommitted ? OVERCOMMITMENT * bucket.tokens() : bucket.tokens();
@@ -209,10 +213,15 @@
     return target <= QuotaAllowance.OPEN_ALLOWANCE && !closed ? 0 : target;
   }
 
-  /** Tokens that are allowed to instances do not count: they may be used at any moment. */
-  private void updateClosed(long outstanding) {
-    double level = (bucket.tokens() - outstanding) / Math.max(1e-9, bucket.capacity());
-    closed = level < (closed ? OPEN_FROM : CLOSED_BELOW);
+  /**
+   * Closes or opens the team. It is open only while the tokens cover what its callers ask for until
+   * the seed can close it; otherwise a team that asks for many times its rate would exceed it
+   * whenever its bucket has filled up again.
+   */
+  private void updateClosed(long nowNanos) {
+    low = level() < (low ? OPEN_FROM : CLOSED_BELOW);
+    double uncounted = demand.perSecond(nowNanos) * CLOSING_SECONDS;
+    closed = low || bucket.tokens() < uncounted;
   }
 
   boolean closed() {
@@ -233,6 +242,12 @@
     return demand.perSecond(nowNanos);
   }
 
+  QuotaAllocator.Usage usage(long nowNanos) {
+    bucket.refill(nowNanos);
+    return new QuotaAllocator.Usage(
+        quota.requestsPerSecond(), demand.perSecond(nowNanos), bucket.tokens(), bucket.capacity());
+  }
+
   /** Tokens that are missing from a full bucket. */
   double missing(long nowNanos) {
     bucket.refill(nowNanos);
--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -43,8 +43,10 @@
       case Authenticator.Access.Member member -> admit(member.team());
       case Authenticator.Access.Rejected rejected ->
           Optional.of(new Denial.Unauthorized(rejected.reason()));
-      case Authenticator.Access.Unconfirmed unconfirmed ->
-          Optional.of(new Denial.Unavailable(unconfirmed.reason()));
+      case Authenticator.Access.Unconfirmed unconfirmed -> {
+        team = authenticator.teamOf(headers).orElse(null);
+        yield Optional.of(new Denial.Unavailable(unconfirmed.reason()));
+      }
     };
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
@@ -16,7 +16,7 @@
   /** Ends the access; returns the place within the quota if nothing was sent to any server. */
   void giveBack();
 
-  /** Name of the team; empty if the request needs no key. */
+  /** Name of the team; empty if the request needs no key or its key is unknown. */
   String team();
 
   /** Priority of the team; 0 without one. */
