Tests of keys and quotas over real connections

A key of 8 kB, and an instance that has just started: 503 while the quota is not known, 429 while the bucket is empty, then service.

--- a/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
@@ -6,12 +6,19 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaswitch.front.testing.RunningFront;
 import org.magnoliaswitch.front.testing.ScriptedServer;
 import org.magnoliaswitch.front.testing.ScriptedServer.Script;
+import org.magnoliaswitch.front.version.ApiKey;
+import org.magnoliaswitch.front.version.Quota;
+import org.magnoliaswitch.front.version.Team;
+import org.magnoliaswitch.front.version.TeamTable;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -319,4 +326,56 @@
       }
     }
   }
+
+  /** Requests of teams, over real connections and the instance's own part as a seed. */
+  public static final class Teams {
+    private static final TeamTable TEAMS =
+        new TeamTable(
+            List.of(
+                new Team("free", Set.of(new ApiKey("f")), Quota.UNLIMITED, 0),
+                new Team("busy", Set.of(new ApiKey("b")), new Quota(1_000, 1_000), 0),
+                new Team("spent", Set.of(new ApiKey("s")), new Quota(1e-6, 1), 0)));
+
+    private static String request(RunningFront front, String key) throws IOException {
+      try (Socket socket = front.connect()) {
+        String headers = "Authorization: Token " + key + "\r\nConnection: close\r\n";
+        RunningFront.send(socket, "GET", "/safe/1", LONG_TIMEOUT_MILLIS, headers);
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      }
+    }
+
+    /** Guards against an answer other than 401 because the header is long. */
+    @Test
+    public void longUnknownKeyIsRejected() throws IOException {
+      try (ScriptedServer server = new ScriptedServer("a", r -> r.respond(200, "x"))) {
+        RunningFront front = RunningFront.withTeams(TEAMS, LONG_TIMEOUT_MILLIS, server);
+        assertEquals(status(request(front, "k".repeat(8 << 10))), 401);
+        assertEquals(status(request(front, "f")), 200);
+        assertEquals(server.received().size(), 1);
+      }
+    }
+
+    /**
+     * Guards against an instance that stays without allowances after its start, and against one
+     * that starts with a burst of its own: at first the quota is not known, and then the bucket is
+     * empty.
+     */
+    @Test
+    public void limitedTeamsAreAdmittedWithinTheirQuotaOnly() throws IOException {
+      try (ScriptedServer server = new ScriptedServer("a", r -> r.respond(200, "x"))) {
+        RunningFront front = RunningFront.withTeams(TEAMS, LONG_TIMEOUT_MILLIS, server);
+        String spent = request(front, "s");
+        while (status(spent) == 503) {
+          spent = request(front, "s");
+        }
+        assertEquals(status(spent), 429, spent);
+        assertTrue(spent.toLowerCase(Locale.ROOT).contains("retry-after: "), spent);
+        assertEquals(server.received().size(), 0);
+        while (status(request(front, "b")) != 200) {
+          assertEquals(server.received().size(), 0);
+        }
+        assertEquals(server.received().getFirst().header("Team"), "busy");
+      }
+    }
+  }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -32,6 +32,7 @@
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
 import org.magnoliaswitch.front.version.ServicePolicy;
+import org.magnoliaswitch.front.version.TeamTable;
 import org.magnoliaswitch.front.version.Warmup;
 import org.magnoliaswitch.front.version.WeightedService;
 
@@ -51,7 +52,13 @@
    * @param timeoutMillis timeout of both routes
    */
   public RunningFront(long timeoutMillis, ScriptedServer... servers) throws IOException {
-    this(timeoutMillis, 0, List.of(), servers);
+    this(timeoutMillis, 0, List.of(), TeamTable.EMPTY, servers);
+  }
+
+  /** Starts an instance without seeds whose requests need keys. */
+  public static RunningFront withTeams(
+      TeamTable teams, long timeoutMillis, ScriptedServer... servers) throws IOException {
+    return new RunningFront(timeoutMillis, 0, List.of(), teams, servers);
   }
 
   /**
@@ -65,13 +72,18 @@
     List<InetSocketAddress> seeds = List.of(new InetSocketAddress("127.0.0.1", seedPort));
     List<RunningFront> fronts = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      fronts.add(new RunningFront(timeoutMillis, i == 0 ? seedPort : freePort(), seeds, servers));
+      int port = i == 0 ? seedPort : freePort();
+      fronts.add(new RunningFront(timeoutMillis, port, seeds, TeamTable.EMPTY, servers));
     }
     return fronts;
   }
 
   private RunningFront(
-      long timeoutMillis, int peersPort, List<InetSocketAddress> seeds, ScriptedServer... servers)
+      long timeoutMillis,
+      int peersPort,
+      List<InetSocketAddress> seeds,
+      TeamTable teams,
+      ScriptedServer... servers)
       throws IOException {
     long timeout = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     RouteTable routes =
@@ -79,7 +91,8 @@
             1,
             List.of(route("safe", true, timeout), route("once", false, timeout)),
             List.of(new ServicePolicy("s", "/health", 100, Warmup.UNLIMITED)),
-            CallerLimits.DEFAULT);
+            CallerLimits.DEFAULT,
+            teams);
     Map<String, ServerEntry> entries = new HashMap<>();
     for (ScriptedServer server : servers) {
       entries.put(server.entry().id(), server.entry());
