Own reads: the configuration is applied before it is confirmed

An instance without the store for 6 s read a newer configuration; its age was renewed 12 ms before the new version was in force, so the old one counted as current and a key that was added seconds ago got 401, not 503. The same holds for 404 of a new route. Change: StatePoller applies what it read, confirms it, then publishes it, as updates of peers already do. There is no test yet that fails without it.

--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -170,19 +170,22 @@
         .orElse(RouteTable.EMPTY);
   }
 
+  /** Applies the declared state and publishes it if anything is newer than before. */
+  private void offer(OperatorState state, String origin) {
+    if (store(state, origin)) {
+      listener.changed();
+    }
+  }
+
   /**
    * Applies the declared state and returns whether anything is newer than before. Evacuations are
    * applied first: otherwise a request could find a new route and be sent to a server whose data
    * centre the same state declares as evacuated.
    */
-  private boolean offer(OperatorState state, String origin) {
+  private boolean store(OperatorState state, String origin) {
     boolean evacuationsChanged = knownState.offer(state.evacuations(), origin);
     boolean routesChanged = knownState.offer(state.routes(), origin);
-    boolean changed = evacuationsChanged || routesChanged;
-    if (changed) {
-      listener.changed();
-    }
-    return changed;
+    return evacuationsChanged || routesChanged;
   }
 
   private void check() {
@@ -238,8 +241,7 @@
       return;
     }
     changesMissed = false;
-    operatorState.confirmed(asOf.nanos());
-    apply(read);
+    apply(read, asOf.nanos());
     confirm(read, asOf);
     if (schedule.waitsForChanges()) {
       longPolling = true;
@@ -268,8 +270,7 @@
     // The platform holds a call without changes until the end of the wait, so a response after that
     // confirms the state up to then. When an earlier response was created is unknown, so it counts
     // as confirming only the state at the start of the call.
-    operatorState.confirmed(waited ? begunNanos + waitNanos : begunNanos);
-    boolean changed = apply(read);
+    boolean changed = apply(read, waited ? begunNanos + waitNanos : begunNanos);
     confirm(read, waited ? begun.plusMillis(PollingSchedule.WAIT_MILLIS) : begun);
     if (!changed) {
       // Only the age is new.
@@ -314,10 +315,21 @@
         && outdated(known.value().evacuations());
   }
 
-  /** Applies the result of a read; returns whether it is newer than before. */
-  private boolean apply(StateSource.Read<OperatorState> read) {
-    return read instanceof StateSource.Read.Known<OperatorState> known
-        && offer(known.value(), "store");
+  /**
+   * Applies what was read and confirms it. Confirmed before it is applied, the configuration of
+   * before would count as current for a moment, and requests would get 401 or 404 instead of 503.
+   *
+   * @return whether anything is newer than before
+   */
+  private boolean apply(StateSource.Read<OperatorState> read, long asOfNanos) {
+    boolean changed =
+        read instanceof StateSource.Read.Known<OperatorState> known
+            && store(known.value(), "store");
+    operatorState.confirmed(asOfNanos);
+    if (changed) {
+      listener.changed();
+    }
+    return changed;
   }
 
   private void serversRead(StateSource.Read<ServerList> read, long asOf) {
