--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaBounds.java
@@ -12,8 +12,8 @@
  */
 public record QuotaBounds(long windowNanos, double excess, double slack) {
   /**
-   * Part of the slack that the buckets give out. The rest, and the excess that grows with the quota,
-   * cover requests that the seed has not been told of yet; these grow with the rate as well.
+   * Part of the slack that the buckets give out. The rest, and the excess that grows with the
+   * quota, cover requests that the seed has not been told of yet; these grow with the rate as well.
    */
   private static final double USED_SLACK_SHARE = 0.5;
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -318,8 +318,8 @@
   }
 
   /**
-   * Applies what was read and confirms it. Confirmed before it is applied, the configuration of
-   * before would count as current for a moment, and requests would get 401 or 404 instead of 503.
+   * Applies what was read, and confirms it afterwards: otherwise the earlier configuration would
+   * count as current for a moment, and requests would be answered with 401 or 404 instead of 503.
    *
    * @return whether anything is newer than before
    */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -99,8 +99,7 @@
     long retryAfter =
         denial instanceof Denial.OverQuota over ? over.retryAfterNanos() : busyRetryAfter;
     report.requestRefused("", denial.reason(), waitedNanos(), retryAfter);
-    String outcome =
-        denial instanceof Denial.Unauthorized ? "unauthorized" : denial.reason();
+    String outcome = denial instanceof Denial.Unauthorized ? "unauthorized" : denial.reason();
     finish(CallerResponses.denied(denial, busyRetryAfter), outcome);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.load.CallerRetry;
+import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
@@ -59,6 +60,12 @@
     return environment.routeState().baseline(route).nanos();
   }
 
+  /** Time after which the caller should retry if the request is refused now. */
+  long retryAfterNanos(RetryAfter.Cause cause) {
+    return RetryAfter.nanos(
+        cause, usualLatencyNanos(), environment.random(), environment.settings().mechanisms());
+  }
+
   /** Whether the caller can still be served by retrying if the request is refused now. */
   CallerRetry callerRetry() {
     return CallerRetry.of(usedConnection, spentNanos, remainingNanos(), usualLatencyNanos());
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -175,7 +175,7 @@
     }
     conclude(
         denial.reason(),
-        () -> CallerResponses.denied(denial, retryAfterNanos(RetryAfter.Cause.BUSY)));
+        () -> CallerResponses.denied(denial, times.retryAfterNanos(RetryAfter.Cause.BUSY)));
   }
 
   /**
@@ -320,7 +320,7 @@
 
   @Override
   public void giveUp(String reason, RetryAfter.Cause cause) {
-    giveUp(reason, () -> retryAfterNanos(cause));
+    giveUp(reason, () -> times.retryAfterNanos(cause));
   }
 
   private void giveUp(String reason, LongSupplier retryAfterNanos) {
@@ -346,14 +346,6 @@
     return CallerResponses.notExecuted(reason, retryAfterNanos);
   }
 
-  private long retryAfterNanos(RetryAfter.Cause cause) {
-    return RetryAfter.nanos(
-        cause,
-        times.usualLatencyNanos(),
-        environment.random(),
-        environment.settings().mechanisms());
-  }
-
   private void timedOut() {
     if (done) {
       return;
@@ -366,7 +358,7 @@
       finish(executed.get().response(), executed.get().outcome());
     } else {
       String reason = "timeout_before_send";
-      finish(refusal(reason, retryAfterNanos(RetryAfter.Cause.BUSY)), reason);
+      finish(refusal(reason, times.retryAfterNanos(RetryAfter.Cause.BUSY)), reason);
     }
     cancelled.forEach(attempt -> attempt.callerTimedOut(route.idempotent()));
   }
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaCallers.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaCallers.java
@@ -7,7 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleUnaryOperator;
-import org.magnoliaswitch.front.load.QuotaSimulation.Result;
+import org.magnoliaswitch.front.load.QuotaMessages.Result;
 import org.magnoliaswitch.front.version.Quota;
 import org.magnoliaswitch.front.version.Team;
 
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaMessages.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaMessages.java
@@ -21,4 +21,11 @@
       Set<String> closed,
       List<QuotaAllocator.Allowance> allowances,
       Map<String, Double> requested) {}
+
+  /** Result of a request. */
+  enum Result {
+    ADMITTED,
+    OVER_QUOTA,
+    UNKNOWN
+  }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 import org.magnoliaswitch.front.load.QuotaMessages.Demand;
 import org.magnoliaswitch.front.load.QuotaMessages.News;
+import org.magnoliaswitch.front.load.QuotaMessages.Result;
 import org.magnoliaswitch.front.load.QuotaMessages.Sent;
 import org.magnoliaswitch.front.version.TeamTable;
 
@@ -39,13 +40,6 @@
   private final Map<String, List<Integer>> orders = new HashMap<>();
   private long lastListener;
 
-  /** Result of a request. */
-  enum Result {
-    ADMITTED,
-    OVER_QUOTA,
-    UNKNOWN
-  }
-
   QuotaSimulation(int instances, TeamTable teams, long seed) {
     super(seed);
     for (int i = 0; i < instances; i++) {
@@ -83,6 +77,10 @@
       return node.alive && node.links[seed.node.id] == this && seed.node.seed == seed;
     }
 
+    boolean asks() {
+      return !requested.isEmpty() && now() - validSince < EXPIRY;
+    }
+
     QuotaAllowance allowance(String team) {
       return allowances.computeIfAbsent(team, name -> new QuotaAllowance());
     }
@@ -103,7 +101,7 @@
       if (news.echoed() == 0 || now() - reportedAt >= MAX_SILENCE) {
         report(demands());
       } else if (!requested.isEmpty()) {
-        node.scheduleReports();
+        node.scheduleReports(REPORT_AFTER);
       }
     }
 
@@ -270,10 +268,6 @@
       after(CONNECTION_CHECK, () -> run(this::checkConnections));
     }
 
-    private void scheduleReports() {
-      scheduleReports(REPORT_AFTER);
-    }
-
     private void scheduleReports(long delay) {
       if (!reportsScheduled) {
         reportsScheduled = true;
@@ -281,13 +275,6 @@
       }
     }
 
-    private boolean tokensRequested() {
-      return Stream.of(links)
-          .anyMatch(
-              link ->
-                  link != null && !link.requested.isEmpty() && now() - link.validSince < EXPIRY);
-    }
-
     private void report() {
       reportsScheduled = false;
       for (Link link : links) {
@@ -298,7 +285,7 @@
           }
         }
       }
-      if (seed != null && tokensRequested()) {
+      if (seed != null && Stream.of(links).anyMatch(link -> link != null && link.asks())) {
         scheduleReports(PASS_ON);
       }
     }
@@ -317,7 +304,7 @@
       boolean admitted =
           allowance.tryAdmit(
               !home.get().closed.contains(team) && home.get().contact.answers(now()));
-      scheduleReports();
+      scheduleReports(REPORT_AFTER);
       return admitted ? Result.ADMITTED : Result.OVER_QUOTA;
     }
   }
@@ -337,10 +324,6 @@
           new QuotaAllocator(BOUNDS, SEED_NAMES, node.id, new Random(random.nextLong()));
     }
 
-    private boolean running() {
-      return node.seed == this;
-    }
-
     void reported(Link link, long number, long processed, List<Demand> demands) {
       boolean first = link.echoed == 0;
       link.echoed = number;
@@ -375,7 +358,7 @@
     }
 
     private void allocate() {
-      if (!running()) {
+      if (node.seed != this) {
         return;
       }
       allocationScheduled = false;
@@ -410,7 +393,7 @@
     }
 
     private void heartbeat() {
-      if (running()) {
+      if (node.seed == this) {
         List.copyOf(links.keySet()).forEach(this::answer);
         after(HEARTBEAT, () -> node.run(this::heartbeat));
       }
