--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -317,7 +317,8 @@
 
   /**
    * Applies what was read and confirms it. Confirmed before it is applied, the configuration of
-   * before would count as current for a moment, and requests would get 401 or 404 instead of 503.
+   * before would count as current for a moment, and requests for what is new would be rejected for
+   * good.
    *
    * @return whether anything is newer than before
    */
