--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -318,8 +318,11 @@
   }
 
   /**
-   * Applies what was read, and confirms it afterwards: otherwise the earlier configuration would
-   * count as current for a moment, and requests would be answered with 401 or 404 instead of 503.
+   * <<<<<<< HEAD Applies what was read, and confirms it afterwards: otherwise the earlier
+   * configuration would count as current for a moment, and requests would be answered with 401 or
+   * 404 instead of 503. ======= Applies what was read and confirms it. Confirmed before it is
+   * applied, the configuration of before would count as current for a moment, and requests for what
+   * is new would be rejected for good. >>>>>>> teamops
    *
    * @return whether anything is newer than before
    */
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
@@ -27,7 +27,6 @@
 
   private static final long REPORT_AFTER = millis(50);
   private static final long ANSWER_AFTER = millis(15);
-  private static final long PASS_ON = millis(100);
   private static final long REALLOCATE_AFTER = millis(100);
   private static final long HEARTBEAT = millis(400);
   private static final long MAX_SILENCE = millis(300);
@@ -37,7 +36,6 @@
   private static final List<String> SEED_NAMES = List.of("seed-a", "seed-b", "seed-c");
 
   final List<Node> nodes = new ArrayList<>();
-  private final Map<String, List<Integer>> orders = new HashMap<>();
   private long lastListener;
 
   QuotaSimulation(int instances, TeamTable teams, long seed) {
@@ -177,8 +175,8 @@
     }
   }
 
-  private List<Integer> order(String team) {
-    return orders.computeIfAbsent(team, name -> SeedOrder.of(name, SEED_NAMES));
+  private static List<Integer> order(String team) {
+    return SeedOrder.of(team, SEED_NAMES);
   }
 
   /** One instance. */
@@ -286,7 +284,7 @@
         }
       }
       if (seed != null && Stream.of(links).anyMatch(link -> link != null && link.asks())) {
-        scheduleReports(PASS_ON);
+        scheduleReports(REALLOCATE_AFTER);
       }
     }
 
