--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -281,11 +281,11 @@
 
   /** Records that the configuration in force was the newest when the store was read. */
   private void confirm(StateSource.Read<OperatorState> read, Moment asOf) {
+    Moment now = environment.confirmation().now();
     if (read instanceof StateSource.Read.Known<OperatorState> known) {
-      restoredSource.read(known.value(), environment.confirmation().now());
+      restoredSource.read(known.value(), now);
     }
-    boolean newest =
-        restoredSource.confirms(knownState.routesVersion(), environment.confirmation().now());
+    boolean newest = restoredSource.confirms(knownState.routesVersion(), now);
     if (newest && source.newestConfigurationDecoded()) {
       environment.confirmation().confirmed(asOf);
     }
@@ -318,11 +318,8 @@
   }
 
   /**
-   * <<<<<<< HEAD Applies what was read, and confirms it afterwards: otherwise the earlier
-   * configuration would count as current for a moment, and requests would be answered with 401 or
-   * 404 instead of 503. ======= Applies what was read and confirms it. Confirmed before it is
-   * applied, the configuration of before would count as current for a moment, and requests for what
-   * is new would be rejected for good. >>>>>>> teamops
+   * Applies what was read, and then records its age: otherwise requests for what is new would be
+   * rejected for good by the earlier configuration, which would count as current.
    *
    * @return whether anything is newer than before
    */
