Load model: data centres whose demand moves, long requests, servers that reset connections

Cause: the deployment without teams has demand that swings by 55 % in each data centre at different phases, three requests in a hundred that run seven times as long, and servers with two slots that reset connections when full. The model had none of these.

Change: a deployment has a Demand (data centres, latency between them, swing, share of long requests), server traits say whether a full server resets connections, and there are three patterns, uneven, uneven-burst and uneven-ended, on 39 instances with 106 and 80 servers.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Callers.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Callers.java
@@ -33,29 +33,42 @@
   void start(Policy chosen) {
     policy = chosen;
     for (Kind kind : pattern.deployment().kinds()) {
-      simulation.time().everyMillis(TICK_MILLIS, () -> tick(kind));
+      for (int i = 0; i < pattern.deployment().demand().callerGroups(); i++) {
+        int group = i;
+        simulation.time().everyMillis(TICK_MILLIS, () -> tick(kind, group));
+      }
     }
   }
 
-  private void tick(Kind kind) {
+  private void tick(Kind kind, int group) {
     double now = simulation.time().millis();
     if (now >= LoadPattern.LENGTH_MILLIS) {
       return;
     }
-    double expected = kind.perSecond() * pattern.loadAt(now) * TICK_MILLIS / 1_000;
+    double expected =
+        kind.perSecond()
+            * pattern.loadAt(now)
+            * pattern.deployment().demand().shareAt(group, now)
+            * TICK_MILLIS
+            / 1_000;
     int count = (int) expected + (simulation.random().nextDouble() < expected % 1 ? 1 : 0);
     for (int i = 0; i < count; i++) {
-      arrive(kind);
+      arrive(kind, group);
     }
   }
 
-  private void arrive(Kind kind) {
+  private void arrive(Kind kind, int group) {
     RandomGenerator random = simulation.random();
     boolean abuser = random.nextDouble() < pattern.abuserShare();
     double work = kind.workMillis() * (1 + WORK_SPREAD * random.nextGaussian());
+    double longShare = pattern.deployment().demand().longShare();
+    if (longShare > 0 && random.nextDouble() < longShare) {
+      work *= Demand.LONG_FACTOR;
+    }
     ModelRequest request =
         new ModelRequest(
             kind,
+            group,
             simulation.time().nanos(),
             Math.max(MIN_WORK_MILLIS, work),
             timeoutNanos(kind),
@@ -80,20 +93,22 @@
       simulation.time().afterMillis(CALLER_NETWORK_MILLIS, () -> retry(request, 0));
       return;
     }
-    int instance = selectInstance();
+    int instance = selectInstance(request.group());
     simulation.time().afterMillis(CALLER_NETWORK_MILLIS, () -> policy.receive(request, instance));
   }
 
   /**
-   * Selects an instance. Callers are distributed by a hash, so some instances receive half as many
-   * requests again as others.
+   * Selects an instance for a group of callers. Callers are distributed by a hash, so some
+   * instances receive half as many requests again as others.
    */
-  private int selectInstance() {
+  private int selectInstance(int group) {
     boolean lost = simulation.time().millis() >= LoadPattern.FAULT_MILLIS;
     int all = pattern.deployment().instances();
     int count = lost ? (int) (all * (1 - pattern.fault().lostInstances())) : all;
     double draw = simulation.random().nextDouble();
-    return (int) (count * (0.7 * draw + 0.3 * draw * draw));
+    int groups = pattern.deployment().demand().callerGroups();
+    int inGroup = (count - group + groups - 1) / groups;
+    return group + groups * (int) (inGroup * (0.7 * draw + 0.3 * draw * draw));
   }
 
   /** Sends a complete answer from an instance to the caller. */
@@ -110,6 +125,14 @@
             });
   }
 
+  /**
+   * Sends a failure from an instance to the caller, which does not retry because the request may
+   * have been executed.
+   */
+  void failed(ModelRequest request) {
+    simulation.time().afterMillis(CALLER_NETWORK_MILLIS, request::end);
+  }
+
   /**
    * Sends a rejection from an instance to the caller: the request was not executed and may be
    * retried after the given time.
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Deployment.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Deployment.java
@@ -11,6 +11,7 @@
  * @param servers services with their numbers of servers; a list, because a replay of a seed repeats
  *     only if the order is fixed
  * @param traits behaviour of the servers
+ * @param demand data centres, and how requests differ between them
  * @param kinds kinds of requests
  * @param probesPerServer probes per second that a server receives from all instances together
  * @param repeatSlack further attempts that a service may receive in ten seconds in addition to the
@@ -22,6 +23,7 @@
     int instances,
     List<Map.Entry<String, Integer>> servers,
     ServerTraits traits,
+    Demand demand,
     List<Kind> kinds,
     double probesPerServer,
     double repeatSlack,
@@ -29,18 +31,21 @@
     int retries) {
   /** Few, small servers and short requests. */
   static final Deployment SMALL =
-      new Deployment(17, services(19, 8, 6), ServerTraits.SIX_SLOTS, Kind.SHORT, 60, 62, 0, 1);
+      new Deployment(
+          17, services(19, 8, 6), ServerTraits.SIX_SLOTS, Demand.EVEN, Kind.SHORT, 60, 62, 0, 1);
 
   /** Few, small servers, and callers with long timeouts that retry twice. */
   static final Deployment PATIENT =
-      new Deployment(18, services(19, 8, 6), ServerTraits.SIX_SLOTS, Kind.PATIENT, 60, 62, 0, 2);
+      new Deployment(
+          18, services(19, 8, 6), ServerTraits.SIX_SLOTS, Demand.EVEN, Kind.PATIENT, 60, 62, 0, 2);
 
   /**
    * Many instances that each receive few requests, and requests that run longer than the noise of a
    * neighbour lasts.
    */
   static final Deployment GROWN =
-      new Deployment(129, services(148, 62, 42), ServerTraits.SIX_SLOTS, Kind.LONG, 42, 62, 0, 1);
+      new Deployment(
+          129, services(148, 62, 42), ServerTraits.SIX_SLOTS, Demand.EVEN, Kind.LONG, 42, 62, 0, 1);
 
   /**
    * The largest number of instances; each receives three requests per second for three services.
@@ -50,6 +55,7 @@
           152,
           services(123, 52, 35),
           ServerTraits.SIX_SLOTS_CONNECTED,
+          Demand.EVEN,
           Kind.LARGE,
           60,
           230,
@@ -66,6 +72,7 @@
               Map.entry(Kind.SCHEDULE, 11),
               Map.entry(Kind.CERTIFICATES, 8)),
           ServerTraits.THREE_SLOTS,
+          Demand.EVEN,
           Kind.FEW_SLOTS,
           60,
           62,
@@ -80,12 +87,29 @@
           97,
           services(65, 81, 31),
           ServerTraits.TWO_SLOTS_CONNECTED,
+          Demand.EVEN,
           Kind.TWO_SLOTS,
           42,
           164,
           0,
           1);
 
+  /**
+   * Two services whose servers have two slots and reset connections when they are full, demand that
+   * moves between data centres, and a few long requests.
+   */
+  static final Deployment UNEVEN =
+      new Deployment(
+          39,
+          List.of(Map.entry(Kind.ACCOUNTS, 106), Map.entry(Kind.RECORDS, 80)),
+          ServerTraits.TWO_SLOTS_RESETTING,
+          Demand.UNEVEN,
+          Kind.UNEVEN,
+          42,
+          162,
+          0,
+          1);
+
   /** Returns the longest timeout of a caller. */
   long maxTimeoutMillis() {
     return kinds.stream()
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -283,17 +283,26 @@
     if (attempt.ended) {
       return;
     }
+    boolean reset = node.model(attempt.state).resets();
     attempt.ended = true;
     attempt.state.requestEnded();
-    node.pool(attempt.state).release();
     attempt.state.recordFailure(now());
-    node.recordSample(attempt.state);
+    if (reset) {
+      node.pool(attempt.state).discard();
+    } else {
+      node.pool(attempt.state).release();
+      node.recordSample(attempt.state);
+    }
     openAttempts.remove(attempt);
     if (done || !openAttempts.isEmpty()) {
       return;
     }
-    if (tryRetry(callerRetry())) {
+    boolean mayRetry = !reset || request.kind().route().idempotent();
+    if (mayRetry && tryRetry(reset ? CallerRetry.NONE : callerRetry())) {
       place();
+    } else if (reset) {
+      done = true;
+      callers.failed(request);
     } else {
       reject(RetryAfter.Cause.REJECTED);
     }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -94,11 +94,11 @@
   }
 
   boolean near(ServerState state) {
-    return state.entry().dataCentre().equals(Simulation.dataCentre(index));
+    return state.entry().dataCentre().equals(simulation.dataCentre(index));
   }
 
   double networkMillis(ServerState state) {
-    return Simulation.networkMillis(index, model(state));
+    return simulation.networkMillis(index, model(state));
   }
 
   /** Records that a connection to a server was refused, and replaces the server in the subset. */
@@ -121,7 +121,7 @@
   private List<ServerState> select(List<ServerState> servers) {
     int size = rules.subset().size(servers.size(), simulation.deployment().instances());
     return ServerSubset.select(
-        servers, size, ServerState::entry, "instance-" + index, Simulation.dataCentre(index));
+        servers, size, ServerState::entry, "instance-" + index, simulation.dataCentre(index));
   }
 
   List<Placement.Ranked> rank(PlacementContext context, Kind kind, Set<ServerState> excluded) {
@@ -136,7 +136,7 @@
         allowedNanos,
         timeliness,
         routes.load(kind.service()),
-        Simulation.dataCentre(index),
+        simulation.dataCentre(index),
         rules.mechanisms(),
         simulation.time().nanos());
   }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/IdealPolicy.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/IdealPolicy.java
@@ -90,7 +90,7 @@
   }
 
   private void send(QueuedRequest queued, ModelServer server) {
-    double networkMillis = Simulation.networkMillis(queued.instance, server);
+    double networkMillis = simulation.networkMillis(queued.instance, server);
     ModelServer.Job job =
         new ModelServer.Job(
             queued.request.workMillis() + networkMillis,
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Kind.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Kind.java
@@ -20,6 +20,8 @@
   static final String BOOKING = "booking";
   static final String SCHEDULE = "schedule";
   static final String CERTIFICATES = "certificates";
+  static final String ACCOUNTS = "accounts";
+  static final String RECORDS = "records";
 
   /** Reads, bookings, changes and closings for three services. */
   static final List<Kind> SHORT =
@@ -74,6 +76,14 @@
           kind("shift", SCHEDULE, false, 29, 150, 400, 1_500, 0, 3),
           kind("close", SCHEDULE, false, 41.5, 180, 500, 1_200, 2, 1));
 
+  /** Short and long requests with timeouts of five to ten times their objectives. */
+  static final List<Kind> UNEVEN =
+      List.of(
+          kind("balance", ACCOUNTS, true, 302, 94, 304, 2_020, 2, 1),
+          kind("transfer", ACCOUNTS, false, 84, 120, 406, 3_033, 1, 2),
+          kind("statement", RECORDS, true, 114, 239, 804, 5_026, 2, 1),
+          kind("activity", RECORDS, true, 69, 37, 158, 1_577, 1, 2));
+
   private static Kind kind(
       String name,
       String service,
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/LoadPattern.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/LoadPattern.java
@@ -68,6 +68,10 @@
               0.3,
               0.24,
               Fault.oneDataCentreCrashes()),
+          new LoadPattern("uneven", Deployment.UNEVEN, 1, 1, 0.3, 0, Fault.NONE),
+          new LoadPattern("uneven-burst", Deployment.UNEVEN, 1, 2, 0.3, 0, Fault.NONE),
+          new LoadPattern(
+              "uneven-ended", Deployment.UNEVEN, 1, 1, 0.3, 0, Fault.oneDataCentreCrashes()),
           new LoadPattern(
               "zone-lost", Deployment.SMALL, 1.2, 1.4, NOISE, 0, Fault.instancesLost(1 / 3.0)));
 
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/ModelRequest.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/ModelRequest.java
@@ -5,6 +5,7 @@
 /** The request of one caller, across all its attempts. */
 final class ModelRequest {
   private final Kind kind;
+  private final int group;
   private final long startNanos;
   private final double workMillis;
   private final long timeoutNanos;
@@ -15,12 +16,14 @@
 
   ModelRequest(
       Kind kind,
+      int group,
       long startNanos,
       double workMillis,
       long timeoutNanos,
       int retriesLeft,
       boolean abuser) {
     this.kind = kind;
+    this.group = group;
     this.startNanos = startNanos;
     this.workMillis = workMillis;
     this.timeoutNanos = timeoutNanos;
@@ -32,6 +35,11 @@
     return kind;
   }
 
+  /** The group of callers that the request comes from. */
+  int group() {
+    return group;
+  }
+
   double workMillis() {
     return workMillis;
   }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/ModelServer.java
@@ -65,6 +65,11 @@
     return entry;
   }
 
+  /** Whether the server resets the connections of requests that it does not accept. */
+  boolean resets() {
+    return traits.resets();
+  }
+
   /** Whether a further request would exceed the knee. */
   boolean atKnee() {
     return running.size() + waiting.size() + 1 > traits.knee() * traits.slots();
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Replay.java
@@ -53,7 +53,7 @@
       int count = (int) Math.round(fault.lostServers() * servers.size());
       servers.subList(0, count).forEach(ModelServer::stopResponding);
       if (fault.dataCentreCrashes()) {
-        String crashing = Simulation.dataCentre(0);
+        String crashing = simulation.dataCentre(0);
         servers.stream()
             .filter(server -> server.entry().dataCentre().equals(crashing))
             .forEach(ModelServer::crash);
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/SimplePolicy.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/SimplePolicy.java
@@ -35,7 +35,7 @@
     ModelServer server = choose(request.kind().service(), instance);
     String key = instance + "/" + server.entry().id();
     inFlight.merge(key, 1, Integer::sum);
-    double networkMillis = Simulation.networkMillis(instance, server);
+    double networkMillis = simulation.networkMillis(instance, server);
     simulation
         .time()
         .afterMillis(networkMillis, () -> arriveAtServer(request, server, key, networkMillis));
@@ -50,7 +50,11 @@
                 simulation.time().afterMillis(networkMillis, () -> handleAnswer(request, key)));
     if (!server.offer(job)) {
       inFlight.merge(key, -1, Integer::sum);
-      callers.rejected(request, RETRY_AFTER_NANOS);
+      if (server.resets()) {
+        callers.failed(request);
+      } else {
+        callers.rejected(request, RETRY_AFTER_NANOS);
+      }
       return;
     }
     simulation
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Simulation.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Simulation.java
@@ -9,9 +9,7 @@
 
 /** The state of one replay: time, random numbers, servers and metrics. */
 final class Simulation {
-  private static final int DATA_CENTRES = 3;
   private static final double NEAR_MILLIS = 0.2;
-  private static final double FAR_MILLIS = 1.4;
 
   private final VirtualTime time = new VirtualTime();
   private final Deployment deployment;
@@ -70,12 +68,14 @@
     return metrics;
   }
 
-  static String dataCentre(int index) {
-    return "dc-" + index % DATA_CENTRES;
+  String dataCentre(int index) {
+    return "dc-" + index % deployment.demand().dataCentres();
   }
 
   /** Returns the network latency in one direction between an instance and a server. */
-  static double networkMillis(int instance, ModelServer server) {
-    return dataCentre(instance).equals(server.entry().dataCentre()) ? NEAR_MILLIS : FAR_MILLIS;
+  double networkMillis(int instance, ModelServer server) {
+    return dataCentre(instance).equals(server.entry().dataCentre())
+        ? NEAR_MILLIS
+        : deployment.demand().farMillis();
   }
 }
