Timely requests probe the best servers that can be probed now

Cause: with many instances each may probe a server about once a second.

Change: a timely request skips servers that cannot be probed now: no budget, no idle connection and none that may be opened. Rounds probe one, one and two servers in place of one, two and three. Mechanism PROBEABLE_ONLY.

Tests: ServerSelectionTest and ServiceShapesTest pass a predicate in place of a flag; the test of the rounds expects one, one and two servers.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -108,9 +108,7 @@
   }
 
   private void searchRound(int round, Consumer<ServerSelection.Step> action) {
-    PlacementContext context = context();
-    List<Placement.Ranked> ranked = node.rank(context, request.kind(), tried);
-    ServerSelection.Step step = ServerSelection.next(ranked, context, round, true);
+    ServerSelection.Step step = node.nextStep(context(), request.kind(), tried, round);
     if (step instanceof ServerSelection.Step.Probe probe) {
       probe(probe.servers(), () -> searchRound(round + 1, action));
     } else {
@@ -121,7 +119,7 @@
   private void probe(List<ServerState> servers, Runnable then) {
     double maxRoundTripMillis = 0;
     for (ServerState state : servers) {
-      boolean probed = node.mayProbe(state);
+      boolean probed = node.tryProbe(state);
       if (probed) {
         node.simulation().metrics().recordProbe();
       }
@@ -297,8 +295,8 @@
     if (done || !openAttempts.isEmpty()) {
       return;
     }
-    boolean mayRetry = !reset || request.kind().route().idempotent();
-    if (mayRetry && tryRetry(reset ? CallerRetry.NONE : callerRetry())) {
+    if ((!reset || request.kind().route().idempotent())
+        && tryRetry(reset ? CallerRetry.NONE : callerRetry())) {
       place();
     } else if (reset) {
       done = true;
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.magnoliaswitch.front.load.CallerRetry;
 import org.magnoliaswitch.front.load.LoadSample;
@@ -13,6 +14,7 @@
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.PlacementContext;
 import org.magnoliaswitch.front.load.ProbeShare;
+import org.magnoliaswitch.front.load.ServerSelection;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.ServerSubset;
 import org.magnoliaswitch.front.load.ServiceLoad;
@@ -124,7 +126,15 @@
         servers, size, ServerState::entry, "instance-" + index, simulation.dataCentre(index));
   }
 
-  List<Placement.Ranked> rank(PlacementContext context, Kind kind, Set<ServerState> excluded) {
+  /** Returns the next step of a search. */
+  ServerSelection.Step nextStep(
+      PlacementContext context, Kind kind, Set<ServerState> excluded, int round) {
+    List<Placement.Ranked> ranked = rank(context, kind, excluded);
+    return ServerSelection.next(ranked, context, round, Optional.of(this::mayProbe));
+  }
+
+  private List<Placement.Ranked> rank(
+      PlacementContext context, Kind kind, Set<ServerState> excluded) {
     List<ServerState> eligible =
         subsets.get(kind.service()).stream().filter(state -> !excluded.contains(state)).toList();
     return Placement.rank(eligible, context, simulation.random());
@@ -141,15 +151,23 @@
         simulation.time().nanos());
   }
 
-  boolean mayProbe(ServerState state) {
+  /** Whether the budget allows a probe of a server. */
+  private boolean mayProbe(ServerState state) {
+    return probes.get(state).hasToken(probesPerSecond(state), simulation.time().nanos());
+  }
+
+  /** Takes a probe of a server from the budget if that allows it. */
+  boolean tryProbe(ServerState state) {
+    return probes.get(state).tryTake(probesPerSecond(state), simulation.time().nanos());
+  }
+
+  private double probesPerSecond(ServerState state) {
     String service = state.entry().service();
     double subsetShare = subsets.get(service).size() / (double) simulation.servers(service).size();
-    double perSecond =
-        ProbeShare.perSecond(
-            simulation.deployment().probesPerServer(),
-            simulation.deployment().instances(),
-            subsetShare);
-    return probes.get(state).tryTake(perSecond, simulation.time().nanos());
+    return ProbeShare.perSecond(
+        simulation.deployment().probesPerServer(),
+        simulation.deployment().instances(),
+        subsetShare);
   }
 
   /** Records the load reported by a probe or a rejection. */
--- a/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
@@ -159,6 +159,33 @@
     return new Object[][] {{"two-slots-lost"}, {"two-slots-burst"}, {"burst-1.7"}, {"overload"}};
   }
 
+  /**
+   * Each of many instances may probe a server about once a second, and near servers are full or
+   * lost. A search that insists on the best-ranked servers, whose probe budget is used up, sends
+   * requests to servers of unknown load or lets them wait although others have capacity. Probing
+   * the best servers that can be probed must lead to more answers in time and improve the worst
+   * seconds.
+   */
+  @Test(dataProvider = "exhaustedProbes")
+  public void probingServersThatCanBeProbedIncreasesAnswersInTime(String name, double gain) {
+    Result before = replay(name, PolicyVariant.without(Mechanism.PROBEABLE_ONLY));
+    Result after = replay(name, PolicyVariant.CURRENT);
+    assertTrue(after.inTime() > before.inTime() + gain, before + " to " + after);
+    assertTrue(after.worstSecond() > before.worstSecond() + gain, before + " to " + after);
+    assertTrue(after.refusedTwice() < before.refusedTwice() + 0.001, before + " to " + after);
+  }
+
+  @DataProvider
+  public Object[][] exhaustedProbes() {
+    return new Object[][] {
+      {"uneven", 0.02},
+      {"uneven-burst", 0.05},
+      {"uneven-ended", 0.03},
+      {"two-slots-lost", 0.03},
+      {"two-slots-ended", 0.02}
+    };
+  }
+
   /**
    * All servers of a data centre crash without notice. The instances there sent two thirds of their
    * requests to them, and reject callers although servers in other data centres have capacity.
--- a/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -12,6 +12,8 @@
   ASKING,
   /** Probes one server first, and further ones when it is slow or full. */
   FURTHER_ROUNDS,
+  /** Probes for timely requests only servers whose probe budget and connections allow a probe. */
+  PROBEABLE_ONLY,
   /** After the last probe round, a request goes to a server with a fresh load sample, or waits. */
   KNOWN_ROOM,
   /** Limits the outstanding requests of a server to the number it executes without slowing down. */
--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerSelection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerSelection.java
@@ -15,6 +15,13 @@
  * show which servers are slow now. When the probed servers turn out to be slow or full, nothing new
  * is known about those ranked next, so these are probed too.
  *
+ * <p>Load pattern: many instances, so that each may probe a server about once a second, and demand
+ * that fills the servers nearby. The servers that rank best have just been probed, and their budget
+ * is used up. A search that insists on them learns nothing and sends the request to a server that
+ * was never probed, or makes it wait although others have capacity. A timely request therefore
+ * probes the best servers that can be probed now. A late request does not search further, because
+ * it would take capacity from timely ones.
+ *
  * <p>When all probed servers are full, a server that was not probed only appears to have capacity:
  * under high load it is as full as the others, and a request sent there queues or is rejected. The
  * request is then placed nowhere, and the next search probes further servers.
@@ -22,9 +29,10 @@
 public final class ServerSelection {
   /**
    * Number of servers probed in each round. A round takes a few milliseconds, or twelve if a server
-   * does not answer. The first server is usually good enough, so the first round probes only that.
+   * does not answer. The first server is usually good enough, so the first rounds probe only one;
+   * more at once are health checks whose answers are not needed.
    */
-  private static final List<Integer> ROUNDS = List.of(1, 2, 3);
+  private static final List<Integer> ROUNDS = List.of(1, 1, 2);
 
   /**
    * Number of servers probed when there is a single round: one of three is nearly always
@@ -71,16 +79,19 @@
    *
    * @param ranked eligible servers, best first
    * @param round number of probe rounds already made in this search
-   * @param probeable whether the servers can be probed for their load
+   * @param probes which servers can be probed for their load now; empty if none ever can
    */
   public static Step next(
-      List<Ranked> ranked, PlacementContext context, int round, boolean probeable) {
+      List<Ranked> ranked,
+      PlacementContext context,
+      int round,
+      Optional<Predicate<ServerState>> probes) {
     long nowNanos = context.nowNanos();
     Step step = decide(ranked, context);
     boolean confirmed =
         step instanceof Step.Send send && freshAndUndisturbed(send.server(), nowNanos);
     List<Integer> rounds = rounds(context);
-    boolean mayProbe = probeable && context.load().reportsLoad();
+    boolean mayProbe = probes.isPresent() && context.load().reportsLoad();
     if (ranked.isEmpty() || !mayProbe || confirmed) {
       return step;
     }
@@ -88,10 +99,13 @@
       boolean probed = !rounds.isEmpty() && context.enabled(Mechanism.KNOWN_ROOM);
       return probed ? decideAmongKnown(ranked, context, step) : step;
     }
+    boolean skipsOthers =
+        context.enabled(Mechanism.PROBEABLE_ONLY) && context.timeliness() == Timeliness.IN_TIME;
     List<ServerState> toProbe =
         ranked.stream()
             .map(Ranked::server)
             .filter(server -> !wellKnown(server, nowNanos))
+            .filter(server -> !skipsOthers || probes.get().test(server))
             .limit(rounds.get(round))
             .toList();
     return toProbe.isEmpty() ? step : new Step.Probe(toProbe);
--- a/front/src/main/java/org/magnoliaswitch/front/load/TokenBucket.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/TokenBucket.java
@@ -30,13 +30,22 @@
    * @param perSecond refill rate in tokens per second
    */
   public boolean tryTake(double perSecond, long nowNanos) {
-    double refilled = perSecond * (nowNanos - lastNanos) / NANOS_PER_SECOND;
-    tokens = Math.min(burst, tokens + refilled);
-    lastNanos = nowNanos;
-    if (tokens < 1) {
+    if (!hasToken(perSecond, nowNanos)) {
       return false;
     }
     tokens--;
     return true;
   }
+
+  /**
+   * Whether a token is available.
+   *
+   * @param perSecond refill rate in tokens per second
+   */
+  public boolean hasToken(double perSecond, long nowNanos) {
+    double refilled = perSecond * (nowNanos - lastNanos) / NANOS_PER_SECOND;
+    tokens = Math.min(burst, tokens + refilled);
+    lastNanos = nowNanos;
+    return tokens >= 1;
+  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
@@ -72,19 +72,32 @@
     round.start();
   }
 
+  /** Whether a probe of the server would be sent now: its budget and connections allow one. */
+  boolean mayProbe(ServerPool pool) {
+    long now = environment.clocks().nanos();
+    return acceptsProbes(pool.state())
+        && (pool.state().idleConnections() > 0 || mayConnect(pool))
+        && limit(pool, now).hasToken(probesPerSecond(pool), now);
+  }
+
+  private static boolean mayConnect(ServerPool pool) {
+    return pool.size() == 0 && !pool.opening();
+  }
+
   private boolean tryAcquire(ServerPool pool) {
     long now = environment.clocks().nanos();
-    if (!acceptsProbes(pool.state())) {
-      return false;
-    }
-    double perSecond =
-        ProbeShare.perSecond(
-            environment.settings().probesPerServer(),
-            environment.instances().count(),
-            environment.servers().subsetShare(pool.state().entry().service()));
-    return limits
-        .computeIfAbsent(pool.state(), server -> new TokenBucket(BURST, now))
-        .tryTake(perSecond, now);
+    return acceptsProbes(pool.state()) && limit(pool, now).tryTake(probesPerSecond(pool), now);
+  }
+
+  private TokenBucket limit(ServerPool pool, long now) {
+    return limits.computeIfAbsent(pool.state(), server -> new TokenBucket(BURST, now));
+  }
+
+  private double probesPerSecond(ServerPool pool) {
+    return ProbeShare.perSecond(
+        environment.settings().probesPerServer(),
+        environment.instances().count(),
+        environment.servers().subsetShare(pool.state().entry().service()));
   }
 
   /** Whether a server may be probed now; checked again once a connection for the probe is open. */
@@ -107,7 +120,7 @@
       if (idle.isPresent()) {
         outstanding++;
         probe(pool, idle.get(), healthPath);
-      } else if (pool.size() == 0 && !pool.opening()) {
+      } else if (mayConnect(pool)) {
         outstanding++;
         pool.connect(
             opened -> handleConnected(pool, opened, healthPath),
--- a/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/ServerSearch.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.load.AdmissionLimit;
 import org.magnoliaswitch.front.load.Placement;
@@ -52,8 +53,8 @@
         probeUnknown(query, policy.get());
       }
       List<Ranked> ranked = rank(query, excluded);
-      boolean probeable = policy.isPresent();
-      ServerSelection.Step step = ServerSelection.next(ranked, context(query), round, probeable);
+      Optional<Predicate<ServerState>> probes = policy.map(present -> this::mayProbe);
+      ServerSelection.Step step = ServerSelection.next(ranked, context(query), round, probes);
       if (step instanceof ServerSelection.Step.Probe probe && policy.isPresent()) {
         probe(probe.servers(), policy.get(), round + 1);
       } else if (step instanceof ServerSelection.Step.NoServer) {
@@ -63,6 +64,10 @@
       }
     }
 
+    private boolean mayProbe(ServerState server) {
+      return prober.mayProbe(environment.servers().poolOf(server));
+    }
+
     private void probe(List<ServerState> servers, ServicePolicy policy, int nextRound) {
       List<ServerPool> pools = servers.stream().map(environment.servers()::poolOf).toList();
       prober.probe(pools, policy.healthPath(), () -> runRound(nextRound));
--- a/front/src/test/java/org/magnoliaswitch/front/load/ServerSelectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ServerSelectionTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.magnoliaswitch.front.load.Placement.Ranked;
 import org.magnoliaswitch.front.testing.Servers;
@@ -19,12 +21,18 @@
   private static final PlacementContext CONTEXT =
       Servers.context(Timeliness.IN_TIME, new ServiceLoad(), NOW);
 
+  /** The last round of a search, which probes two servers. */
+  private static final int LAST_ROUND = 2;
+
+  private static final Optional<Predicate<ServerState>> ANY_SERVER = Optional.of(server -> true);
+
   /** A round number above the number of rounds in a search. */
   private static final int ROUND_AFTER_LAST = 9;
 
   private static ServerSelection.Step next(boolean probeable, ServerState... servers) {
     List<Ranked> ranked = Stream.of(servers).map(server -> new Ranked(server, 0, true)).toList();
-    return ServerSelection.next(ranked, CONTEXT, 1, probeable);
+    return ServerSelection.next(
+        ranked, CONTEXT, LAST_ROUND, probeable ? ANY_SERVER : Optional.empty());
   }
 
   @Test
@@ -47,21 +55,58 @@
   }
 
   /**
-   * Guards against probing three servers before each request, which costs twice the health checks
+   * Guards against probing several servers before each request, which costs twice the health checks
    * for the same choice: most first choices are undisturbed and have capacity.
    */
   @Test
-  public void eachRoundProbesOneServerMore() {
+  public void onlyTheLastRoundProbesMoreThanOneServer() {
     List<Ranked> ranked =
         Stream.of("a", "b", "c", "d")
             .map(id -> new Ranked(Servers.reporting(id, 1, 1, OLD), 0, true))
             .toList();
-    for (int round = 0; round < 3; round++) {
-      ServerSelection.Step step = ServerSelection.next(ranked, CONTEXT, round, true);
+    List<Integer> probed = List.of(1, 1, 2);
+    for (int round = 0; round < probed.size(); round++) {
+      ServerSelection.Step step = ServerSelection.next(ranked, CONTEXT, round, ANY_SERVER);
       assertTrue(
-          step instanceof ServerSelection.Step.Probe ask && ask.servers().size() == round + 1);
+          step instanceof ServerSelection.Step.Probe ask
+              && ask.servers().size() == probed.get(round));
     }
-    assertTrue(ServerSelection.next(ranked, CONTEXT, 3, true) instanceof ServerSelection.Step.Send);
+    assertTrue(
+        ServerSelection.next(ranked, CONTEXT, probed.size(), ANY_SERVER)
+            instanceof ServerSelection.Step.Send);
+  }
+
+  /**
+   * The servers that rank best have used up their probe budget. Guards against a search that
+   * insists on them, learns nothing and sends the request to a server that was never probed.
+   */
+  @Test
+  public void aTimelyRequestProbesOnlyServersThatCanBeProbed() {
+    ServerState exhausted = Servers.reporting("a", 1, 1, OLD);
+    ServerState probeable = Servers.reporting("b", 1, 1, OLD);
+    assertEquals(
+        firstStep(Timeliness.IN_TIME, exhausted, probeable),
+        new ServerSelection.Step.Probe(List.of(probeable)));
+  }
+
+  /** Guards against late requests that find the last capacity before timely ones do. */
+  @Test
+  public void aLateRequestDoesNotLookForServersThatCanBeProbed() {
+    ServerState exhausted = Servers.reporting("a", 1, 1, OLD);
+    ServerState probeable = Servers.reporting("b", 1, 1, OLD);
+    assertEquals(
+        firstStep(Timeliness.LATE, exhausted, probeable),
+        new ServerSelection.Step.Probe(List.of(exhausted)));
+  }
+
+  private static ServerSelection.Step firstStep(
+      Timeliness timeliness, ServerState exhausted, ServerState probeable) {
+    List<Ranked> ranked = List.of(new Ranked(exhausted, 0, true), new Ranked(probeable, 1, true));
+    return ServerSelection.next(
+        ranked,
+        Servers.context(timeliness, new ServiceLoad(), NOW),
+        0,
+        Optional.of(probeable::equals));
   }
 
   /** Guards against health checks at a server that asked for fewer requests. */
@@ -88,7 +133,7 @@
   public void aRequestDoesNotStartWhereItsAnswerWouldBeLate() {
     ServerState slow = Servers.reporting("a", 1, 5, NOW);
     ServerSelection.Step step =
-        ServerSelection.next(List.of(new Ranked(slow, 0, false)), CONTEXT, 0, false);
+        ServerSelection.next(List.of(new Ranked(slow, 0, false)), CONTEXT, 0, Optional.empty());
     assertTrue(step instanceof ServerSelection.Step.AllBusy);
   }
 
@@ -109,7 +154,7 @@
     ServerState old = Servers.reporting("b", 0, 1, OLD);
     List<Ranked> ranked = List.of(new Ranked(full, 0, true), new Ranked(old, 1, true));
     assertTrue(
-        ServerSelection.next(ranked, CONTEXT, ROUND_AFTER_LAST, true)
+        ServerSelection.next(ranked, CONTEXT, ROUND_AFTER_LAST, ANY_SERVER)
             instanceof ServerSelection.Step.AllBusy);
   }
 
@@ -122,7 +167,7 @@
     ServerState old = Servers.reporting("b", 0, 1, OLD);
     List<Ranked> ranked = List.of(new Ranked(old, 1, true));
     assertEquals(
-        ServerSelection.next(ranked, CONTEXT, ROUND_AFTER_LAST, true),
+        ServerSelection.next(ranked, CONTEXT, ROUND_AFTER_LAST, ANY_SERVER),
         new ServerSelection.Step.Send(old));
   }
 
--- a/front/src/test/java/org/magnoliaswitch/front/load/ServiceShapesTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/ServiceShapesTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.front.load.Placement.Ranked;
@@ -49,7 +50,7 @@
         Servers.context(
             (double) work, OBJECTIVE_FACTOR * work, Timeliness.IN_TIME, new ServiceLoad(), NOW);
     List<Ranked> ranked = Placement.rank(List.of(server), context, new Random(1));
-    return ServerSelection.next(ranked, context, 0, true);
+    return ServerSelection.next(ranked, context, 0, Optional.of(any -> true));
   }
 
   @Test(dataProvider = "shapes")
