Timeouts that differ do not make first attempts late

Cause: the time spent on earlier attempts is derived from the longest timeout of the route. Where objectives are short beside timeouts, a difference of a tenth between callers is two thirds of the objective, so that many first attempts count as late when they arrive, yield capacity and are refused.

Change: the objective of a request on a used connection with at most a quarter of its time missing counts from its arrival, by the rule that CallerRetry already had for refusals. Mechanism FIRST_ATTEMPTS.

Other patterns have equal timeouts, so that first attempts have spent nothing there.

--- a/bench/src/main/java/org/magnoliaswitch/bench/model/Deployment.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/Deployment.java
@@ -110,6 +110,12 @@
           0,
           1);
 
+  /** Returns this deployment with timeouts of callers that differ by a share of the longest one. */
+  Deployment withTimeoutSpread(double share) {
+    return new Deployment(
+        instances, servers, traits, demand, kinds, probesPerServer, repeatSlack, share, retries);
+  }
+
   /** Returns the longest timeout of a caller. */
   long maxTimeoutMillis() {
     return kinds.stream()
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -36,6 +36,7 @@
   private final ModelRequest request;
   private final long arrivedNanos;
   private final long spentNanos;
+  private final long earlierAttemptsNanos;
   private final Set<ServerState> tried = new HashSet<>();
   private final List<Attempt> openAttempts = new ArrayList<>();
   private int searchNumber;
@@ -70,6 +71,7 @@
     this.arrivedNanos = now();
     long remaining = request.deadlineNanos() - arrivedNanos;
     this.spentNanos = node.routes().longestWaitNanos(request.kind().route(), remaining) - remaining;
+    this.earlierAttemptsNanos = node.earlierAttemptsNanos(request, spentNanos, remaining);
   }
 
   void start() {
@@ -391,6 +393,6 @@
     // Estimated as an instance does, which receives the deadline but not the time of the first
     // attempt.
     long sentNanos = arrivedNanos - Callers.ONE_WAY_NANOS;
-    return sentNanos - spentNanos + request.kind().route().objectiveNanos();
+    return sentNanos - earlierAttemptsNanos + request.kind().route().objectiveNanos();
   }
 }
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontNode.java
@@ -151,6 +151,14 @@
         simulation.time().nanos());
   }
 
+  /** The time that a request counts as having spent before it arrived. */
+  long earlierAttemptsNanos(ModelRequest request, long spentNanos, long remainingNanos) {
+    boolean first =
+        rules.mechanisms().enabled(Mechanism.FIRST_ATTEMPTS)
+            && CallerRetry.firstAttempt(request.firstAttempt(), spentNanos, remainingNanos);
+    return first ? 0 : spentNanos;
+  }
+
   /** Whether the budget allows a probe of a server. */
   private boolean mayProbe(ServerState state) {
     return probes.get(state).hasToken(probesPerSecond(state), simulation.time().nanos());
--- a/bench/src/main/java/org/magnoliaswitch/bench/model/LoadPattern.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/LoadPattern.java
@@ -70,6 +70,14 @@
               Fault.oneDataCentreCrashes()),
           new LoadPattern("uneven", Deployment.UNEVEN, 1, 1, 0.3, 0, Fault.NONE),
           new LoadPattern("uneven-burst", Deployment.UNEVEN, 1, 2, 0.3, 0, Fault.NONE),
+          new LoadPattern(
+              "uneven-timeouts",
+              Deployment.UNEVEN.withTimeoutSpread(0.1),
+              1,
+              2,
+              0.3,
+              0,
+              Fault.NONE),
           new LoadPattern(
               "uneven-ended", Deployment.UNEVEN, 1, 1, 0.3, 0, Fault.oneDataCentreCrashes()),
           new LoadPattern(
--- a/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
+++ b/bench/src/test/java/org/magnoliaswitch/bench/model/LoadModelTest.java
@@ -186,6 +186,20 @@
     };
   }
 
+  /**
+   * The timeouts of callers differ by up to a tenth, which is as long as two thirds of the shortest
+   * objectives. If the difference counted as spent on an earlier attempt, first attempts would
+   * count as late when they arrive and be refused or answered late although servers are free.
+   */
+  @Test
+  public void differentTimeoutsDoNotMakeFirstAttemptsLate() {
+    Result before = replay("uneven-timeouts", PolicyVariant.without(Mechanism.FIRST_ATTEMPTS));
+    Result after = replay("uneven-timeouts", PolicyVariant.CURRENT);
+    assertTrue(after.inTime() > before.inTime() + 0.05, before + " to " + after);
+    assertTrue(after.worstSecond() > before.worstSecond() + 0.05, before + " to " + after);
+    assertTrue(after.refusedTwice() < before.refusedTwice(), before + " to " + after);
+  }
+
   /**
    * All servers of a data centre crash without notice. The instances there sent two thirds of their
    * requests to them, and reject callers although servers in other data centres have capacity.
--- a/front/src/main/java/org/magnoliaswitch/front/load/CallerRetry.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/CallerRetry.java
@@ -38,6 +38,22 @@
    */
   private static final double RETRY_FACTOR = 1.5;
 
+  /**
+   * Whether a request counts as the first attempt of its caller, and its shorter timeout as a
+   * difference between callers.
+   *
+   * <p>Load pattern: objectives that are short beside the timeouts, which differ by a tenth. If
+   * that tenth counted as spent on an earlier attempt, many first attempts would count as late when
+   * they arrive: they would yield capacity, and be answered late although servers are free.
+   *
+   * @param usedConnection whether the request arrived on a connection that carried others before
+   * @param spentNanos how much less time the caller has than the caller with the longest timeout
+   * @param remainingNanos time until the caller's deadline
+   */
+  public static boolean firstAttempt(boolean usedConnection, long spentNanos, long remainingNanos) {
+    return usedConnection && spentNanos <= TIMEOUT_SPREAD * (spentNanos + remainingNanos);
+  }
+
   /**
    * Estimates whether the caller of a request will retry.
    *
@@ -53,7 +69,7 @@
       return NONE;
     }
     long spent = spentNanos.getAsLong();
-    boolean firstTry = usedConnection && spent <= TIMEOUT_SPREAD * (spent + remainingNanos);
+    boolean firstTry = firstAttempt(usedConnection, spent, remainingNanos);
     return firstTry && remainingNanos > RETRY_FACTOR * usualNanos ? EXPECTED : NONE;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -42,6 +42,11 @@
   PROMPT_RETURNS,
   /** Spreads the retry times in the responses to refused callers. */
   SPREAD_RETURNS,
+  /**
+   * Counts the objective of a request that appears to be a first attempt from its arrival, even if
+   * its timeout is shorter than that of others.
+   */
+  FIRST_ATTEMPTS,
   /** Prefers callers that cannot retry when further attempts are made. */
   LAST_TRIES_FIRST,
   /** Avoids servers with recent failures. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.load.CallerRetry;
+import org.magnoliaswitch.front.load.Mechanism;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
@@ -17,6 +18,7 @@
   private final long readNanos;
   private final long callerTimeoutNanos;
   private final OptionalLong spentNanos;
+  private final long earlierAttemptsNanos;
   private final boolean usedConnection;
 
   RequestTimes(Environment environment, Route route, CallerRequest request) {
@@ -27,6 +29,12 @@
     this.callerTimeoutNanos = CallerTimeout.timeoutNanos(route, request, environment.names());
     this.spentNanos =
         CallerTimeout.spentNanos(route, request, environment.names(), environment.routeState());
+    this.earlierAttemptsNanos = firstAttempt() ? 0 : spentNanos.orElse(0);
+  }
+
+  private boolean firstAttempt() {
+    return environment.settings().mechanisms().enabled(Mechanism.FIRST_ATTEMPTS)
+        && CallerRetry.firstAttempt(usedConnection, spentNanos.orElse(0), callerTimeoutNanos);
   }
 
   /** Time for which the caller still waits. */
@@ -46,7 +54,7 @@
 
   /** When a response loses most of its value. */
   long objectiveEndNanos() {
-    return readNanos - spentNanos.orElse(0) + route.objectiveNanos();
+    return readNanos - earlierAttemptsNanos + route.objectiveNanos();
   }
 
   /** Time until a response loses most of its value; negative afterwards. */
--- a/front/src/test/java/org/magnoliaswitch/front/load/CallerRetryTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/CallerRetryTest.java
@@ -1,6 +1,8 @@
 package org.magnoliaswitch.front.load;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -43,4 +45,17 @@
       boolean usedConnection, OptionalLong spent, long remaining, CallerRetry expected) {
     assertEquals(CallerRetry.of(usedConnection, spent, remaining, USUAL), expected);
   }
+
+  /** Guards against first attempts that count as late because other callers wait longer. */
+  @Test
+  public void aShorterTimeoutOnAUsedConnectionIsNoEarlierAttempt() {
+    assertTrue(CallerRetry.firstAttempt(true, 200 * MILLI, 1_800 * MILLI));
+  }
+
+  /** Guards against retries that take capacity from requests that can still be in time. */
+  @Test
+  public void aNewConnectionOrMuchLessTimeIsAnEarlierAttempt() {
+    assertFalse(CallerRetry.firstAttempt(false, 200 * MILLI, 1_800 * MILLI));
+    assertFalse(CallerRetry.firstAttempt(true, 600 * MILLI, 1_400 * MILLI));
+  }
 }
