--- a/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/model/FrontExchange.java
@@ -36,6 +36,7 @@
   private final ModelRequest request;
   private final long arrivedNanos;
   private final long spentNanos;
+  private final long earlierAttemptsNanos;
   private final Set<ServerState> tried = new HashSet<>();
   private final List<Attempt> openAttempts = new ArrayList<>();
   private int searchNumber;
@@ -70,6 +71,7 @@
     this.arrivedNanos = now();
     long remaining = request.deadlineNanos() - arrivedNanos;
     this.spentNanos = node.routes().longestWaitNanos(request.kind().route(), remaining) - remaining;
+    this.earlierAttemptsNanos = node.earlierAttemptsNanos(request, spentNanos, remaining);
   }
 
   void start() {
@@ -108,9 +110,7 @@
   }
 
   private void searchRound(int round, Consumer<ServerSelection.Step> action) {
-    PlacementContext context = context();
-    List<Placement.Ranked> ranked = node.rank(context, request.kind(), tried);
-    ServerSelection.Step step = ServerSelection.next(ranked, context, round, true);
+    ServerSelection.Step step = node.nextStep(context(), request.kind(), tried, round);
     if (step instanceof ServerSelection.Step.Probe probe) {
       probe(probe.servers(), () -> searchRound(round + 1, action));
     } else {
@@ -121,7 +121,7 @@
   private void probe(List<ServerState> servers, Runnable then) {
     double maxRoundTripMillis = 0;
     for (ServerState state : servers) {
-      boolean probed = node.mayProbe(state);
+      boolean probed = node.tryProbe(state);
       if (probed) {
         node.simulation().metrics().recordProbe();
       }
@@ -283,17 +283,26 @@
     if (attempt.ended) {
       return;
     }
+    boolean reset = node.model(attempt.state).resets();
     attempt.ended = true;
     attempt.state.requestEnded();
-    node.pool(attempt.state).release();
     attempt.state.recordFailure(now());
-    node.recordSample(attempt.state);
+    if (reset) {
+      node.pool(attempt.state).discard();
+    } else {
+      node.pool(attempt.state).release();
+      node.recordSample(attempt.state);
+    }
     openAttempts.remove(attempt);
     if (done || !openAttempts.isEmpty()) {
       return;
     }
-    if (tryRetry(callerRetry())) {
+    if ((!reset || request.kind().route().idempotent())
+        && tryRetry(reset ? CallerRetry.NONE : callerRetry())) {
       place();
+    } else if (reset) {
+      done = true;
+      callers.failed(request);
     } else {
       reject(RetryAfter.Cause.REJECTED);
     }
@@ -384,6 +393,6 @@
     // Estimated as an instance does, which receives the deadline but not the time of the first
     // attempt.
     long sentNanos = arrivedNanos - Callers.ONE_WAY_NANOS;
-    return sentNanos - spentNanos + request.kind().route().objectiveNanos();
+    return sentNanos - earlierAttemptsNanos + request.kind().route().objectiveNanos();
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/Mechanism.java
@@ -12,6 +12,8 @@
   ASKING,
   /** Probes one server first, and further ones when it is slow or full. */
   FURTHER_ROUNDS,
+  /** Probes for timely requests only servers whose probe budget and connections allow a probe. */
+  PROBEABLE_ONLY,
   /** After the last probe round, a request goes to a server with a fresh load sample, or waits. */
   KNOWN_ROOM,
   /** Limits the outstanding requests of a server to the number it executes without slowing down. */
@@ -40,6 +42,11 @@
   PROMPT_RETURNS,
   /** Spreads the retry times in the responses to refused callers. */
   SPREAD_RETURNS,
+  /**
+   * Counts the objective of a request that appears to be a first attempt from its arrival, even if
+   * its timeout is shorter than that of others.
+   */
+  FIRST_ATTEMPTS,
   /** Prefers callers that cannot retry when further attempts are made. */
   LAST_TRIES_FIRST,
   /** Avoids servers with recent failures. */
