--- a/front/src/main/java/org/magnoliaswitch/front/load/ServerSelection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/ServerSelection.java
@@ -15,6 +15,13 @@
  * show which servers are slow now. When the probed servers turn out to be slow or full, nothing new
  * is known about those ranked next, so these are probed too.
  *
+ * <p>Load pattern: servers with few slots, many instances, so that each may probe a server about
+ * once a second, and demand that fills the servers nearby. The servers that rank best have just
+ * been probed, and their budget is used up. A search that insists on them learns nothing and sends
+ * the request to a server that was never probed, or makes it wait although others have capacity. A
+ * timely request therefore probes the best servers that can be probed now. A late request does not
+ * search further, because it would take capacity from timely ones.
+ *
  * <p>When all probed servers are full, a server that was not probed only appears to have capacity:
  * under high load it is as full as the others, and a request sent there queues or is rejected. The
  * request is then placed nowhere, and the next search probes further servers.
@@ -26,6 +33,15 @@
    */
   private static final List<Integer> ROUNDS = List.of(1, 2, 3);
 
+  /**
+   * The same for servers with few slots. Most of them are idle or full, so the second round also
+   * probes only one; more at once are health checks whose answers are not needed.
+   */
+  private static final List<Integer> FEW_SLOTS_ROUNDS = List.of(1, 1, 2);
+
+  /** Slots up to which one request more or less decides whether a server has capacity. */
+  private static final int FEW_SLOTS = 2;
+
   /**
    * Number of servers probed when there is a single round: one of three is nearly always
    * undisturbed.
@@ -59,11 +75,23 @@
     record NoServer() implements Step {}
   }
 
-  private static List<Integer> rounds(PlacementContext context) {
+  /** Whether servers have so few slots that a sample shows either an idle or a full server. */
+  public static boolean fewSlots(int slots) {
+    return slots <= FEW_SLOTS;
+  }
+
+  private static boolean fewSlots(List<Ranked> ranked) {
+    return !ranked.isEmpty() && fewSlots(ranked.getFirst().server().sample().slots());
+  }
+
+  private static List<Integer> rounds(PlacementContext context, List<Ranked> ranked) {
     if (!context.enabled(Mechanism.ASKING)) {
       return List.of();
     }
-    return context.enabled(Mechanism.FURTHER_ROUNDS) ? ROUNDS : SINGLE_ROUND;
+    if (!context.enabled(Mechanism.FURTHER_ROUNDS)) {
+      return SINGLE_ROUND;
+    }
+    return fewSlots(ranked) ? FEW_SLOTS_ROUNDS : ROUNDS;
   }
 
   /**
@@ -71,16 +99,19 @@
    *
    * @param ranked eligible servers, best first
    * @param round number of probe rounds already made in this search
-   * @param probeable whether the servers can be probed for their load
+   * @param probes which servers can be probed for their load now; empty if none ever can
    */
   public static Step next(
-      List<Ranked> ranked, PlacementContext context, int round, boolean probeable) {
+      List<Ranked> ranked,
+      PlacementContext context,
+      int round,
+      Optional<Predicate<ServerState>> probes) {
     long nowNanos = context.nowNanos();
     Step step = decide(ranked, context);
     boolean confirmed =
         step instanceof Step.Send send && freshAndUndisturbed(send.server(), nowNanos);
-    List<Integer> rounds = rounds(context);
-    boolean mayProbe = probeable && context.load().reportsLoad();
+    List<Integer> rounds = rounds(context, ranked);
+    boolean mayProbe = probes.isPresent() && context.load().reportsLoad();
     if (ranked.isEmpty() || !mayProbe || confirmed) {
       return step;
     }
@@ -88,10 +119,15 @@
       boolean probed = !rounds.isEmpty() && context.enabled(Mechanism.KNOWN_ROOM);
       return probed ? decideAmongKnown(ranked, context, step) : step;
     }
+    boolean skipsOthers =
+        context.enabled(Mechanism.PROBEABLE_ONLY)
+            && fewSlots(ranked)
+            && context.timeliness() == Timeliness.IN_TIME;
     List<ServerState> toProbe =
         ranked.stream()
             .map(Ranked::server)
             .filter(server -> !wellKnown(server, nowNanos))
+            .filter(server -> !skipsOthers || probes.get().test(server))
             .limit(rounds.get(round))
             .toList();
     return toProbe.isEmpty() ? step : new Step.Probe(toProbe);
--- a/front/src/main/java/org/magnoliaswitch/front/process/FrontMetrics.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/FrontMetrics.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
@@ -34,9 +35,32 @@
    * @param service name of the service, or an empty string
    * @param result result of the counted events
    */
-  private record Key(String name, String service, String result) {}
+  private record Key(String name, String service, String result) {
+    /**
+     * Compares the components directly: the generated methods are slow until they are compiled, and
+     * these run several times for each request.
+     */
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof Key key
+          && name.equals(key.name)
+          && service.equals(key.service)
+          && result.equals(key.result);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * name.hashCode() + service.hashCode()) + result.hashCode();
+    }
+  }
+
+  /** Teams that are counted by name; the requests of further teams are counted together. */
+  private static final int MAX_TEAMS = 500;
+
+  private static final String OTHER_TEAMS = "other";
 
   private final Map<Key, LongAdder> counters = new ConcurrentHashMap<>();
+  private final Set<String> countedTeams = ConcurrentHashMap.newKeySet();
   private final Map<String, ConcurrentHistogram> latencies = new ConcurrentHashMap<>();
   private final Map<String, LongSupplier> gauges = new ConcurrentHashMap<>();
   private final Map<Object, Boolean> registered = new ConcurrentHashMap<>();
@@ -47,6 +71,13 @@
     counters.computeIfAbsent(new Key(name, service, result), key -> new LongAdder()).increment();
   }
 
+  /** Counts one request of a team. */
+  public void countTeam(String team, String result) {
+    boolean byName =
+        countedTeams.contains(team) || (countedTeams.size() < MAX_TEAMS && countedTeams.add(team));
+    count("team.requests", byName ? team : OTHER_TEAMS, result);
+  }
+
   /** Records the time until a response was complete. */
   public void latency(String service, long nanos) {
     long millis = Math.clamp(TimeUnit.NANOSECONDS.toMillis(nanos), 0, HIGHEST_MILLIS);
@@ -81,8 +112,9 @@
   }
 
   private static void register(PrometheusMeterRegistry target, Key key, LongAdder value) {
+    String subject = key.name().startsWith("team.") ? "team" : "service";
     FunctionCounter.builder("magnolia." + key.name(), value, LongAdder::sum)
-        .tags(Tags.of("service", key.service(), "result", key.result()))
+        .tags(Tags.of(subject, key.service(), "result", key.result()))
         .register(target);
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -8,6 +8,7 @@
 import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.peer.ConfigurationUpdate;
 import org.magnoliaswitch.front.peer.PeerUpdate;
+import org.magnoliaswitch.front.process.ConfigurationConfirmation.Moment;
 import org.magnoliaswitch.front.version.Evacuations;
 import org.magnoliaswitch.front.version.OperatorState;
 import org.magnoliaswitch.front.version.RouteTable;
@@ -50,6 +51,7 @@
   private final BooleanSupplier receivesFromPeers;
   private final CrashArchive archive;
   private final Freshness operatorState;
+  private final RestoredSourceCheck restoredSource;
   private final ServerListSync servers;
   private final long startedNanos;
   private boolean longPolling;
@@ -90,6 +92,9 @@
     this.environment = environment;
     this.servers = new ServerListSync(knownState, environment);
     this.operatorState = environment.routesFreshness();
+    this.restoredSource =
+        new RestoredSourceCheck(
+            environment.confirmation(), environment.settings().teams().revocationNanos());
     this.clocks = environment.clocks();
     this.random = environment.random();
     this.log = environment.log();
@@ -162,23 +167,25 @@
         .configuration()
         .flatMap(ConfigurationUpdate::update)
         .flatMap(change -> change.applyTo(knownState.routes()))
-        .or(update::routes)
         .orElse(RouteTable.EMPTY);
   }
 
+  /** Applies the declared state and publishes it if anything is newer than before. */
+  private void offer(OperatorState state, String origin) {
+    if (store(state, origin)) {
+      listener.changed();
+    }
+  }
+
   /**
    * Applies the declared state and returns whether anything is newer than before. Evacuations are
    * applied first: otherwise a request could find a new route and be sent to a server whose data
    * centre the same state declares as evacuated.
    */
-  private boolean offer(OperatorState state, String origin) {
+  private boolean store(OperatorState state, String origin) {
     boolean evacuationsChanged = knownState.offer(state.evacuations(), origin);
     boolean routesChanged = knownState.offer(state.routes(), origin);
-    boolean changed = evacuationsChanged || routesChanged;
-    if (changed) {
-      listener.changed();
-    }
-    return changed;
+    return evacuationsChanged || routesChanged;
   }
 
   private void check() {
@@ -216,17 +223,17 @@
 
   private void read() {
     reading = true;
-    long asOf = clocks.nanos();
+    Moment asOf = environment.confirmation().now();
     if (longPolling) {
-      source.servers(read -> serversRead(read, asOf));
+      source.servers(read -> serversRead(read, asOf.nanos()));
     } else {
       source.operatorState(read -> operatorStateRead(read, asOf));
     }
   }
 
-  private void operatorStateRead(StateSource.Read<OperatorState> read, long asOf) {
+  private void operatorStateRead(StateSource.Read<OperatorState> read, Moment asOf) {
     if (read instanceof StateSource.Read.Failed<OperatorState> failed) {
-      failed("configuration", failed.reason(), asOf);
+      failed("configuration", failed.reason(), asOf.nanos());
       return;
     }
     if (outdated(read)) {
@@ -234,21 +241,22 @@
       return;
     }
     changesMissed = false;
-    operatorState.confirmed(asOf);
-    apply(read);
+    apply(read, asOf.nanos());
+    confirm(read, asOf);
     if (schedule.waitsForChanges()) {
       longPolling = true;
       awaitChange();
     }
-    source.servers(list -> serversRead(list, asOf));
+    source.servers(list -> serversRead(list, asOf.nanos()));
   }
 
   private void awaitChange() {
-    long begun = clocks.nanos();
+    Moment begun = environment.confirmation().now();
     source.nextOperatorState(PollingSchedule.WAIT_MILLIS, read -> changeReceived(read, begun));
   }
 
-  private void changeReceived(StateSource.Read<OperatorState> read, long begunNanos) {
+  private void changeReceived(StateSource.Read<OperatorState> read, Moment begun) {
+    long begunNanos = begun.nanos();
     if (read instanceof StateSource.Read.Failed<OperatorState> failed) {
       waitFailed(failed.reason(), begunNanos);
       return;
@@ -262,14 +270,27 @@
     // The platform holds a call without changes until the end of the wait, so a response after that
     // confirms the state up to then. When an earlier response was created is unknown, so it counts
     // as confirming only the state at the start of the call.
-    operatorState.confirmed(waited ? begunNanos + waitNanos : begunNanos);
-    if (!apply(read)) {
+    boolean changed = apply(read, waited ? begunNanos + waitNanos : begunNanos);
+    confirm(read, waited ? begun.plusMillis(PollingSchedule.WAIT_MILLIS) : begun);
+    if (!changed) {
       // Only the age is new.
       listener.changed();
     }
     awaitChange();
   }
 
+  /** Records that the configuration in force was the newest when the store was read. */
+  private void confirm(StateSource.Read<OperatorState> read, Moment asOf) {
+    Moment now = environment.confirmation().now();
+    if (read instanceof StateSource.Read.Known<OperatorState> known) {
+      restoredSource.read(known.value(), now);
+    }
+    boolean newest = restoredSource.confirms(knownState.routesVersion(), now);
+    if (newest && source.newestConfigurationDecoded()) {
+      environment.confirmation().confirmed(asOf);
+    }
+  }
+
   /**
    * Handles a failed long poll. Earlier responses may have missed changes, so the next read does
    * not wait until it is due.
@@ -296,10 +317,21 @@
         && outdated(known.value().evacuations());
   }
 
-  /** Applies the result of a read; returns whether it is newer than before. */
-  private boolean apply(StateSource.Read<OperatorState> read) {
-    return read instanceof StateSource.Read.Known<OperatorState> known
-        && offer(known.value(), "store");
+  /**
+   * Applies what was read, and then records its age: otherwise requests for what is new would be
+   * rejected for good by the earlier configuration, which would count as current.
+   *
+   * @return whether anything is newer than before
+   */
+  private boolean apply(StateSource.Read<OperatorState> read, long asOfNanos) {
+    boolean changed =
+        read instanceof StateSource.Read.Known<OperatorState> known
+            && store(known.value(), "store");
+    operatorState.confirmed(asOfNanos);
+    if (changed) {
+      listener.changed();
+    }
+    return changed;
   }
 
   private void serversRead(StateSource.Read<ServerList> read, long asOf) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/CallerResponses.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/CallerResponses.java
@@ -21,10 +21,38 @@
    * @param retryAfterNanos time after which the caller may retry
    */
   static CallerResponse notExecuted(String reason, long retryAfterNanos) {
+    return plainText(
+        HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterHeaders(retryAfterNanos), reason);
+  }
+
+  private static HttpHeaders retryAfterHeaders(long retryAfterNanos) {
     HttpHeaders headers = new DefaultHttpHeaders();
     BigDecimal seconds = BigDecimal.valueOf(TimeUnit.NANOSECONDS.toMillis(retryAfterNanos), 3);
     headers.set(HttpHeaderNames.RETRY_AFTER, seconds.toPlainString());
-    return plainText(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
+    return headers;
+  }
+
+  /**
+   * Creates a response stating why the request may not be sent; it was not executed.
+   *
+   * @param busyRetryAfterNanos time after which the caller may retry if the reason may have changed
+   */
+  static CallerResponse denied(Denial denial, long busyRetryAfterNanos) {
+    return switch (denial) {
+      case Denial.Unauthorized unauthorized -> unauthorized(unauthorized.reason());
+      case Denial.Unavailable unavailable -> notExecuted(unavailable.reason(), busyRetryAfterNanos);
+      case Denial.OverQuota over ->
+          plainText(
+              HttpResponseStatus.TOO_MANY_REQUESTS,
+              retryAfterHeaders(over.retryAfterNanos()),
+              over.reason());
+    };
+  }
+
+  private static CallerResponse unauthorized(String reason) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Token");
+    return plainText(HttpResponseStatus.UNAUTHORIZED, headers, reason);
   }
 
   /**
--- a/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Exchange.java
@@ -34,6 +34,7 @@
 
   private final Environment environment;
   private final ServerFinder finder;
+  private final Authenticator authenticator;
   private final PendingQueue<RequestPlacement> pendingQueue;
   private final CallerRequest request;
   private final Consumer<CallerResponse> respond;
@@ -44,11 +45,13 @@
   Exchange(
       Environment environment,
       ServerFinder finder,
+      Authenticator authenticator,
       PendingQueue<RequestPlacement> pendingQueue,
       CallerRequest request,
       Consumer<CallerResponse> respond) {
     this.environment = environment;
     this.finder = finder;
+    this.authenticator = authenticator;
     this.pendingQueue = pendingQueue;
     this.request = request;
     this.respond = respond;
@@ -71,13 +74,35 @@
       refuseUnrouted();
       return;
     }
+    TeamAccess access = access(route.get());
+    Optional<Denial> denial = access.check();
+    report.team(access);
+    if (denial.isPresent()) {
+      refuse(denial.get());
+      return;
+    }
     RoutedExchange exchange =
         new RoutedExchange(
-            environment, finder, pendingQueue, request, route.get(), report, respond);
+            environment, finder, pendingQueue, request, route.get(), access, report, respond);
     routed = Optional.of(exchange);
     exchange.start();
   }
 
+  private TeamAccess access(Route route) {
+    return environment.routes().get().teams().isEmpty()
+        ? authenticator.openAccess()
+        : new KeyedAccess(environment, authenticator, route, request.headers());
+  }
+
+  private void refuse(Denial denial) {
+    long busyRetryAfter = busyRetryAfterNanos();
+    long retryAfter =
+        denial instanceof Denial.OverQuota over ? over.retryAfterNanos() : busyRetryAfter;
+    report.requestRefused("", denial.reason(), waitedNanos(), retryAfter);
+    String outcome = denial instanceof Denial.Unauthorized ? "unauthorized" : denial.reason();
+    finish(CallerResponses.denied(denial, busyRetryAfter), outcome);
+  }
+
   /**
    * Answers 404 only while the configuration is fresh, because callers do not retry after a 404.
    */
@@ -99,16 +124,19 @@
    * later.
    */
   private void refuse(String reason) {
-    long retryAfter =
-        RetryAfter.nanos(
-            RetryAfter.Cause.BUSY,
-            UNKNOWN_LATENCY_NANOS,
-            environment.random(),
-            environment.settings().mechanisms());
+    long retryAfter = busyRetryAfterNanos();
     report.requestRefused("", reason, waitedNanos(), retryAfter);
     finish(CallerResponses.notExecuted(reason, retryAfter), reason);
   }
 
+  private long busyRetryAfterNanos() {
+    return RetryAfter.nanos(
+        RetryAfter.Cause.BUSY,
+        UNKNOWN_LATENCY_NANOS,
+        environment.random(),
+        environment.settings().mechanisms());
+  }
+
   @Override
   public void callerDisconnected() {
     if (routed.isPresent()) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
@@ -19,6 +19,7 @@
 import org.magnoliaswitch.front.load.ProbeShare;
 import org.magnoliaswitch.front.load.ServerState;
 import org.magnoliaswitch.front.load.TokenBucket;
+import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
 
 /**
@@ -72,19 +73,32 @@
     round.start();
   }
 
+  /** Whether a probe of the server would be sent now: its budget and connections allow one. */
+  boolean mayProbe(ServerPool pool) {
+    long now = environment.clocks().nanos();
+    return acceptsProbes(pool.state())
+        && (pool.state().idleConnections() > 0 || mayConnect(pool))
+        && limit(pool, now).hasToken(probesPerSecond(pool), now);
+  }
+
+  private static boolean mayConnect(ServerPool pool) {
+    return pool.size() == 0 && !pool.opening();
+  }
+
   private boolean tryAcquire(ServerPool pool) {
     long now = environment.clocks().nanos();
-    if (!acceptsProbes(pool.state())) {
-      return false;
-    }
-    double perSecond =
-        ProbeShare.perSecond(
-            environment.settings().probesPerServer(),
-            environment.instances().count(),
-            environment.servers().subsetShare(pool.state().entry().service()));
-    return limits
-        .computeIfAbsent(pool.state(), server -> new TokenBucket(BURST, now))
-        .tryTake(perSecond, now);
+    return acceptsProbes(pool.state()) && limit(pool, now).tryTake(probesPerSecond(pool), now);
+  }
+
+  private TokenBucket limit(ServerPool pool, long now) {
+    return limits.computeIfAbsent(pool.state(), server -> new TokenBucket(BURST, now));
+  }
+
+  private double probesPerSecond(ServerPool pool) {
+    return ProbeShare.perSecond(
+        environment.settings().probesPerServer(),
+        environment.instances().count(),
+        environment.servers().subsetShare(pool.state().entry().service()));
   }
 
   /** Whether a server may be probed now; checked again once a connection for the probe is open. */
@@ -97,6 +111,7 @@
     private final Runnable onComplete;
     private int outstanding;
     private boolean completed;
+    private Loop.Timer timeout = () -> {};
 
     ProbeRound(Runnable onComplete) {
       this.onComplete = onComplete;
@@ -107,7 +122,7 @@
       if (idle.isPresent()) {
         outstanding++;
         probe(pool, idle.get(), healthPath);
-      } else if (pool.size() == 0 && !pool.opening()) {
+      } else if (mayConnect(pool)) {
         outstanding++;
         pool.connect(
             opened -> handleConnected(pool, opened, healthPath),
@@ -137,14 +152,14 @@
       request.headers().set(environment.names().expectedServer(), pool.state().entry().id());
       Probe probe = new Probe(this, pool, connection);
       connection.send(request, Optional.empty(), probe::handleReply);
-      environment.loop().afterMillis(PROBE_TIMEOUT_MILLIS, probe::handleTimeout);
+      probe.startTimeout();
     }
 
     void start() {
       if (outstanding == 0) {
         complete();
       } else {
-        environment.loop().afterMillis(ROUND_TIMEOUT_MILLIS, this::complete);
+        timeout = environment.loop().afterMillis(ROUND_TIMEOUT_MILLIS, this::complete);
       }
     }
 
@@ -159,6 +174,7 @@
     private void complete() {
       if (!completed) {
         completed = true;
+        timeout.cancel();
         onComplete.run();
       }
     }
@@ -170,6 +186,7 @@
     private final ServerPool pool;
     private final ServerConnection connection;
     private boolean ended;
+    private Loop.Timer timeout = () -> {};
 
     Probe(ProbeRound round, ServerPool pool, ServerConnection connection) {
       this.round = round;
@@ -177,8 +194,16 @@
       this.connection = connection;
     }
 
+    /** Starts the time limit, unless the probe has failed at once. */
+    void startTimeout() {
+      if (!ended) {
+        timeout = environment.loop().afterMillis(PROBE_TIMEOUT_MILLIS, this::handleTimeout);
+      }
+    }
+
     void handleReply(ServerReply reply) {
       ended = true;
+      timeout.cancel();
       boolean answered = reply instanceof ServerReply.Complete;
       environment.metrics().count("probes", service(), answered ? "answered" : "broken");
       if (reply instanceof ServerReply.Complete complete) {
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
@@ -11,6 +11,7 @@
 import org.magnoliaswitch.front.load.PendingQueue;
 import org.magnoliaswitch.front.load.RetryAfter;
 import org.magnoliaswitch.front.load.ServerState;
+import org.magnoliaswitch.front.load.TeamStanding;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.load.WaitLimit;
 import org.magnoliaswitch.front.loop.Loop;
@@ -39,6 +40,15 @@
     void giveUp(String reason, RetryAfter.Cause cause);
   }
 
+  /**
+   * The request that is placed.
+   *
+   * @param service service whose servers may get it
+   * @param access its right to be sent
+   */
+  record Request(
+      Route route, String service, RequestTimes times, TeamAccess access, RequestReport report) {}
+
   private final Loop loop;
   private final ServerFinder finder;
   private final PendingQueue<RequestPlacement> pendingQueue;
@@ -46,6 +56,7 @@
   private final Route route;
   private final String service;
   private final RequestTimes times;
+  private final TeamAccess access;
   private final RequestReport report;
   private final Owner owner;
   private final Set<String> attemptedServerIds = new HashSet<>();
@@ -53,25 +64,24 @@
   private boolean firstSearchDone;
   private boolean queued;
   private Timeliness queuedTimeliness = Timeliness.IN_TIME;
+  private TeamStanding queuedStanding = TeamStanding.WITHIN_RATE;
 
   RequestPlacement(
       Loop loop,
       ServerFinder finder,
       PendingQueue<RequestPlacement> pendingQueue,
       Mechanisms mechanisms,
-      Route route,
-      String service,
-      RequestTimes times,
-      RequestReport report,
+      Request request,
       Owner owner) {
     this.loop = loop;
     this.finder = finder;
     this.pendingQueue = pendingQueue;
     this.mechanisms = mechanisms;
-    this.route = route;
-    this.service = service;
-    this.times = times;
-    this.report = report;
+    this.route = request.route();
+    this.service = request.service();
+    this.times = request.times();
+    this.access = request.access();
+    this.report = request.report();
     this.owner = owner;
   }
 
@@ -155,7 +165,7 @@
     Timeliness timeliness = times.timeliness();
     long allowed =
         timeliness == Timeliness.IN_TIME ? times.objectiveRemainingNanos() : times.remainingNanos();
-    return new ServerQuery(route, service, timeliness, allowed);
+    return new ServerQuery(route, service, timeliness, access.standing(), allowed);
   }
 
   private void handleResult(ServerFinder.Result result) {
@@ -185,6 +195,7 @@
     if (!queued) {
       queued = true;
       queuedTimeliness = times.timeliness();
+      queuedStanding = access.standing();
       pendingQueue.add(service, this);
       report.requestQueued(service, times, limit, pendingQueue.size(service));
     }
@@ -203,11 +214,21 @@
     return queuedTimeliness;
   }
 
+  @Override
+  public int teamPriority() {
+    return access.priority();
+  }
+
   @Override
   public int priority() {
     return route.priority();
   }
 
+  @Override
+  public TeamStanding queuedStanding() {
+    return queuedStanding;
+  }
+
   @Override
   public long objectiveEndNanos() {
     return times.objectiveEndNanos();
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
@@ -1,8 +1,13 @@
 package org.magnoliaswitch.front.request;
 
+import java.util.List;
 import java.util.OptionalLong;
 import org.magnoliaswitch.front.connection.CallerRequest;
+import org.magnoliaswitch.front.connection.ServerPool;
 import org.magnoliaswitch.front.load.CallerRetry;
+import org.magnoliaswitch.front.load.Mechanism;
+import org.magnoliaswitch.front.load.RetryAfter;
+import org.magnoliaswitch.front.load.ServerSelection;
 import org.magnoliaswitch.front.load.Timeliness;
 import org.magnoliaswitch.front.process.Environment;
 import org.magnoliaswitch.front.version.Route;
@@ -17,6 +22,7 @@
   private final long readNanos;
   private final long callerTimeoutNanos;
   private final OptionalLong spentNanos;
+  private final long earlierAttemptsNanos;
   private final boolean usedConnection;
 
   RequestTimes(Environment environment, Route route, CallerRequest request) {
@@ -27,6 +33,19 @@
     this.callerTimeoutNanos = CallerTimeout.timeoutNanos(route, request, environment.names());
     this.spentNanos =
         CallerTimeout.spentNanos(route, request, environment.names(), environment.routeState());
+    this.earlierAttemptsNanos = firstAttempt() ? 0 : spentNanos.orElse(0);
+  }
+
+  private boolean firstAttempt() {
+    return environment.settings().mechanisms().enabled(Mechanism.FIRST_ATTEMPTS)
+        && fewSlots()
+        && CallerRetry.firstAttempt(usedConnection, spentNanos.orElse(0), callerTimeoutNanos);
+  }
+
+  private boolean fewSlots() {
+    List<ServerPool> servers = environment.servers().of(route.services().getFirst().service());
+    return !servers.isEmpty()
+        && ServerSelection.fewSlots(servers.getFirst().state().sample().slots());
   }
 
   /** Time for which the caller still waits. */
@@ -46,7 +65,7 @@
 
   /** When a response loses most of its value. */
   long objectiveEndNanos() {
-    return readNanos - spentNanos.orElse(0) + route.objectiveNanos();
+    return readNanos - earlierAttemptsNanos + route.objectiveNanos();
   }
 
   /** Time until a response loses most of its value; negative afterwards. */
@@ -59,6 +78,12 @@
     return environment.routeState().baseline(route).nanos();
   }
 
+  /** Time after which the caller should retry if the request is refused now. */
+  long retryAfterNanos(RetryAfter.Cause cause) {
+    return RetryAfter.nanos(
+        cause, usualLatencyNanos(), environment.random(), environment.settings().mechanisms());
+  }
+
   /** Whether the caller can still be served by retrying if the request is refused now. */
   CallerRetry callerRetry() {
     return CallerRetry.of(usedConnection, spentNanos, remainingNanos(), usualLatencyNanos());
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.magnoliaswitch.core.crash.Verdict;
 import org.magnoliaswitch.front.connection.CallerRequest;
 import org.magnoliaswitch.front.connection.CallerResponse;
@@ -40,6 +41,7 @@
   private final Environment environment;
   private final CallerRequest request;
   private final Route route;
+  private final TeamAccess access;
   private final Consumer<CallerResponse> respond;
   private final RequestReport report;
   private final CrashDetector crashDetector;
@@ -50,6 +52,7 @@
   private final Optional<HedgeSearch> hedgeSearch;
   private final Loop.Timer timer;
   private final List<Attempt> openAttempts = new ArrayList<>();
+  private final List<Loop.Timer> overdueTimers = new ArrayList<>(1);
   private final ExecutionState executionState = new ExecutionState();
   private int unreachableAttempts;
   private boolean done;
@@ -60,11 +63,13 @@
       PendingQueue<RequestPlacement> pendingQueue,
       CallerRequest request,
       Route route,
+      TeamAccess access,
       RequestReport report,
       Consumer<CallerResponse> respond) {
     this.environment = environment;
     this.request = request;
     this.route = route;
+    this.access = access;
     this.respond = respond;
     this.report = report;
     this.crashDetector = new CrashDetector(environment, request);
@@ -78,10 +83,7 @@
             finder,
             pendingQueue,
             environment.settings().mechanisms(),
-            route,
-            service,
-            times,
-            report,
+            new RequestPlacement.Request(route, service, times, access, report),
             this);
     this.hedgeSearch = hedgeSearch();
     this.timer = environment.loop().after(times.remainingNanos(), this::timedOut);
@@ -107,12 +109,13 @@
     }
     done = true;
     placement.leaveQueue();
-    timer.cancel();
+    cancelTimers();
     // Cancelled only if idempotent, since a partial execution of other requests may do harm.
     if (route.idempotent()) {
       openAttempts.forEach(Attempt::cancel);
     }
     reportEnd("caller_left", 0);
+    access.giveBack();
   }
 
   @Override
@@ -123,7 +126,7 @@
     attempt.start(route.idempotent());
     double usualLatencyNanos = times.usualLatencyNanos();
     long delay = HedgeDelay.nanos(usualLatencyNanos, times.objectiveRemainingNanos());
-    environment.loop().after(delay, () -> overdue(attempt, usualLatencyNanos));
+    overdueTimers.add(environment.loop().after(delay, () -> overdue(attempt, usualLatencyNanos)));
   }
 
   /**
@@ -159,6 +162,22 @@
     return crashDetector;
   }
 
+  /** Returns the right of the request to be sent. */
+  TeamAccess access() {
+    return access;
+  }
+
+  /** Handles an attempt that was not written because the request may not be sent any more. */
+  void denied(Attempt attempt, Denial denial) {
+    openAttempts.remove(attempt);
+    if (doneOrOthersOpen()) {
+      return;
+    }
+    conclude(
+        denial.reason(),
+        () -> CallerResponses.denied(denial, times.retryAfterNanos(RetryAfter.Cause.BUSY)));
+  }
+
   /**
    * Handles an attempt that was not written: its server may not receive a request now, or the
    * verdict on the request forbids or delays it.
@@ -301,29 +320,30 @@
 
   @Override
   public void giveUp(String reason, RetryAfter.Cause cause) {
-    giveUp(reason, () -> retryAfterNanos(cause));
+    giveUp(reason, () -> times.retryAfterNanos(cause));
   }
 
   private void giveUp(String reason, LongSupplier retryAfterNanos) {
+    conclude(reason, () -> refusal(reason, retryAfterNanos.getAsLong()));
+  }
+
+  /**
+   * Ends the request without a successful response.
+   *
+   * @param notExecuted creates the response if it was not executed
+   */
+  private void conclude(String reason, Supplier<CallerResponse> notExecuted) {
     executionState
         .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
         .ifPresentOrElse(
             finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> refuse(reason, retryAfterNanos.getAsLong()));
+            () -> finish(notExecuted.get(), reason));
   }
 
-  private void refuse(String reason, long retryAfterNanos) {
+  private CallerResponse refusal(String reason, long retryAfterNanos) {
     long waitedNanos = environment.clocks().nanos() - request.readNanos();
     report.requestRefused(service, reason, waitedNanos, retryAfterNanos);
-    finish(CallerResponses.notExecuted(reason, retryAfterNanos), reason);
-  }
-
-  private long retryAfterNanos(RetryAfter.Cause cause) {
-    return RetryAfter.nanos(
-        cause,
-        times.usualLatencyNanos(),
-        environment.random(),
-        environment.settings().mechanisms());
+    return CallerResponses.notExecuted(reason, retryAfterNanos);
   }
 
   private void timedOut() {
@@ -332,11 +352,14 @@
     }
     boolean written = openAttempts.stream().anyMatch(Attempt::written);
     List<Attempt> cancelled = List.copyOf(openAttempts);
-    executionState
-        .finalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", written)
-        .ifPresentOrElse(
-            finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
-            () -> refuse("timeout_before_send", retryAfterNanos(RetryAfter.Cause.BUSY)));
+    Optional<ExecutionState.FinalResponse> executed =
+        executionState.finalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", written);
+    if (executed.isPresent()) {
+      finish(executed.get().response(), executed.get().outcome());
+    } else {
+      String reason = "timeout_before_send";
+      finish(refusal(reason, times.retryAfterNanos(RetryAfter.Cause.BUSY)), reason);
+    }
     cancelled.forEach(attempt -> attempt.callerTimedOut(route.idempotent()));
   }
 
@@ -346,11 +369,18 @@
     }
     done = true;
     placement.leaveQueue();
-    timer.cancel();
+    cancelTimers();
     reportEnd(outcome, result.status().code());
+    access.giveBack();
     respond.accept(result);
   }
 
+  /** Cancels what would wake the loop again for a request that is done. */
+  private void cancelTimers() {
+    timer.cancel();
+    overdueTimers.forEach(Loop.Timer::cancel);
+  }
+
   private void reportEnd(String outcome, int status) {
     long tookNanos = environment.clocks().nanos() - request.readNanos();
     report.requestEnded(
