--- a/front/src/main/java/org/magnoliaswitch/front/load/CallerRetry.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/CallerRetry.java
@@ -42,16 +42,21 @@
    * Whether a request counts as the first attempt of its caller, and its shorter timeout as a
    * difference between callers.
    *
-   * <p>Load pattern: objectives that are short beside the timeouts, which differ by a tenth. If
-   * that tenth counted as spent on an earlier attempt, many first attempts would count as late when
-   * they arrive: they would yield capacity, and be answered late although servers are free.
+   * <p>Load pattern: objectives that are short beside the timeouts, which differ by a tenth or more
+   * from caller to caller. If that difference counted as spent on an earlier attempt, many first
+   * attempts would count as late when they arrive: they would yield capacity, and be answered late
+   * although servers are free. Where the difference can be as long as the objective, it says
+   * nothing about earlier attempts, also on a new connection.
    *
    * @param usedConnection whether the request arrived on a connection that carried others before
    * @param spentNanos how much less time the caller has than the caller with the longest timeout
-   * @param remainingNanos time until the caller's deadline
+   * @param longestNanos timeout of that caller
+   * @param objectiveNanos latency objective of the route
    */
-  public static boolean firstAttempt(boolean usedConnection, long spentNanos, long remainingNanos) {
-    return usedConnection && spentNanos <= TIMEOUT_SPREAD * (spentNanos + remainingNanos);
+  public static boolean firstAttempt(
+      boolean usedConnection, long spentNanos, long longestNanos, long objectiveNanos) {
+    double spread = TIMEOUT_SPREAD * longestNanos;
+    return spentNanos <= spread && (usedConnection || objectiveNanos <= spread);
   }
 
   /**
@@ -69,7 +74,7 @@
       return NONE;
     }
     long spent = spentNanos.getAsLong();
-    boolean firstTry = firstAttempt(usedConnection, spent, remainingNanos);
+    boolean firstTry = usedConnection && spent <= TIMEOUT_SPREAD * (spent + remainingNanos);
     return firstTry && remainingNanos > RETRY_FACTOR * usualNanos ? EXPECTED : NONE;
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/load/SeedContact.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/SeedContact.java
@@ -19,6 +19,8 @@
   /** A seed answers a report within 25 ms; the rest is for slow machines and links. */
   private static final long MAX_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  private static final int MAX_UNANSWERED = 64;
+
   private static final long NONE = Long.MIN_VALUE;
 
   private final Deque<Report> unanswered = new ArrayDeque<>();
@@ -30,7 +32,10 @@
 
   /** Records a report with requests, which the seed answers at once. */
   public void reported(long sequence, long nowNanos) {
-    unanswered.addLast(new Report(sequence, nowNanos));
+    // Only the oldest one matters; the next ones tell when the seed answers again.
+    if (unanswered.size() < MAX_UNANSWERED) {
+      unanswered.addLast(new Report(sequence, nowNanos));
+    }
     publishOldest();
   }
 
--- a/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
@@ -28,6 +28,11 @@
    */
   private static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /**
+   * Reports without an echo that are remembered; a seed that answers echoes each within a second.
+   */
+  private static final int MAX_SENT = 64;
+
   private final Map<String, QuotaAllowance> allowances = new ConcurrentHashMap<>();
   private final Deque<SentReport> sent = new ArrayDeque<>();
   private final SeedContact contact = new SeedContact();
@@ -113,6 +118,9 @@
   TeamReport report(List<TeamReport.Demand> demands, Moment now) {
     lastSequence++;
     sent.addLast(new SentReport(lastSequence, now));
+    if (sent.size() > MAX_SENT) {
+      sent.removeFirst();
+    }
     if (!demands.isEmpty()) {
       contact.reported(lastSequence, now.nanos());
     }
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestTimes.java
@@ -37,9 +37,16 @@
   }
 
   private boolean firstAttempt() {
-    return environment.settings().mechanisms().enabled(Mechanism.FIRST_ATTEMPTS)
-        && fewSlots()
-        && CallerRetry.firstAttempt(usedConnection, spentNanos.orElse(0), callerTimeoutNanos);
+    if (!environment.settings().mechanisms().enabled(Mechanism.FIRST_ATTEMPTS) || !appliesHere()) {
+      return false;
+    }
+    long longest = environment.routeState().longestWaitNanos(route, 0);
+    return CallerRetry.firstAttempt(
+        usedConnection, spentNanos.orElse(0), longest, route.objectiveNanos());
+  }
+
+  private boolean appliesHere() {
+    return !environment.routes().get().teams().isEmpty() || fewSlots();
   }
 
   private boolean fewSlots() {
--- a/front/src/main/java/org/magnoliaswitch/front/version/Team.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Team.java
@@ -11,7 +11,7 @@
  * @param priority rank among teams; 0 is the most urgent, and goes before the priority of a route
  */
 public record Team(String name, Set<ApiKey> keys, Quota quota, int priority) {
-  /** Checks that the name can be sent as a header. */
+  /** Checks that the name can be sent as a header, and the rank. */
   public Team {
     // Receivers of a header strip spaces at both ends.
     if (name.isBlank()
@@ -19,6 +19,9 @@
         || name.chars().anyMatch(c -> c < ' ' || c > '~')) {
       throw new IllegalArgumentException("the team name is empty or no valid header value");
     }
+    if (priority < 0) {
+      throw new IllegalArgumentException("the priority " + priority + " is negative");
+    }
     keys = Set.copyOf(keys);
   }
 }
