Quota: reports are answered in time while tokens are short

A seed that allocated every 100 ms because instances had got too little answered reports only then, not after 15 ms as designed; instances of the team waited for allowances that were there. An earlier allocation now replaces a later one. Found by reading.

--- a/front/src/main/java/org/magnoliaswitch/front/process/QuotaSeed.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/QuotaSeed.java
@@ -43,7 +43,8 @@
   private TeamTable teams = TeamTable.EMPTY;
   private TeamNews.States states = TeamNews.States.NONE;
   private Optional<TeamMetrics> teamMetrics = Optional.empty();
-  private boolean allocationPending;
+  private Loop.Timer nextAllocation = () -> {};
+  private long nextAllocationNanos = Long.MAX_VALUE;
 
   /** The messages exchanged with one listener. */
   private static final class Conversation {
@@ -135,15 +136,18 @@
     return allocator.take(team, wanted, clocks.nanos());
   }
 
+  /** Schedules an allocation unless an earlier one is scheduled. */
   private void scheduleAllocation(long delayMillis) {
-    if (!allocationPending) {
-      allocationPending = true;
-      loop.afterMillis(delayMillis, this::allocate);
+    long due = clocks.nanos() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+    if (due < nextAllocationNanos) {
+      nextAllocation.cancel();
+      nextAllocationNanos = due;
+      nextAllocation = loop.afterMillis(delayMillis, this::allocate);
     }
   }
 
   private void allocate() {
-    allocationPending = false;
+    nextAllocationNanos = Long.MAX_VALUE;
     boolean unsatisfied = allocator.allocate(clocks.nanos());
     TeamNews.States next =
         new TeamNews.States(allocator.closedTeams(), allocator.teamsOverDemand());
