Log why a request within a quota was refused

A 429 could come from a closed team, from an instance that had used up what it may admit of an open one, or from a seed that does not answer; the logs did not tell which. The refused and end lines have the field quota_state now (closed, open, unanswered). KeyedAccessTest.refusalNamesTheStateOfTheQuota is new; the type that it checks did not exist.

--- a/front/src/main/java/org/magnoliaswitch/front/process/Admission.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Admission.java
@@ -12,8 +12,19 @@
    * The request is beyond the quota.
    *
    * @param retryAfterNanos time until the rate allows it
+   * @param state why this instance may admit nothing more now
    */
-  record OverQuota(long retryAfterNanos) implements Admission {}
+  record OverQuota(long retryAfterNanos, QuotaState state) implements Admission {}
+
+  /** What an instance knows of a team's quota when it refuses a request. */
+  enum QuotaState {
+    /** The seed has closed the team, and the allowance of this instance is used up. */
+    CLOSED,
+    /** The team is open, and this instance has admitted what it may until the seed answers. */
+    OPEN,
+    /** The seed does not answer, and the allowance of this instance is used up. */
+    UNANSWERED
+  }
 
   /** The quota is not known, because no seed can be reached or this instance has just started. */
   record Unknown() implements Admission {}
--- a/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
@@ -62,9 +62,14 @@
     return allowances.computeIfAbsent(team, name -> new QuotaAllowance());
   }
 
-  /** Whether requests of a team may be admitted without an allowance. */
-  boolean open(String team, Moment now) {
-    return !states.closed().contains(team) && contact.answers(now.nanos());
+  /** Returns whether requests of a team may be admitted without an allowance: if it is open. */
+  Admission.QuotaState state(String team, Moment now) {
+    if (states.closed().contains(team)) {
+      return Admission.QuotaState.CLOSED;
+    }
+    return contact.answers(now.nanos())
+        ? Admission.QuotaState.OPEN
+        : Admission.QuotaState.UNANSWERED;
   }
 
   TeamNews.States states() {
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamQuotas.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamQuotas.java
@@ -102,8 +102,9 @@
       links.onUse.run();
       return new Admission.Admitted(new Admission.Unlimited(team));
     }
-    boolean open = link.open(team.name(), new Moment(clocks.nanos(), clocks.millis()));
-    boolean admitted = allowance.tryAdmit(open);
+    Admission.QuotaState state =
+        link.state(team.name(), new Moment(clocks.nanos(), clocks.millis()));
+    boolean admitted = allowance.tryAdmit(state == Admission.QuotaState.OPEN);
     links.onUse.run();
     QuotaReturns schedule =
         returns.computeIfAbsent(team.name(), name -> new QuotaReturns(clocks.nanos()));
@@ -113,7 +114,7 @@
     }
     double evenRate = team.quota().requestsPerSecond() / Math.max(1, instances.count());
     return new Admission.OverQuota(
-        schedule.nanos(evenRate, maxReturnNanos, random, clocks.nanos()));
+        schedule.nanos(evenRate, maxReturnNanos, random, clocks.nanos()), state);
   }
 
   /** Returns whether a team asks for more than its rate, as far as known. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/KeyedAccess.java
@@ -24,6 +24,7 @@
   private @Nullable Team team;
   private TeamStanding standing = TeamStanding.WITHIN_RATE;
   private Admission.@Nullable Permit permit;
+  private Optional<Admission.QuotaState> refusedBy = Optional.empty();
 
   /** Whether the request has been sent to a server with the permit. */
   private boolean sent;
@@ -64,8 +65,10 @@
         sent = false;
         yield Optional.empty();
       }
-      case Admission.OverQuota over ->
-          Optional.of(new Denial.OverQuota("quota", over.retryAfterNanos()));
+      case Admission.OverQuota over -> {
+        refusedBy = Optional.of(over.state());
+        yield Optional.of(new Denial.OverQuota("quota", over.retryAfterNanos()));
+      }
       case Admission.Unknown unknown -> Optional.of(new Denial.Unavailable("quota_unknown"));
     };
   }
@@ -98,6 +101,11 @@
     return team == null ? -1 : environment.teamQuotas().knownSinceMillis(team.name());
   }
 
+  @Override
+  public Optional<Admission.QuotaState> refusedBy() {
+    return refusedBy;
+  }
+
   @Override
   public void replaceHeaders(HttpHeaders forwarded) {
     List<String> kept =
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -183,6 +183,12 @@
     access
         .filter(known -> !known.team().isEmpty())
         .ifPresent(
-            known -> line.add("team", known.team()).add("quota_age_ms", known.quotaAgeMillis()));
+            known -> {
+              line.add("team", known.team()).add("quota_age_ms", known.quotaAgeMillis());
+              known
+                  .refusedBy()
+                  .ifPresent(
+                      state -> line.add("quota_state", state.name().toLowerCase(Locale.ROOT)));
+            });
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/TeamAccess.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.magnoliaswitch.front.load.TeamStanding;
+import org.magnoliaswitch.front.process.Admission;
 import org.magnoliaswitch.front.process.Environment;
 
 /**
@@ -28,6 +29,9 @@
   /** Time since what is known of the quota was current, in milliseconds; -1 if nothing is known. */
   long quotaAgeMillis();
 
+  /** State of the quota for which the request was refused; empty if it was not. */
+  Optional<Admission.QuotaState> refusedBy();
+
   /**
    * Replaces the headers about keys and teams in a request that is sent to a server now: the server
    * must not see the key, and must be able to rely on the team.
@@ -68,6 +72,11 @@
       return -1;
     }
 
+    @Override
+    public Optional<Admission.QuotaState> refusedBy() {
+      return Optional.empty();
+    }
+
     @Override
     public void replaceHeaders(HttpHeaders forwarded) {
       // Without teams, all headers of the caller are its own.
--- a/front/src/test/java/org/magnoliaswitch/front/request/KeyedAccessTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/KeyedAccessTest.java
@@ -282,6 +282,19 @@
       }
     }
 
+    /** Guards against a 429 whose log line does not tell why nothing more may be admitted. */
+    @Test
+    public void refusalNamesTheStateOfTheQuota() throws IOException {
+      try (ScriptedServer server = new ScriptedServer("a", r -> r.respond(200, "x"));
+          Pending pending = pending(0, 1, Requests.route(true), server)) {
+        Admission refused = pending.environment.teamQuotas().admit(limited("red", "k"));
+        assertTrue(
+            refused instanceof Admission.OverQuota over
+                && over.state() == Admission.QuotaState.CLOSED,
+            "refused: " + refused);
+      }
+    }
+
     /** Guards against 429 while the quota is not known: callers would wait for nothing. */
     @Test
     public void requestIsNotAdmittedOnAnExpiredAllowance()
