Pass tokens of a quota on once for each request of another seed

Callers of teams that send twice their rate got three quarters of it at 18 instances. A seed passed on what another asked for with each of its reports, until the other asked for less; what exceeded the other's capacity was lost, and a request waited for up to 0.1 s. TokenRequests subtracts what is on its way, and a request is answered at once (20 ms apart).

--- a/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/SeedLink.java
@@ -12,6 +12,7 @@
 import org.magnoliaswitch.front.load.QuotaAllocator;
 import org.magnoliaswitch.front.load.QuotaAllowance;
 import org.magnoliaswitch.front.load.SeedContact;
+import org.magnoliaswitch.front.load.TokenRequests;
 import org.magnoliaswitch.front.peer.TeamNews;
 import org.magnoliaswitch.front.peer.TeamReport;
 import org.magnoliaswitch.front.process.ConfigurationConfirmation.Moment;
@@ -38,7 +39,7 @@
   private final SeedContact contact = new SeedContact();
   private volatile TeamNews.States states = TeamNews.States.NONE;
   private volatile @Nullable Moment validSince;
-  private Map<String, Double> requestedTokens = Map.of();
+  private final TokenRequests tokenRequests = new TokenRequests();
   private long lastSequence;
   private long lastNews;
 
@@ -86,7 +87,7 @@
     contact.received(news.echoed(), now.nanos());
     lastNews = news.number();
     news.states().ifPresent(changed -> states = changed);
-    requestedTokens = news.requestedTokens();
+    tokenRequests.update(news.requestedTokens(), news.echoed());
     for (QuotaAllocator.Allowance allowance : news.allowances()) {
       allowance(allowance.team()).update(allowance.counted(), allowance.granted());
     }
@@ -101,9 +102,19 @@
     return Optional.of(at);
   }
 
-  /** Returns the tokens that the seed asks this instance, as another seed, to pass on. */
-  Map<String, Double> requestedTokens(Moment now) {
-    return fresh(now) ? requestedTokens : Map.of();
+  /** Returns the tokens that this instance, as another seed, should still pass on, by team. */
+  Map<String, Double> missingTokens(Moment now) {
+    return fresh(now) ? tokenRequests.missing() : Map.of();
+  }
+
+  /** Whether the seed asks for tokens, on their way or not. */
+  boolean requestsTokens(Moment now) {
+    return fresh(now) && !tokenRequests.isEmpty();
+  }
+
+  /** Records tokens that the next report passes on. */
+  void passedOn(String team, double tokens) {
+    tokenRequests.passedOn(team, tokens, lastSequence + 1);
   }
 
   /** Returns the requests by team that have not been reported yet. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/TeamSync.java
@@ -28,12 +28,12 @@
    */
   private static final long COLLECT_MILLIS = 50;
 
-  /**
-   * Interval at which tokens are passed on while another seed asks for them. The bucket of a seed
-   * that is not responsible for a team holds the refill of little more than this time.
-   */
+  /** Interval at which tokens are passed on while another seed asks for them. */
   private static final long PASS_ON_MILLIS = 100;
 
+  /** A request for tokens is answered at once unless a report was sent within this time. */
+  private static final long MIN_PASS_ON_MILLIS = 20;
+
   /** A seed is sent a report at least this often, so that its messages count as current. */
   private static final long MAX_SILENCE_MILLIS = 300;
 
@@ -116,8 +116,12 @@
     if (upToDate && asked.isPresent()) {
       environment.confirmation().confirmed(asked.get().minusMillis(news.confirmationAgeMillis()));
     }
-    long silent = environment.clocks().nanos() - reportedNanos[seed];
-    if (news.echoed() == 0 || TimeUnit.NANOSECONDS.toMillis(silent) >= MAX_SILENCE_MILLIS) {
+    boolean passesOn =
+        ownSeed.isPresent() && !link.missingTokens(environment.confirmation().now()).isEmpty();
+    long silentMillis =
+        TimeUnit.NANOSECONDS.toMillis(environment.clocks().nanos() - reportedNanos[seed]);
+    if (news.echoed() == 0
+        || silentMillis >= (passesOn ? MIN_PASS_ON_MILLIS : MAX_SILENCE_MILLIS)) {
       report(seed, link);
     } else if (!news.requestedTokens().isEmpty()) {
       scheduleFlush();
@@ -164,7 +168,7 @@
     return IntStream.range(0, links.seeds().size())
         .mapToObj(links::at)
         .flatMap(Optional::stream)
-        .anyMatch(link -> !link.requestedTokens(now).isEmpty());
+        .anyMatch(link -> link.requestsTokens(now));
   }
 
   private void reportIfAny(int seed, SeedLink link) {
@@ -196,11 +200,12 @@
     List<TeamReport.Demand> demands = new ArrayList<>(link.takeDemands());
     ownSeed.ifPresent(
         own ->
-            link.requestedTokens(environment.confirmation().now())
+            link.missingTokens(environment.confirmation().now())
                 .forEach(
                     (team, requested) -> {
                       double tokens = precedes(seed, team) ? own.take(team, requested) : 0;
                       if (tokens > 0) {
+                        link.passedOn(team, tokens);
                         demands.add(new TeamReport.Demand(team, 0, 0, tokens));
                       }
                     }));
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaCallers.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaCallers.java
@@ -4,9 +4,13 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleUnaryOperator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.magnoliaswitch.front.load.QuotaMessages.Result;
 import org.magnoliaswitch.front.version.Quota;
 import org.magnoliaswitch.front.version.Team;
@@ -28,11 +32,13 @@
   private final double[] cumulatedWeights;
   private final Deque<Long> inWindow = new ArrayDeque<>();
   private final List<Long> admitted = new ArrayList<>();
-  private final List<Long> refused = new ArrayList<>();
+  private final List<Refusal> refused = new ArrayList<>();
   private Quota changedQuota;
   private long changedFrom = Long.MAX_VALUE;
   private double maxExcess = Double.NEGATIVE_INFINITY;
 
+  private record Refusal(long at, Result cause) {}
+
   /**
    * Creates callers that are spread over the instances unevenly.
    *
@@ -79,7 +85,7 @@
   private void record(Result result) {
     long now = simulation.now();
     if (result != Result.ADMITTED) {
-      refused.add(now);
+      refused.add(new Refusal(now, result));
       return;
     }
     admitted.add(now);
@@ -106,10 +112,20 @@
 
   /** Share of the requests of a span that was refused. */
   double refusedShare(long from, long to) {
-    double refusals = count(refused, from, to);
+    double refusals = refusals(from, to).count();
     return refusals / Math.max(1, refusals + count(admitted, from, to));
   }
 
+  /** Refused requests of a span by cause. */
+  Map<Result, Long> refusalsByCause(long from, long to) {
+    return refusals(from, to)
+        .collect(Collectors.groupingBy(Refusal::cause, TreeMap::new, Collectors.counting()));
+  }
+
+  private Stream<Refusal> refusals(long from, long to) {
+    return refused.stream().filter(refusal -> refusal.at() >= from && refusal.at() < to);
+  }
+
   /** Admitted requests in a span, as a share of what the rate allows. */
   double usedShare(long from, long to) {
     double seconds = (to - from) / NANOS_PER_SECOND;
--- a/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
+++ b/front/src/test/java/org/magnoliaswitch/front/load/QuotaSimulation.java
@@ -1,8 +1,6 @@
 package org.magnoliaswitch.front.load;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,9 +10,9 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.magnoliaswitch.front.load.QuotaMessages.Demand;
+import org.magnoliaswitch.front.load.QuotaMessages.Echoes;
 import org.magnoliaswitch.front.load.QuotaMessages.News;
 import org.magnoliaswitch.front.load.QuotaMessages.Result;
-import org.magnoliaswitch.front.load.QuotaMessages.Sent;
 import org.magnoliaswitch.front.version.TeamTable;
 
 /**
@@ -29,6 +27,7 @@
   private static final long ANSWER_AFTER = millis(15);
   private static final long REALLOCATE_AFTER = millis(100);
   private static final long HEARTBEAT = millis(400);
+  private static final long PASS_ON_AFTER = millis(20);
   private static final long MAX_SILENCE = millis(300);
   private static final long EXPIRY = millis(2_000);
   private static final long CONNECTION_CHECK = millis(500);
@@ -52,11 +51,10 @@
     private final Node node;
     private final Seed seed;
     private final Map<String, QuotaAllowance> allowances = new HashMap<>();
-    private final Deque<Sent> sent = new ArrayDeque<>();
+    private final Echoes echoes = new Echoes();
     private final SeedContact contact = new SeedContact();
     private Set<String> closed = Set.of();
-    private Map<String, Double> requested = Map.of();
-    private long validSince = Long.MIN_VALUE / 2;
+    private final TokenRequests requested = new TokenRequests();
     private long receivedAt = now();
     private long reportedAt;
     private long sequence;
@@ -75,8 +73,12 @@
       return node.alive && node.links[seed.node.id] == this && seed.node.seed == seed;
     }
 
+    boolean current() {
+      return now() - echoes.validSince() < EXPIRY;
+    }
+
     boolean asks() {
-      return !requested.isEmpty() && now() - validSince < EXPIRY;
+      return !requested.isEmpty() && current();
     }
 
     QuotaAllowance allowance(String team) {
@@ -88,15 +90,11 @@
       contact.received(news.echoed(), now());
       lastNews = news.number();
       closed = news.closed();
-      requested = news.requested();
+      requested.update(news.requested(), news.echoed());
       news.allowances().forEach(a -> allowance(a.team()).update(a.counted(), a.granted()));
-      while (!sent.isEmpty() && sent.getFirst().sequence() < news.echoed()) {
-        sent.removeFirst();
-      }
-      if (!sent.isEmpty() && sent.getFirst().sequence() == news.echoed()) {
-        validSince = sent.getFirst().at();
-      }
-      if (news.echoed() == 0 || now() - reportedAt >= MAX_SILENCE) {
+      echoes.echoed(news.echoed());
+      boolean passesOn = node.seed != null && !requested.missing().isEmpty();
+      if (news.echoed() == 0 || now() - reportedAt >= (passesOn ? PASS_ON_AFTER : MAX_SILENCE)) {
         report(demands());
       } else if (!requested.isEmpty()) {
         node.scheduleReports(REPORT_AFTER);
@@ -104,32 +102,28 @@
     }
 
     List<Demand> demands() {
-      List<Demand> demands = new ArrayList<>();
-      allowances.forEach(
-          (team, allowance) -> {
-            QuotaAllowance.Usage usage = allowance.takeUsage();
-            if (!usage.isEmpty()) {
-              demands.add(new Demand(team, usage, 0));
-            }
-          });
+      List<Demand> demands = QuotaMessages.takeDemands(allowances);
       if (node.seed != null && node.seed != seed) {
-        requested.forEach(
-            (team, wanted) -> {
-              List<Integer> order = order(team);
-              if (order.indexOf(seed.node.id) < order.indexOf(node.id)) {
-                double tokens = node.seed.allocator.take(team, wanted, now());
-                if (tokens > 0) {
-                  demands.add(new Demand(team, new QuotaAllowance.Usage(0, 0), tokens));
-                }
-              }
-            });
+        requested
+            .missing()
+            .forEach(
+                (team, wanted) -> {
+                  List<Integer> order = order(team);
+                  if (order.indexOf(seed.node.id) < order.indexOf(node.id)) {
+                    double tokens = node.seed.allocator.take(team, wanted, now());
+                    if (tokens > 0) {
+                      requested.passedOn(team, tokens, sequence + 1);
+                      demands.add(new Demand(team, new QuotaAllowance.Usage(0, 0), tokens));
+                    }
+                  }
+                });
       }
       return demands;
     }
 
     void report(List<Demand> demands) {
       reportedAt = now();
-      sent.addLast(new Sent(++sequence, now()));
+      echoes.sent(++sequence, now());
       if (!demands.isEmpty()) {
         contact.reported(sequence, now());
       }
@@ -293,17 +287,20 @@
       Optional<Link> home =
           order(team).stream()
               .map(i -> links[i])
-              .filter(link -> link != null && now() - link.validSince < EXPIRY)
+              .filter(link -> link != null && link.current())
               .findFirst();
       if (home.isEmpty()) {
         return Result.UNKNOWN;
       }
       QuotaAllowance allowance = home.get().allowance(team);
-      boolean admitted =
-          allowance.tryAdmit(
-              !home.get().closed.contains(team) && home.get().contact.answers(now()));
+      boolean closed = home.get().closed.contains(team);
+      boolean answers = home.get().contact.answers(now());
+      boolean admitted = allowance.tryAdmit(!closed && answers);
       scheduleReports(REPORT_AFTER);
-      return admitted ? Result.ADMITTED : Result.OVER_QUOTA;
+      if (admitted) {
+        return Result.ADMITTED;
+      }
+      return closed ? Result.CLOSED : answers ? Result.OPEN_USED_UP : Result.UNANSWERED;
     }
   }
 
