Refuse frames that claim more than they contain

Entries ran out of memory in peer-serve threads: MessagePack's mapper allocates what a binary or extension value claims, up to 2 GB, before it reads the content, also for the response to the handshake. The frame is skipped through first, which allocates nothing.

--- a/core/src/main/java/org/magnoliaswitch/core/peer/FrameCodec.java
+++ b/core/src/main/java/org/magnoliaswitch/core/peer/FrameCodec.java
@@ -7,6 +7,8 @@
 import java.io.DataOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -36,6 +38,7 @@
   /** Decodes the content of a frame. */
   public static PeerMessage decode(byte[] frame) throws FrameException {
     try {
+      checkComplete(frame);
       PeerMessage message = MAPPER.readValue(frame, PeerMessage.class);
       if (message == null) {
         throw new FrameException(FrameException.Reason.MALFORMED, "an empty message");
@@ -48,6 +51,16 @@
     }
   }
 
+  /**
+   * Checks that the frame contains what its lengths claim. The mapper allocates what a length
+   * claims before it reads the content.
+   */
+  private static void checkComplete(byte[] frame) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+      unpacker.skipValue();
+    }
+  }
+
   /** Writes one frame with its length. */
   public static void write(DataOutputStream out, byte[] frame) throws IOException {
     out.writeInt(frame.length);
--- a/core/src/test/java/org/magnoliaswitch/core/peer/PeerProtocolTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/peer/PeerProtocolTest.java
@@ -3,12 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -155,4 +158,39 @@
   private static PeerSecret secret(String text) {
     return new PeerSecret(text.getBytes(StandardCharsets.US_ASCII));
   }
+
+  /** Each row: a frame that claims a length or a number of elements which it does not contain. */
+  @DataProvider
+  public Object[][] damagedLengths() {
+    int[][] headers = {
+      {0xc6, 0x7f, 0xff, 0xff, 0xff},
+      {0xdb, 0x7f, 0xff, 0xff, 0xff},
+      {0xc9, 0x7f, 0xff, 0xff, 0xff, 0x05},
+      {0xdd, 0x7f, 0xff, 0xff, 0xff},
+      {0xdf, 0x7f, 0xff, 0xff, 0xff},
+    };
+    List<Object[]> rows = new ArrayList<>();
+    for (int[] header : headers) {
+      rows.add(new Object[] {bytes(header)});
+      rows.add(new Object[] {bytes(new int[] {0x81, 0xa1, 'x'}, header)});
+    }
+    return rows.toArray(Object[][]::new);
+  }
+
+  private static byte[] bytes(int[]... parts) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    for (int[] part : parts) {
+      for (int value : part) {
+        bytes.write(value);
+      }
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Guards against an instance that runs out of memory for the length that a frame claims. */
+  @Test(dataProvider = "damagedLengths")
+  public void lengthBeyondTheFrameIsRefusedWithoutAllocation(byte[] frame) {
+    FrameException refused = expectThrows(FrameException.class, () -> FrameCodec.decode(frame));
+    assertEquals(refused.reason(), FrameException.Reason.MALFORMED);
+  }
 }
