Claims after a restore: checked over HTTP with entries that are replaced

The lost claim (a key granted to another entry after a restore) was checked on parts of an entry only. The entries run in one process and are closed, not killed; a request in flight, a paused entry and one of the earlier release are not provoked.

--- a/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
@@ -54,23 +54,49 @@
     backends.addControlPort("127.0.0.1", controlPort);
     backends.start();
     this.callerPort = freePort();
-    EntrySettings settings = settings();
-    HttpPlatform httpPlatform = new HttpPlatform(URI.create(settings.platform()), 500);
-    this.control =
-        new ControlPlane(
-            new ControlPlane.Setup(
-                new InstanceIdentity("entry-1", "dc-1", "127.0.0.1", callerPort, 1, freePort()),
-                List.of(),
-                GossipSettings.DEFAULT,
-                new PeerSecret("0123456789abcdef".getBytes(StandardCharsets.US_ASCII))),
-            new Platform(httpPlatform, httpPlatform, httpPlatform),
-            Clocks.system(),
-            new SplittableRandom(1));
-    this.callers = new CallerListener(settings, control, new RequestService(control, "dc-1", true));
-    callers.start();
+    this.control = control("entry-1");
+    this.callers = startListener("entry-1");
+    submitConfiguration(service);
+  }
+
+  /**
+   * Starts an entry that knows no other, on the platform and the backend servers of an ended one.
+   */
+  private RunningEntry(RunningEntry ended) throws Exception {
+    this.platform = ended.platform;
+    this.backends = ended.backends;
+    this.controlPort = ended.controlPort;
+    this.callerPort = freePort();
+    this.control = control("entry-2");
+    this.callers = startListener("entry-2");
+  }
+
+  /** Ends this entry, but neither its platform nor its backend servers, and starts another one. */
+  RunningEntry replace() throws Exception {
+    closeEntry();
+    return new RunningEntry(this);
+  }
+
+  private ControlPlane control(String name) throws Exception {
+    HttpPlatform httpPlatform = new HttpPlatform(URI.create(settings(name).platform()), 500);
+    return new ControlPlane(
+        new ControlPlane.Setup(
+            new InstanceIdentity(name, "dc-1", "127.0.0.1", callerPort, 1, freePort()),
+            List.of(),
+            GossipSettings.DEFAULT,
+            new PeerSecret("0123456789abcdef".getBytes(StandardCharsets.US_ASCII))),
+        new Platform(httpPlatform, httpPlatform, httpPlatform),
+        Clocks.system(),
+        new SplittableRandom(1));
+  }
+
+  private CallerListener startListener(String name) throws Exception {
+    CallerListener listener =
+        new CallerListener(settings(name), control, new RequestService(control, "dc-1", true));
+    listener.start();
     control.catchUp();
     control.start();
-    submitConfiguration(service);
+    return listener;
   }
 
   private void submitConfiguration(Service service) throws IOException {
@@ -140,6 +166,22 @@
     platform.setFaults(faults);
   }
 
+  PlatformStandin platform() {
+    return platform;
+  }
+
+  /** Executions at the backend servers, one line for each operation with its count. */
+  String executions() throws IOException {
+    try (Socket socket = new Socket(java.net.InetAddress.getLoopbackAddress(), controlPort)) {
+      socket
+          .getOutputStream()
+          .write(
+              "GET /executions HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                  .getBytes(StandardCharsets.US_ASCII));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+  }
+
   CallerListener callers() {
     return callers;
   }
@@ -148,20 +190,24 @@
     return callerPort;
   }
 
-  @Override
-  public void close() throws Exception {
+  private void closeEntry() throws Exception {
     boolean unused = callers.stop(1_000);
     control.close();
+  }
+
+  @Override
+  public void close() throws Exception {
+    closeEntry();
     backends.close();
     platform.close();
   }
 
-  private EntrySettings settings() throws IOException {
+  private EntrySettings settings(String name) throws IOException {
     Path file = Files.createTempFile("magnolia", ".txt");
     Files.writeString(file, "0123456789abcdef\n");
     file.toFile().deleteOnExit();
     return new EntrySettings(
-        "entry-1",
+        name,
         "dc-1",
         "127.0.0.1",
         callerPort,
--- a/standins/src/main/java/org/magnoliaswitch/standins/PlatformStandin.java
+++ b/standins/src/main/java/org/magnoliaswitch/standins/PlatformStandin.java
@@ -36,6 +36,7 @@
   private static final int CONFLICT = 409;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+  private static final String EPOCH_HEADER = "Store-Era";
   private static final String OBJECTS_PATH = "/objects";
 
   /** The numbers of calls and writes, written as JSON for experiments. */
@@ -55,6 +56,7 @@
   private final AtomicLong reads = new AtomicLong();
   private final SplittableRandom random = new SplittableRandom(7);
   private volatile PlatformFaults faults = PlatformFaults.NONE;
+  private volatile Runnable restore = () -> {};
 
   public PlatformStandin(String host, int port, Clocks clocks) {
     super(InvocationType.BLOCKING);
@@ -81,6 +83,23 @@
     return connector.getLocalPort();
   }
 
+  /** Takes a copy of the table and the objects, from which {@link #restore} restores them. */
+  public void copy() {
+    Runnable restoreTable = table.copy();
+    Map<String, byte[]> copiedObjects = Map.copyOf(objects);
+    restore =
+        () -> {
+          restoreTable.run();
+          objects.keySet().retainAll(copiedObjects.keySet());
+          objects.putAll(copiedObjects);
+        };
+  }
+
+  /** Restores the platform from the last copy; what was written since then is lost. */
+  public void restore() {
+    restore.run();
+  }
+
   /** Replaces the simulated faults. */
   public void setFaults(PlatformFaults next) {
     faults = next;
@@ -106,6 +125,7 @@
       BackendFleet.reply(response, callback, SERVICE_UNAVAILABLE, "down\n");
       return true;
     }
+    response.getHeaders().put(EPOCH_HEADER, table.epoch());
     serve(request, response, callback, path);
     return true;
   }
@@ -211,6 +231,14 @@
         faults = Json.MAPPER.treeToValue(merged, PlatformFaults.class);
         BackendFleet.reply(response, callback, OK, "set\n");
       }
+      case "/standin/copy" -> {
+        copy();
+        BackendFleet.reply(response, callback, OK, "copied\n");
+      }
+      case "/standin/restore" -> {
+        restore();
+        BackendFleet.reply(response, callback, OK, "restored\n");
+      }
       case "/standin/instances" -> {
         List<InstanceList.ListedInstance> list =
             Json.MAPPER.readValue(readBody(request), new TypeReference<>() {});
--- a/standins/src/main/java/org/magnoliaswitch/standins/StandinTable.java
+++ b/standins/src/main/java/org/magnoliaswitch/standins/StandinTable.java
@@ -16,6 +16,7 @@
 
   private final Clocks clocks;
   private final NavigableMap<String, StoredRow> rows = new TreeMap<>();
+  private long epoch;
 
   public StandinTable(Clocks clocks) {
     this.clocks = clocks;
@@ -62,8 +63,20 @@
   }
 
   @Override
-  public long epoch() {
-    return 0;
+  public synchronized long epoch() {
+    return epoch;
+  }
+
+  /** Takes a copy; the result restores the table from it and begins another epoch. */
+  synchronized Runnable copy() {
+    NavigableMap<String, StoredRow> copied = new TreeMap<>(rows);
+    return () -> restore(copied);
+  }
+
+  private synchronized void restore(NavigableMap<String, StoredRow> copied) {
+    rows.clear();
+    rows.putAll(copied);
+    epoch++;
   }
 
   private Row row(String key) {
