--- a/front/src/main/java/org/magnoliaswitch/front/load/QuotaBucket.java
+++ b/front/src/main/java/org/magnoliaswitch/front/load/QuotaBucket.java
@@ -36,8 +36,7 @@
      * ended just before may have used a full bucket beyond the refill; the reserve covers a part.
      */
     private long startNanos() {
-      double missing =
-          Math.max(0, capacity - Double.parseDouble(System.getProperty("MARGIN", "1")) * reserve);
+      double missing = Math.max(0, capacity - reserve);
       return perSecond > 0 ? (long) (missing / perSecond * NANOS_PER_SECOND) : 0;
     }
   }
