Quota: a seed that has just started names the teams whose bucket is empty at once

Cause, by reading: the seed's first message could be sent between the configuration and the allocation, which computes the closed teams; until the next message every team was open, and each instance admitted three requests of each without tokens. The allocation runs with the configuration now.

--- a/front/src/main/java/org/magnoliaswitch/front/process/QuotaSeed.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/QuotaSeed.java
@@ -79,7 +79,9 @@
     if (next != teams) {
       teams = next;
       allocator.configure(next, clocks.nanos());
-      scheduleAllocation(0);
+      // A message sent before the allocation would call all teams open.
+      nextAllocation.cancel();
+      allocate();
     }
   }
 
