Teams: no 401 for a key that may have been added, by freshness that peers told late

The check uses the age of the confirmation, which counts from the number that a message echoes. AuthenticatorTest.freshnessToldByPeersDoesNotRejectAnUnknownKey failed before (401 for 503). 404 for a route that may have been added still uses the told age: open.

--- a/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Authenticator.java
@@ -19,7 +19,7 @@
    * Time within which a change of the configuration is in force everywhere. If the configuration
    * has not been confirmed as the newest for longer, an unknown key may have been added since.
    */
-  private static final long MAX_CONFIGURATION_AGE_MILLIS = 2_000;
+  private static final long MAX_CONFIRMATION_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private static final Access OPEN = new Access.Open();
 
@@ -73,10 +73,12 @@
     return Optional.ofNullable(find(environment.routes().get().teams(), headers));
   }
 
+  /**
+   * Whether a key may have been added that this instance does not know. The age that peers tell of
+   * the configuration does not count: it leaves out the time that their messages take.
+   */
   private boolean additionsMayBeMissing() {
-    long age = environment.routesFreshness().ageMillis(environment.clocks().nanos());
-    long suspended = TimeUnit.NANOSECONDS.toMillis(environment.confirmation().suspendedNanos());
-    return age + suspended > MAX_CONFIGURATION_AGE_MILLIS;
+    return environment.confirmation().ageNanos() > MAX_CONFIRMATION_AGE_NANOS;
   }
 
   private static @Nullable Team find(TeamTable teams, HttpHeaders headers) {
--- a/front/src/test/java/org/magnoliaswitch/front/request/AuthenticatorTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/AuthenticatorTest.java
@@ -87,9 +87,14 @@
       TestEnvironment.configure(environment, table(route, teams), server);
     }
 
+    /** Records that peers tell that the configuration is fresh now. */
+    void hearFromPeers() {
+      environment.routesFreshness().confirmed(environment.clocks().nanos());
+    }
+
     /** Records that the store was read now. */
     void confirm() {
-      environment.routesFreshness().confirmed(environment.clocks().nanos());
+      hearFromPeers();
       environment.confirmation().confirmed(environment.confirmation().now());
     }
 
@@ -226,6 +231,18 @@
       assertEquals(status("Token new"), 401);
     }
 
+    /**
+     * Guards against 401 by instances that have heard only each other, with messages on their way.
+     */
+    @Test
+    public void freshnessToldByPeersDoesNotRejectAnUnknownKey() {
+      clock.advance(TimeUnit.MILLISECONDS.toNanos(2_100));
+      hearFromPeers();
+      assertEquals(status("Token new"), 503);
+      confirm();
+      assertEquals(status("Token new"), 401);
+    }
+
     /** Guards against 401 after a suspension, during which the monotonic clock stood still. */
     @Test
     public void configurationFromBeforeASuspensionDoesNotRejectAnUnknownKey() {
