A request at a server is neither sent a second time nor refused

Hypotheses, before any change: (A) the timer that place() starts while the verdict on a suspect request is pending fires after the request was sent by an offer of capacity; place() asks only whether the caller waits. (B) an offer during the wait ends as not admitted and starts a second chain of timers. (C) a late result of a search. The log could not tell A from B: a held request and an attempt that was not admitted left no line.

Class: whether an attempt is open was inferred from "the caller has no answer yet", at each callback anew; the final response knew of broken and failed attempts, not of open ones.

Change: ExecutionState owns the attempts of a request and alone decides whether one may start and whether the final response may promise that it was not executed. RequestPlacement has one timer, which sending, holding and ending cancel; place() does nothing while the request is at a server. A held request leaves the queue: offers that it cannot take go to the requests behind it.

--- a/front/src/main/java/org/magnoliaswitch/front/loop/Loop.java
+++ b/front/src/main/java/org/magnoliaswitch/front/loop/Loop.java
@@ -28,6 +28,11 @@
         (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next());
   }
 
+  /** Uses an event loop that exists, for example one whose time a test advances. */
+  public static Loop of(EventLoop events) {
+    return new Loop(events);
+  }
+
   /** The event loop that channels register with. */
   public EventLoop events() {
     return events;
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
@@ -24,8 +24,11 @@
 
   /** The exchange whose request is placed; it makes the attempts and responds to the caller. */
   interface Owner {
-    /** Whether the request still needs a response. */
-    boolean awaitsResponse();
+    /** Whether a server is to be found for the request, which is at no server now. */
+    boolean awaitsServer();
+
+    /** Whether the request may be sent now, for an idempotent one also beside an open attempt. */
+    boolean mayBeSent();
 
     /** What may be done with the request, considering the servers that crashed while serving it. */
     Verdict verdict();
@@ -60,8 +63,10 @@
   private final RequestReport report;
   private final Owner owner;
   private final Set<String> attemptedServerIds = new HashSet<>();
+  private Loop.Timer timer = () -> {};
   private int searchCount;
   private boolean firstSearchDone;
+  private boolean held;
   private boolean queued;
   private Timeliness queuedTimeliness = Timeliness.IN_TIME;
   private TeamStanding queuedStanding = TeamStanding.WITHIN_RATE;
@@ -90,14 +95,17 @@
     return attemptedServerIds;
   }
 
-  /** Searches for a server, and waits for one while all are busy. */
+  /**
+   * Searches for a server, and waits for one while all are busy or the request is suspected of
+   * crashing servers. Does nothing while the request is at a server.
+   */
   void place() {
-    if (!owner.awaitsResponse()) {
+    if (!owner.awaitsServer()) {
       return;
     }
     switch (owner.verdict()) {
       case ALLOWED, TRIAL -> search(this::handleResult);
-      case WAIT -> loop.afterMillis(SEARCH_INTERVAL_MILLIS, this::place);
+      case WAIT -> hold();
       case REFUSED -> owner.refuseCrashing();
     }
   }
@@ -112,22 +120,45 @@
         });
   }
 
-  /** Sends the request to a server; the results of pending searches are ignored. */
+  /** Sends the request to a server, which ends whatever else was to find one. */
   void sendTo(ServerState server) {
-    leaveQueue();
-    searchCount++;
+    stop();
     attemptedServerIds.add(server.entry().id());
     owner.startAttempt(server);
   }
 
-  /** Removes the request from the queue if it is queued. */
-  void leaveQueue() {
+  /** Ends the search for a server: timers, pending searches and offers have no effect any more. */
+  void stop() {
+    leaveQueue();
+    timer.cancel();
+    searchCount++;
+  }
+
+  private void leaveQueue() {
     if (queued) {
       queued = false;
       pendingQueue.remove(service, this);
     }
   }
 
+  /**
+   * Waits for the verdict on the request. It leaves the queue meanwhile, because a server that was
+   * offered to it could not get it, and the requests behind it would not get the offer either.
+   */
+  private void hold() {
+    if (!held) {
+      held = true;
+      report.requestHeld(service);
+    }
+    stop();
+    placeLater();
+  }
+
+  private void placeLater() {
+    timer.cancel();
+    timer = loop.afterMillis(SEARCH_INTERVAL_MILLIS, this::place);
+  }
+
   /**
    * Offers free capacity, reported by a response of the server, to the first request in the queue.
    */
@@ -141,8 +172,13 @@
 
   /** Accepts offered capacity, unless the request has been sent elsewhere since. */
   void acceptOffer(ServerState server) {
-    if (queued && !attemptedServerIds.contains(server.entry().id()) && server.acceptsWork()) {
-      sendTo(server);
+    if (!queued || attemptedServerIds.contains(server.entry().id()) || !server.acceptsWork()) {
+      return;
+    }
+    switch (owner.verdict()) {
+      case ALLOWED, TRIAL -> sendTo(server);
+      case WAIT -> hold();
+      case REFUSED -> owner.refuseCrashing();
     }
   }
 
@@ -155,7 +191,7 @@
         result -> {
           // While a search waits for health checks, a response may have offered capacity, and the
           // request may have been sent there; sending it again could execute it twice.
-          if (owner.awaitsResponse() && searchNumber == searchCount) {
+          if (owner.mayBeSent() && searchNumber == searchCount) {
             action.accept(result);
           }
         });
@@ -199,14 +235,7 @@
       pendingQueue.add(service, this);
       report.requestQueued(service, times, limit, pendingQueue.size(service));
     }
-    int searchNumber = searchCount;
-    loop.afterMillis(SEARCH_INTERVAL_MILLIS, () -> searchAgain(searchNumber));
-  }
-
-  private void searchAgain(int searchNumber) {
-    if (queued && searchNumber == searchCount) {
-      place();
-    }
+    placeLater();
   }
 
   @Override
--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestReport.java
@@ -86,6 +86,23 @@
         .write();
   }
 
+  /** Reports that the request is suspected of crashing servers and waits for the verdict. */
+  void requestHeld(String service) {
+    environment.log().success("held").add("request", requestId).add("service", service).write();
+  }
+
+  /** Reports an attempt that ended before it was written because its server may not get it now. */
+  void attemptNotAdmitted(String service, String server) {
+    environment.metrics().count("attempts", service, "not_admitted");
+    environment
+        .log()
+        .success("not_admitted")
+        .add("request", requestId)
+        .add("service", service)
+        .add("server", server)
+        .write();
+  }
+
   /** Reports a response that is later than usual. */
   void attemptOverdue(String service, String server, double usualLatencyNanos) {
     environment.metrics().count("attempts", service, "overdue");
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -51,9 +51,8 @@
   private final RequestPlacement placement;
   private final Optional<HedgeSearch> hedgeSearch;
   private final Loop.Timer timer;
-  private final List<Attempt> openAttempts = new ArrayList<>();
   private final List<Loop.Timer> overdueTimers = new ArrayList<>(1);
-  private final ExecutionState executionState = new ExecutionState();
+  private final ExecutionState executionState;
   private int unreachableAttempts;
   private boolean done;
 
@@ -70,6 +69,7 @@
     this.request = request;
     this.route = route;
     this.access = access;
+    this.executionState = new ExecutionState(route.idempotent());
     this.respond = respond;
     this.report = report;
     this.crashDetector = new CrashDetector(environment, request);
@@ -108,11 +108,11 @@
       return;
     }
     done = true;
-    placement.leaveQueue();
+    placement.stop();
     cancelTimers();
     // Cancelled only if idempotent, since a partial execution of other requests may do harm.
     if (route.idempotent()) {
-      openAttempts.forEach(Attempt::cancel);
+      executionState.cancelAll();
     }
     reportEnd("caller_left", 0);
     access.giveBack();
@@ -122,7 +122,7 @@
   public void startAttempt(ServerState server) {
     ServerPool pool = environment.servers().poolOf(server);
     Attempt attempt = new Attempt(this, environment, pool, request, report.requestId());
-    openAttempts.add(attempt);
+    executionState.attemptStarted(attempt);
     attempt.start(route.idempotent());
     double usualLatencyNanos = times.usualLatencyNanos();
     long delay = HedgeDelay.nanos(usualLatencyNanos, times.objectiveRemainingNanos());
@@ -134,7 +134,7 @@
    * server if the request is idempotent.
    */
   private void overdue(Attempt attempt, double usualLatencyNanos) {
-    if (done || !openAttempts.contains(attempt) || !attempt.written()) {
+    if (done || !executionState.open().contains(attempt) || !attempt.written()) {
       return;
     }
     attempt.markOverdue(usualLatencyNanos);
@@ -144,7 +144,7 @@
 
   /** Whether the attempt is the only open one, so that nothing else can bring a response. */
   boolean waitsOnlyFor(Attempt attempt) {
-    return !done && openAttempts.size() == 1 && openAttempts.contains(attempt);
+    return !done && executionState.onlyOpen(attempt);
   }
 
   /** Time for which the caller still waits. */
@@ -152,11 +152,21 @@
     return times.remainingNanos();
   }
 
-  @Override
-  public boolean awaitsResponse() {
+  /** Whether the caller still waits for a response. */
+  boolean awaitsResponse() {
     return !done;
   }
 
+  @Override
+  public boolean awaitsServer() {
+    return !done && executionState.awaitsServer();
+  }
+
+  @Override
+  public boolean mayBeSent() {
+    return !done && executionState.mayBeSent();
+  }
+
   /** Detects servers that crash while serving the request. */
   CrashDetector crashDetector() {
     return crashDetector;
@@ -169,7 +179,7 @@
 
   /** Handles an attempt that was not written because the request may not be sent any more. */
   void denied(Attempt attempt, Denial denial) {
-    openAttempts.remove(attempt);
+    executionState.notExecuted(attempt);
     if (doneOrOthersOpen()) {
       return;
     }
@@ -183,7 +193,8 @@
    * verdict on the request forbids or delays it.
    */
   void notAdmitted(Attempt attempt) {
-    openAttempts.remove(attempt);
+    executionState.notExecuted(attempt);
+    report.attemptNotAdmitted(service, attempt.serverId());
     if (!doneOrOthersOpen()) {
       placement.place();
     }
@@ -195,20 +206,16 @@
    * Non-idempotent requests may complete, since a partial execution may do harm.
    */
   void crashesChanged() {
-    boolean trial = openAttempts.stream().anyMatch(Attempt::trial);
+    boolean trial = executionState.open().stream().anyMatch(Attempt::trial);
     if (done || !crashDetector.crashes().mustCancelAttempts(trial)) {
       return;
     }
-    if (openAttempts.isEmpty()) {
+    if (!executionState.attemptOpen()) {
       if (crashDetector.crashes().verdict() == Verdict.REFUSED) {
         refuseCrashing();
       }
     } else if (route.idempotent()) {
-      if (openAttempts.stream().anyMatch(Attempt::written)) {
-        executionState.attemptBroken();
-      }
-      openAttempts.forEach(Attempt::cancel);
-      openAttempts.clear();
+      executionState.cancelAll();
       refuseCrashing();
     }
   }
@@ -227,7 +234,7 @@
   }
 
   void unreachable(Attempt attempt, String reason) {
-    openAttempts.remove(attempt);
+    executionState.notExecuted(attempt);
     unreachableAttempts++;
     report.attemptFailed("unreachable", service, attempt.serverId(), "reason", reason);
     if (doneOrOthersOpen()) {
@@ -241,7 +248,7 @@
   }
 
   void rejected(Attempt attempt, int status) {
-    openAttempts.remove(attempt);
+    executionState.notExecuted(attempt);
     report.attemptFailed("rejected", service, attempt.serverId(), "status", String.valueOf(status));
     if (doneOrOthersOpen()) {
       return;
@@ -254,8 +261,7 @@
   }
 
   void broken(Attempt attempt, String reason) {
-    openAttempts.remove(attempt);
-    executionState.attemptBroken();
+    executionState.broken(attempt);
     report.attemptBroken(
         service, attempt.serverId(), reason, crashDetector.crashes().identities().content());
     if (doneOrOthersOpen()) {
@@ -269,7 +275,7 @@
   }
 
   void answered(Attempt attempt, ServerReply.Complete serverResponse) {
-    openAttempts.remove(attempt);
+    executionState.answered(attempt);
     if (done) {
       return;
     }
@@ -279,10 +285,10 @@
     if (failed) {
       executionState.serverFailed(result);
     }
-    if (failed && !openAttempts.isEmpty()) {
+    if (failed && executionState.attemptOpen()) {
       return;
     }
-    openAttempts.forEach(Attempt::superseded);
+    executionState.open().forEach(Attempt::superseded);
     if (failed && route.idempotent() && remainingNanos() > 0 && attempts.tryRetry()) {
       placement.place();
       return;
@@ -305,12 +311,9 @@
     baseline.update(tookNanos / slowness);
   }
 
-  /**
-   * Whether the end of an attempt has no effect: the request is done, or another attempt may bring
-   * a response.
-   */
+  /** Whether the end of an attempt has no effect, since the request is done or at a server. */
   private boolean doneOrOthersOpen() {
-    return done || !openAttempts.isEmpty();
+    return done || executionState.attemptOpen();
   }
 
   /** Counts the attempts of the request, and decides whether a further one is allowed. */
@@ -334,7 +337,7 @@
    */
   private void conclude(String reason, Supplier<CallerResponse> notExecuted) {
     executionState
-        .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason, false)
+        .finalResponse(HttpResponseStatus.BAD_GATEWAY, reason)
         .ifPresentOrElse(
             finalResponse -> finish(finalResponse.response(), finalResponse.outcome()),
             () -> finish(notExecuted.get(), reason));
@@ -350,10 +353,9 @@
     if (done) {
       return;
     }
-    boolean written = openAttempts.stream().anyMatch(Attempt::written);
-    List<Attempt> cancelled = List.copyOf(openAttempts);
+    List<Attempt> cancelled = executionState.open();
     Optional<ExecutionState.FinalResponse> executed =
-        executionState.finalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", written);
+        executionState.finalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout");
     if (executed.isPresent()) {
       finish(executed.get().response(), executed.get().outcome());
     } else {
@@ -368,7 +370,7 @@
       return;
     }
     done = true;
-    placement.leaveQueue();
+    placement.stop();
     cancelTimers();
     reportEnd(outcome, result.status().code());
     access.giveBack();
