The end of a server's output is told, not inferred from a closed connection

Hypotheses, before any change: (A) the relay turns a reset into an ordinary end. (B) The protocol between instances tells no end at all, so that the end of the relay's process looks the same; A is a case of it. (C) On the asking side HttpResponseDecoder ends an answer without a length whenever the channel becomes inactive; a failed write also makes it so.

Class: the absence of further bytes was taken for the statement that there are none.

Change: connections to servers tell the end of input as an event of its own, on both ways; a channel that becomes inactive without it breaks the exchange ("cut_off"). A relay tells the end by a signal and any other end by its absence. Instances say in their first message whether they know signals. To an earlier release a relay passes a reset on as a reset; what an earlier release relays has no told end, so answers without a length through it break until it is updated. A caller's end closes the server's connection at once, without waiting for what was still to be written.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -164,12 +165,14 @@
       if (pending == null && !releasePending) {
         close();
       }
+    } else if (event instanceof ChannelInputShutdownEvent) {
+      fail("closed");
     }
   }
 
-  @Override
-  public void channelInactive(ChannelHandlerContext context) {
-    fail("closed");
+  /** Ends a pending exchange whose connection ended without the end of the server's output. */
+  void cutOff() {
+    fail("cut_off");
   }
 
   @Override
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -2,9 +2,11 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -114,7 +116,7 @@
       ServerEntry server, Consumer<Channel> opened, Consumer<Throwable> failed) {
     InetSocketAddress address = new InetSocketAddress(server.host(), server.port());
     ChannelFuture future =
-        Channels.connectWithKeepAlive(loop, address, CONNECT_TIMEOUT_MILLIS, new Pipeline());
+        Channels.connectToServer(loop, address, CONNECT_TIMEOUT_MILLIS, new Pipeline());
     var unused =
         future.addListener(
             ended -> {
@@ -268,14 +270,33 @@
     }
   }
 
-  /** Decodes responses; a response to a HEAD request has no body. */
+  /**
+   * Decodes responses; a response to a HEAD request has no body. A response without a length is
+   * complete only if its server ended the connection, and not if the connection was cut off.
+   */
   private static final class ResponseDecoder extends HttpResponseDecoder {
     private @Nullable ServerConnection connection;
+    private boolean inputEnded;
 
     ResponseDecoder() {
       super(new HttpDecoderConfig().setMaxHeaderSize(64 * 1024).setMaxInitialLineLength(8 * 1024));
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+      inputEnded |= event instanceof ChannelInputShutdownEvent;
+      super.userEventTriggered(context, event);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+      if (!inputEnded && connection != null) {
+        // The decoder would take the end of the connection for that of the response.
+        connection.cutOff();
+      }
+      super.channelInactive(context);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
       return (connection != null && connection.headPending())
--- a/front/src/main/java/org/magnoliaswitch/front/loop/Channels.java
+++ b/front/src/main/java/org/magnoliaswitch/front/loop/Channels.java
@@ -44,6 +44,23 @@
    */
   public static ChannelFuture connectWithKeepAlive(
       Loop loop, InetSocketAddress address, int timeoutMillis, ChannelHandler initializer) {
+    return bootstrapWithKeepAlive(loop, timeoutMillis, initializer).connect(address);
+  }
+
+  /**
+   * Opens a connection like {@link #connectWithKeepAlive} whose handlers are told of the end of the
+   * other side's output by a {@link io.netty.channel.socket.ChannelInputShutdownEvent}, and must
+   * then close it. A connection that becomes inactive without that event was cut off.
+   */
+  public static ChannelFuture connectToServer(
+      Loop loop, InetSocketAddress address, int timeoutMillis, ChannelHandler initializer) {
+    return bootstrapWithKeepAlive(loop, timeoutMillis, initializer)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .connect(address);
+  }
+
+  private static Bootstrap bootstrapWithKeepAlive(
+      Loop loop, int timeoutMillis, ChannelHandler initializer) {
     return new Bootstrap()
         .group(loop.events())
         .channel(NioSocketChannel.class)
@@ -55,8 +72,15 @@
             KEEP_ALIVE_INTERVAL_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
-        .handler(initializer)
-        .connect(address);
+        .handler(initializer);
+  }
+
+  /** Closes a connection with a reset, so that the other side does not take it for a proper end. */
+  public static void reset(Channel channel) {
+    if (channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      close(channel);
+    }
   }
 
   public static void close(ChannelOutboundInvoker channel) {
--- a/front/src/main/java/org/magnoliaswitch/front/relay/RelayConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/relay/RelayConnector.java
@@ -7,7 +7,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.CorruptedFrameException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -219,7 +220,7 @@
                 if (!done.isSuccess()) {
                   declined(relay);
                 } else if (!ended) {
-                  RelayPipeline.write(future.channel(), new RelayMessage.Open(serverId));
+                  RelayPipeline.write(future.channel(), new RelayMessage.Open(serverId, true));
                 }
               });
     }
@@ -241,16 +242,16 @@
       askNext();
     }
 
-    void answered(Channel channel, InetSocketAddress relay, RelayMessage.Status status) {
+    void answered(Channel channel, InetSocketAddress relay, RelayMessage.Opened answer) {
       if (ended) {
         Channels.close(channel);
         return;
       }
-      switch (status) {
+      switch (answer.status()) {
         case OPENED -> {
           ended = true;
           timeout.cancel();
-          channel.pipeline().replace(Answer.class, null, new RelayedBytes());
+          channel.pipeline().replace(Answer.class, null, new RelayedBytes(answer.signals()));
           opened.accept(new Opened(channel, relay));
         }
         case REFUSED -> serverRefused();
@@ -304,7 +305,7 @@
       frame.readBytes(bytes);
       if (RelayMessage.decode(bytes) instanceof RelayMessage.Opened answer) {
         answered = true;
-        opening.answered(context.channel(), relay, answer.status());
+        opening.answered(context.channel(), relay, answer);
       } else {
         Channels.close(context);
       }
@@ -324,15 +325,48 @@
     }
   }
 
-  /** Separates the bytes of the connection from the announcement of its end. */
+  /** Separates the bytes of the connection from the signals of the relay. */
   private static final class RelayedBytes extends ChannelInboundHandlerAdapter {
+    private final boolean signals;
+    private boolean signalFollows;
+
+    RelayedBytes(boolean signals) {
+      this.signals = signals;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      if (((ByteBuf) message).isReadable()) {
-        context.fireChannelRead(message);
+      ByteBuf frame = (ByteBuf) message;
+      if (frame.isReadable() && !signalFollows) {
+        context.fireChannelRead(frame);
+        return;
+      }
+      try {
+        readSignal(context, frame);
+      } finally {
+        frame.release();
+      }
+    }
+
+    private void readSignal(ChannelHandlerContext context, ByteBuf frame) {
+      if (!signals) {
+        context.fireUserEventTriggered(new CloseAnnounced());
+      } else if (!signalFollows) {
+        signalFollows = true;
       } else {
-        ReferenceCountUtil.release(message);
+        signalFollows = false;
+        fire(context, frame);
+      }
+    }
+
+    private static void fire(ChannelHandlerContext context, ByteBuf frame) {
+      byte code = frame.isReadable() ? frame.readByte() : -1;
+      if (code == RelaySignal.CLOSE_ANNOUNCED.code()) {
         context.fireUserEventTriggered(new CloseAnnounced());
+      } else if (code == RelaySignal.END_OF_OUTPUT.code()) {
+        context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+      } else {
+        context.fireExceptionCaught(new CorruptedFrameException("unknown signal " + code));
       }
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/relay/RelayListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/relay/RelayListener.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
@@ -139,9 +140,9 @@
     opening++;
     // Nothing is read until both sides are connected.
     from.config().setAutoRead(false);
-    Relayed connection = new Relayed(from, target.get());
+    Relayed connection = new Relayed(from, target.get(), request.signals());
     ChannelFuture future =
-        Channels.connectWithKeepAlive(
+        Channels.connectToServer(
             loop, target.get().address(), CONNECT_TIMEOUT_MILLIS, new Unread());
     var unused =
         future.addListener(
@@ -162,7 +163,7 @@
   }
 
   private static void refuse(Channel from, RelayMessage.Status status) {
-    byte[] answer = new RelayMessage.Opened(status).encode();
+    byte[] answer = new RelayMessage.Opened(status, true).encode();
     Channels.writeThen(from, Unpooled.wrappedBuffer(answer), () -> Channels.close(from));
   }
 
@@ -217,10 +218,12 @@
   private final class Relayed {
     private final Channel instance;
     private final Target target;
+    private final boolean signals;
 
-    Relayed(Channel instance, Target target) {
+    Relayed(Channel instance, Target target, boolean signals) {
       this.instance = instance;
       this.target = target;
+      this.signals = signals;
     }
 
     void start(Channel connected) {
@@ -232,9 +235,9 @@
       opened++;
       instance.config().setWriteBufferWaterMark(BUFFER);
       connected.config().setWriteBufferWaterMark(BUFFER);
-      instance.pipeline().replace(Request.class, null, new Side(connected));
-      connected.pipeline().addLast(new Side(instance));
-      RelayPipeline.write(instance, new RelayMessage.Opened(RelayMessage.Status.OPENED));
+      instance.pipeline().replace(Request.class, null, new InstanceSide(connected));
+      connected.pipeline().addLast(new ServerSide());
+      RelayPipeline.write(instance, new RelayMessage.Opened(RelayMessage.Status.OPENED, true));
       instance.config().setAutoRead(true);
       connected.config().setAutoRead(true);
       if (stopping) {
@@ -243,12 +246,12 @@
     }
 
     void announceClose() {
-      RelayPipeline.announceClose(instance);
+      RelayPipeline.write(instance, RelaySignal.CLOSE_ANNOUNCED, signals);
     }
 
     /** Passes the bytes of one side on to the other one, no faster than it takes them. */
-    private final class Side extends ChannelInboundHandlerAdapter {
-      private final Channel other;
+    private abstract static class Side extends ChannelInboundHandlerAdapter {
+      final Channel other;
 
       Side(Channel other) {
         this.other = other;
@@ -267,16 +270,55 @@
         other.config().setAutoRead(context.channel().isWritable());
       }
 
+      @Override
+      public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Channels.close(context);
+      }
+    }
+
+    /** The side of the other instance, which ends it when it needs the connection no longer. */
+    private final class InstanceSide extends Side {
+      InstanceSide(Channel server) {
+        super(server);
+      }
+
       @Override
       public void channelInactive(ChannelHandlerContext context) {
         relayed.remove(Relayed.this);
-        // What was read before the end must still arrive.
-        Channels.writeThen(other, Unpooled.EMPTY_BUFFER, () -> Channels.close(other));
+        Channels.close(other);
+      }
+    }
+
+    /** The side of the server, whose end is told to the other instance as what it was. */
+    private final class ServerSide extends Side {
+      private boolean ended;
+
+      ServerSide() {
+        super(instance);
       }
 
       @Override
-      public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        Channels.close(context);
+      public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+          ended = true;
+          RelayPipeline.write(instance, RelaySignal.END_OF_OUTPUT, signals);
+          Channels.close(context);
+        }
+      }
+
+      @Override
+      public void channelInactive(ChannelHandlerContext context) {
+        relayed.remove(Relayed.this);
+        // What was read before the end must still arrive.
+        RelayPipeline.afterWrites(instance, this::closeInstance);
+      }
+
+      private void closeInstance() {
+        if (ended || signals) {
+          Channels.close(instance);
+        } else {
+          Channels.reset(instance);
+        }
       }
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/relay/RelayMessage.java
+++ b/front/src/main/java/org/magnoliaswitch/front/relay/RelayMessage.java
@@ -17,15 +17,18 @@
    * Asks for a connection to a backend server.
    *
    * @param server id of the server
+   * @param signals whether the sender understands {@link RelaySignal}; earlier releases do not
    */
-  record Open(String server) implements RelayMessage {}
+  record Open(String server, boolean signals) implements RelayMessage {}
 
   /**
    * Answers {@link Open}; after {@link Status#OPENED} the bytes of the connection follow.
    *
    * @param status whether the connection is open
+   * @param signals whether the sender tells the end of the connection by a {@link RelaySignal};
+   *     earlier releases do not
    */
-  record Opened(Status status) implements RelayMessage {}
+  record Opened(Status status, boolean signals) implements RelayMessage {}
 
   /**
    * Makes the sender known as an instance that opens connections for others.
@@ -80,8 +83,9 @@
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       out.packInt(PROTOCOL);
       switch (this) {
-        case Open open -> out.packInt(0).packString(open.server());
-        case Opened opened -> out.packInt(1).packInt(STATUSES.indexOf(opened.status()));
+        case Open open -> out.packInt(0).packString(open.server()).packBoolean(open.signals());
+        case Opened opened ->
+            out.packInt(1).packInt(STATUSES.indexOf(opened.status())).packBoolean(opened.signals());
         case Join join -> {
           out.packInt(2);
           pack(out, join.relay());
@@ -112,8 +116,8 @@
       }
       int kind = in.unpackInt();
       return switch (kind) {
-        case 0 -> new Open(unpackId(in));
-        case 1 -> new Opened(status(in.unpackInt()));
+        case 0 -> new Open(unpackId(in), unpackSignals(in));
+        case 1 -> new Opened(status(in.unpackInt()), unpackSignals(in));
         case 2 -> new Join(unpackAddress(in));
         case 3 -> new Known(unpackRelays(in));
         default -> throw new IOException("relay message of unknown kind " + kind);
@@ -123,6 +127,11 @@
     }
   }
 
+  /** Unpacks a field that the messages of earlier releases lack, and that these ignore. */
+  private static boolean unpackSignals(MessageUnpacker in) throws IOException {
+    return in.hasNext() && in.unpackBoolean();
+  }
+
   private static Status status(int code) throws IOException {
     if (code < 0 || code >= STATUSES.size()) {
       throw new IOException("relay status " + code + " is unknown");
--- a/front/src/main/java/org/magnoliaswitch/front/relay/RelayPipeline.java
+++ b/front/src/main/java/org/magnoliaswitch/front/relay/RelayPipeline.java
@@ -13,7 +13,9 @@
 /**
  * Frames of a connection between two instances: a length and that many bytes. The first frame in
  * each direction is a {@link RelayMessage}, the others carry the bytes of the relayed connection.
- * An empty frame announces that the relay will close the connection once it is idle.
+ * After an empty frame, the next one carries a {@link RelaySignal}. Towards an instance of a
+ * release that knows no signals, the empty frame alone announces the close, and an end that is no
+ * ordinary one is told by a reset.
  */
 final class RelayPipeline {
   private static final int LENGTH_BYTES = 4;
@@ -38,9 +40,20 @@
     Channels.write(channel, Unpooled.wrappedBuffer(message.encode()));
   }
 
-  /** Writes the empty frame. */
-  static void announceClose(Channel channel) {
-    Channels.write(channel, Unpooled.EMPTY_BUFFER);
+  /** Writes a signal. */
+  static void write(Channel channel, RelaySignal signal, boolean signals) {
+    if (signals) {
+      Channels.write(channel, Unpooled.EMPTY_BUFFER);
+      Channels.write(channel, Unpooled.wrappedBuffer(new byte[] {signal.code()}));
+    } else if (signal == RelaySignal.CLOSE_ANNOUNCED) {
+      Channels.write(channel, Unpooled.EMPTY_BUFFER);
+    }
+  }
+
+  /** Runs an action once everything that was written before has been sent, or cannot be sent. */
+  static void afterWrites(Channel channel, Runnable action) {
+    ChannelHandlerContext belowFrames = channel.pipeline().context(FrameWriter.class);
+    var unused = belowFrames.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> action.run());
   }
 
   /** Splits what is written into frames. */
--- a/front/src/test/java/org/magnoliaswitch/front/relay/RelayMessageTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/relay/RelayMessageTest.java
@@ -16,9 +16,10 @@
   public static Object[][] messages() {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 7_200);
     return new Object[][] {
-      {new RelayMessage.Open("i-7f3a91c2")},
-      {new RelayMessage.Opened(RelayMessage.Status.OPENED)},
-      {new RelayMessage.Opened(RelayMessage.Status.UNAVAILABLE)},
+      {new RelayMessage.Open("i-7f3a91c2", true)},
+      {new RelayMessage.Open("i-7f3a91c2", false)},
+      {new RelayMessage.Opened(RelayMessage.Status.OPENED, true)},
+      {new RelayMessage.Opened(RelayMessage.Status.UNAVAILABLE, false)},
       {new RelayMessage.Join(address)},
       {new RelayMessage.Known(List.of(address, new InetSocketAddress("10.0.0.1", 1)))},
     };
@@ -29,6 +30,16 @@
     assertEquals(RelayMessage.decode(message.encode()), message);
   }
 
+  /** Guards against refusing the messages of an earlier release, which end before the signals. */
+  @Test
+  public void messagesOfEarlierReleasesAreUnderstood() throws IOException {
+    byte[] open = {1, 0, (byte) 0xa3, 'i', '-', '1'};
+    assertEquals(RelayMessage.decode(open), new RelayMessage.Open("i-1", false));
+    byte[] opened = {1, 1, 0};
+    assertEquals(
+        RelayMessage.decode(opened), new RelayMessage.Opened(RelayMessage.Status.OPENED, false));
+  }
+
   /** Guards against an error other than the declared one, which would leave a connection open. */
   @Test(dataProvider = "messages")
   public void damagedMessagesAreRefused(RelayMessage message) {
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -48,6 +48,7 @@
       new SharedRetryBudget.Limits(0.5, 100, TimeUnit.SECONDS.toNanos(10));
 
   private final Front front;
+  private final Optional<RelaySettings> relaySettings;
 
   /**
    * Starts an instance and waits until its configuration is in force.
@@ -58,6 +59,13 @@
     this(timeoutMillis, 0, List.of(), Optional.empty(), TeamTable.EMPTY, entries(servers));
   }
 
+  /** Starts an instance without seeds that knows servers by their entries. */
+  public static RunningFront withServers(long timeoutMillis, List<ServerEntry> servers)
+      throws IOException {
+    return new RunningFront(
+        timeoutMillis, 0, List.of(), Optional.empty(), TeamTable.EMPTY, servers);
+  }
+
   /** Starts an instance without seeds whose requests need keys. */
   public static RunningFront withTeams(
       TeamTable teams, long timeoutMillis, ScriptedServer... servers) throws IOException {
@@ -72,6 +80,13 @@
     return new RunningFront(timeoutMillis, 0, List.of(), relays, TeamTable.EMPTY, servers);
   }
 
+  /** Starts an instance without seeds that opens connections for others. */
+  public static RunningFront withRelay(long timeoutMillis, ScriptedServer server)
+      throws IOException {
+    InetSocketAddress none = new InetSocketAddress("127.0.0.1", PortAllocator.allocate());
+    return withRelay(timeoutMillis, none, entries(server));
+  }
+
   /**
    * Starts several instances that exchange their state; the first one is their seed.
    *
@@ -123,6 +138,7 @@
       TeamTable teams,
       List<ServerEntry> servers)
       throws IOException {
+    this.relaySettings = relays;
     long timeout = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     RouteTable routes =
         new RouteTable(
@@ -165,6 +181,11 @@
     }
   }
 
+  /** Port at which other instances ask for connections. */
+  public int relayPort() {
+    return relaySettings.orElseThrow().own().getPort();
+  }
+
   /** Stops the instance gracefully. */
   public void stop(Runnable stopped) {
     front.stop(stopped);
