A connection whose answers are still being sent is not idle

Hypotheses, before any change: (A) closeIfIdle() does not see bytes that were handed to the channel and not sent. (B) The process exits 0.8 s before the grace time ends. (C) close() with unread input resets the connection and destroys what the kernel still holds. The log showed the end 2.65 s after the stop with open=0, so not B. A holds by CallerConnectionTest.BeingSent. C holds on its own: a caller that sends a further request while it reads its last answer had it reset 0.5 s after the answer had gone to the kernel (aFurtherRequestDoesNotDestroyTheLastAnswer).

Class: "handed over" was taken for "sent", and "sent to the kernel" for "received".

Change: ResponseWriter hands bodies over in parts and knows what has not been sent, when something last was, and until when the slowest caller (512 KB/s) has received what the kernel may hold (4 MB). Each question asks for what it needs: the idle timeout counts from the last part that was sent, and also ends a caller that reads nothing; the stop leaves connections alone whose answers are being sent or that are closing; a connection that may hold unreceived bytes is shut down, read until its caller closes it, and closed after that time and 0.5 s. Log event `answer_cut`, field `unsent_bytes` of `stopped`, metric magnolia_answers_cut_total: nothing showed a cut answer before.

By reading only: a relayed connection counted as ended when its server had ended, while up to 16 KB for the other instance could still wait; it counts until that side is closed now.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,6 +27,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.loop.Channels;
@@ -42,8 +44,8 @@
   /** Limit of unanswered requests on one connection; further bytes stay in the kernel's buffer. */
   private static final int MAX_PIPELINED_REQUESTS = 64;
 
-  /** Time to wait for the caller to close the connection after the last response. */
-  private static final long CLOSE_TIMEOUT_MILLIS = 500;
+  /** Time to wait for the caller to close the connection once it must have received everything. */
+  private static final long CLOSE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private static final CallerRequest UNPARSABLE_REQUEST =
       new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false, "");
@@ -54,12 +56,15 @@
   private final RequestHandler handler;
   private final CallerListener listener;
   private final Clocks clocks;
+  private final ResponseWriter writer;
   private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
   private final ByteBuf body = Unpooled.buffer(0);
   private @Nullable HttpRequest head;
+  private HttpHeaders lastHeaders = EmptyHttpHeaders.INSTANCE;
   private boolean connectionUsed;
   private boolean closing;
   private boolean malformed;
+  private boolean stalled;
   private long lastUsedNanos;
   private long partialSinceNanos;
   private boolean partial;
@@ -83,6 +88,7 @@
     this.handler = handler;
     this.listener = listener;
     this.clocks = clocks;
+    this.writer = new ResponseWriter(channel, clocks);
     this.lastUsedNanos = clocks.nanos();
   }
 
@@ -100,37 +106,63 @@
    * request.
    */
   void sweep(long nowNanos) {
+    if (writer.unsentBytes() > 0) {
+      closeIfStalled(nowNanos);
+      return;
+    }
     if (!pendingRequests.isEmpty() || closing) {
       return;
     }
     CallerLimits limits = listener.limits();
+    long idleNanos = nowNanos - Math.max(lastUsedNanos, writer.progressNanos());
     if (partial && nowNanos - partialSinceNanos > limits.headerTimeoutNanos() && head == null) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT, "slow_head", null);
-    } else if (nowNanos - lastUsedNanos > limits.idleTimeoutNanos()) {
+    } else if (idleNanos > limits.idleTimeoutNanos()) {
       if (partial) {
         reject(HttpResponseStatus.REQUEST_TIMEOUT, "slow_request", head);
       } else {
-        Channels.close(channel);
+        closeIdle();
       }
     }
   }
 
-  /** Closes the connection unless it is busy. */
+  /** Closes the connection if its caller has read nothing of its responses for too long. */
+  private void closeIfStalled(long nowNanos) {
+    if (nowNanos - writer.progressNanos() > listener.limits().idleTimeoutNanos()) {
+      stalled = true;
+      Channels.close(channel);
+    }
+  }
+
+  /** Closes the connection unless it is busy or its responses are still being sent. */
   void closeIfIdle() {
-    if (!busy()) {
+    if (!closing && !busy() && writer.unsentBytes() == 0) {
+      closeIdle();
+    }
+  }
+
+  private void closeIdle() {
+    if (writer.unreceivedNanos(clocks.nanos()) > 0) {
+      closing = true;
+      shutDownThenClose();
+    } else {
       Channels.close(channel);
     }
   }
 
   /**
-   * Whether a request is being received or executed. Does not see a response whose bytes are still
-   * being sent, nor the beginning of a request head that arrived in one read with the end of the
-   * previous request.
+   * Whether a request is being received or executed. Does not see the beginning of a request head
+   * that arrived in one read with the end of the previous request.
    */
   boolean busy() {
     return partial || head != null || !pendingRequests.isEmpty();
   }
 
+  /** Bytes of responses that have not been sent yet. */
+  long unsentBytes() {
+    return writer.unsentBytes();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
@@ -144,6 +176,10 @@
   public void channelInactive(ChannelHandlerContext context) {
     closing = true;
     listener.closed(this);
+    long cutBytes = writer.unsentBytes() + writer.lostBytes();
+    if (cutBytes > 0) {
+      handler.responseCut(lastHeaders, cutBytes, stalled ? "stalled" : "disconnected");
+    }
     listener.release(body.readableBytes());
     body.clear();
     pendingRequests.forEach(pending -> listener.release(pending.request.body().length));
@@ -295,6 +331,7 @@
     // Idle time counts from the response rather than from the request, which may have taken longer
     // than the idle timeout.
     lastUsedNanos = clocks.nanos();
+    lastHeaders = pending.request.headers();
     boolean keep = pending.keepAlive && !listener.stopping();
     boolean headOnly = HttpMethod.HEAD.equals(pending.request.method());
     ByteBuf content = headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(response.body());
@@ -305,7 +342,7 @@
       message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
     }
     if (keep) {
-      Channels.write(channel, message);
+      var unused = writer.write(message);
     } else {
       writeAndClose(message);
     }
@@ -338,17 +375,20 @@
     }
     pendingRequests.clear();
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    Channels.writeThen(channel, response, this::shutDownThenClose);
+    var unused = writer.write(response).addListener(done -> shutDownThenClose());
   }
 
   /**
    * Shuts down the output first and closes later: closing a socket with unread bytes resets the
-   * connection, and the reset can overtake the response on its way to the caller.
+   * connection, and the reset destroys what the kernel holds of the responses and can overtake them
+   * on their way to the caller. What arrives meanwhile is read and dropped.
    */
   private void shutDownThenClose() {
     if (channel instanceof DuplexChannel duplex && channel.isActive()) {
       var unused = duplex.shutdownOutput();
-      listener.loop().afterMillis(CLOSE_TIMEOUT_MILLIS, () -> Channels.close(channel));
+      channel.config().setAutoRead(true);
+      long timeout = writer.unreceivedNanos(clocks.nanos()) + CLOSE_TIMEOUT_NANOS;
+      listener.loop().after(timeout, () -> Channels.close(channel));
     } else {
       Channels.close(channel);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
@@ -93,6 +93,11 @@
     return (int) connections.stream().filter(CallerConnection::busy).count();
   }
 
+  /** Bytes of responses that have not been sent yet; must run on the event loop. */
+  public long unsentBytes() {
+    return connections.stream().mapToLong(CallerConnection::unsentBytes).sum();
+  }
+
   /** Number of open connections; must run on the event loop. */
   public int size() {
     return connections.size();
--- a/front/src/main/java/org/magnoliaswitch/front/connection/RequestHandler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/RequestHandler.java
@@ -1,5 +1,6 @@
 package org.magnoliaswitch.front.connection;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
@@ -32,6 +33,15 @@
    */
   default void rejected(HttpResponseStatus status, String reason, Optional<HttpRequest> head) {}
 
+  /**
+   * Called when a connection was closed before its responses had been sent.
+   *
+   * @param lastHeaders headers of the request of the last response, which was not sent whole
+   * @param unsentBytes size of what was not sent, about
+   * @param reason short reason for the log
+   */
+  default void responseCut(HttpHeaders lastHeaders, long unsentBytes, String reason) {}
+
   /**
    * Starts a request.
    *
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -104,7 +104,12 @@
     boolean expired = environment.clocks().nanos() - deadline >= 0;
     int open = callers.size() + relays.size();
     if (open == 0 || expired) {
-      environment.log().stateChange("stopped").add("open", open).write();
+      environment
+          .log()
+          .stateChange("stopped")
+          .add("open", open)
+          .add("unsent_bytes", callers.unsentBytes())
+          .write();
       stopped.run();
     } else {
       environment.loop().afterMillis(POLL_MILLIS, () -> drain(deadline, stopped));
--- a/front/src/main/java/org/magnoliaswitch/front/relay/RelayListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/relay/RelayListener.java
@@ -308,8 +308,8 @@
 
       @Override
       public void channelInactive(ChannelHandlerContext context) {
-        relayed.remove(Relayed.this);
-        // What was read before the end must still arrive.
+        // What was read before the end must still arrive; until then the connection counts as open,
+        // so that the process does not exit.
         RelayPipeline.afterWrites(instance, this::closeInstance);
       }
 
--- a/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/FrontDispatcher.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.front.request;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
@@ -57,6 +58,18 @@
         .write();
   }
 
+  @Override
+  public void responseCut(HttpHeaders lastHeaders, long unsentBytes, String reason) {
+    environment.metrics().count("answers.cut", "", reason);
+    environment
+        .log()
+        .failure("answer_cut")
+        .add("request", lastHeaders.get(environment.names().requestId(), ""))
+        .add("unsent_bytes", unsentBytes)
+        .add("reason", reason)
+        .write();
+  }
+
   private static String truncatedTarget(HttpRequest request) {
     String target = request.uri();
     return target.substring(0, Math.min(target.length(), MAX_LOGGED_TARGET_LENGTH));
--- a/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/RunningFront.java
@@ -217,6 +217,11 @@
     }
   }
 
+  /** Address that callers connect to. */
+  public InetSocketAddress address() {
+    return front.callerAddress();
+  }
+
   /** Opens a connection to the callers' port. */
   public Socket connect() throws IOException {
     return new Socket("127.0.0.1", front.callerAddress().getPort());
