An entry that stops waits for callers to close their connections

Callers would see: the response of a stopping entry ends with a reset, if they send a further request before they have read it.

--- a/entry/src/main/java/org/magnoliaswitch/entry/CallerListener.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/CallerListener.java
@@ -1,9 +1,11 @@
 package org.magnoliaswitch.entry;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -18,11 +20,13 @@
 import org.eclipse.jetty.server.SslConnectionFactory;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.process.ControlPlane;
 import org.magnoliaswitch.core.request.RequestService;
 
 /** HTTP/1.1 listener for callers. Each request is served on its own virtual thread. */
 final class CallerListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_HEADER_BYTES = 16 * 1024;
   private static final int IDLE_MILLIS = 60_000;
   private static final int ACCEPT_QUEUE = 1_024;
@@ -37,9 +41,11 @@
   private final Server server;
   private final ServerConnector connector;
   private final CallerHandler handler;
+  private final Clocks clocks;
 
   CallerListener(EntrySettings settings, ControlPlane control, RequestService requests)
       throws IOException {
+    this.clocks = control.clocks();
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
     threads.setName("callers");
     threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
@@ -69,15 +75,18 @@
   }
 
   /**
-   * Stops accepting connections, waits for requests in flight and closes the listener. Returns
-   * whether all requests ended within the limit and the listener closed without an error.
+   * Stops accepting connections, waits for requests in flight and then for callers to close their
+   * connections, and closes the listener. Returns whether all requests ended within the limit and
+   * the listener closed without an error.
    */
   boolean stop(long limitMillis) {
     boolean completed = false;
+    long endNanos = clocks.nanos() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
     try {
-      var unused = connector.shutdown();
+      CompletableFuture<Void> closed = connector.shutdown();
       handler.whenIdle().get(limitMillis, TimeUnit.MILLISECONDS);
       completed = true;
+      awaitClosed(closed, endNanos - clocks.nanos());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (ExecutionException | TimeoutException e) {
@@ -92,6 +101,19 @@
     return completed;
   }
 
+  /**
+   * Waits until callers have closed their connections. What the kernel holds of their responses is
+   * lost if a connection is closed on which a further request has arrived or still arrives.
+   */
+  private static void awaitClosed(CompletableFuture<Void> closed, long limitNanos)
+      throws InterruptedException, ExecutionException {
+    try {
+      closed.get(Math.max(0, limitNanos), TimeUnit.NANOSECONDS);
+    } catch (TimeoutException e) {
+      logger.atInfo().log("event=callers_left_open");
+    }
+  }
+
   private ServerConnector createConnector(EntrySettings settings) throws IOException {
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
--- a/entry/src/test/java/org/magnoliaswitch/entry/GracefulListenerTest.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/GracefulListenerTest.java
@@ -3,6 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -28,10 +31,50 @@
     }
   }
 
+  /** Guards against a close that cuts off a response which its caller has not read yet. */
+  @Test
+  public void responsesReadAfterTheStopAreWhole() throws Exception {
+    assertWholeAfterTheStop(0, 0);
+  }
+
+  /** Guards against a reset by a further request, which destroys what the kernel still holds. */
+  @Test
+  public void aFurtherRequestDoesNotDestroyTheResponse() throws Exception {
+    assertWholeAfterTheStop(1, 0);
+  }
+
+  /** The same with a request that arrives when the listener has closed the connection. */
+  @Test
+  public void furtherRequestsDoNotDestroyTheResponse() throws Exception {
+    assertWholeAfterTheStop(1, 1);
+  }
+
+  /** Reads a response after the stop; further requests are sent before and after it. */
+  private static void assertWholeAfterTheStop(int before, int after) throws Exception {
+    int size = 1_000_000;
+    String request = "GET /booking/a?size=" + size + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    try (RunningEntry entry = new RunningEntry();
+        Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(16 << 10);
+      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), entry.callerPort()));
+      socket.setSoTimeout(5_000);
+      entry.callers().markNotReady();
+      OutputStream out = socket.getOutputStream();
+      out.write(request.getBytes(StandardCharsets.US_ASCII));
+      int first = socket.getInputStream().read();
+      assertEquals(first, 'H');
+      out.write(request.repeat(before).getBytes(StandardCharsets.US_ASCII));
+      assertTrue(entry.callers().stop(10_000));
+      out.write(request.repeat(after).getBytes(StandardCharsets.US_ASCII));
+      int received = socket.getInputStream().readAllBytes().length;
+      assertTrue(received >= size, received + " bytes");
+    }
+  }
+
   @Test
   public void asksCallersToCloseTheirConnectionsWhileItStops() throws Exception {
     try (RunningEntry entry = new RunningEntry();
-        Socket socket = new Socket(java.net.InetAddress.getLoopbackAddress(), entry.callerPort())) {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), entry.callerPort())) {
       socket.setSoTimeout(5_000);
       entry.callers().markNotReady();
       socket
