--- a/front/src/test/java/org/magnoliaswitch/front/request/CutInstancesSoakTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/CutInstancesSoakTest.java
@@ -57,7 +57,10 @@
         .toArray(Object[][]::new);
   }
 
-  /** Guards against promises that a connection through another instance breaks. */
+  /**
+   * Guards against promises that a connection through another instance breaks, and against answers
+   * without a length that are cut off and reach their callers as whole ones.
+   */
   @Test(dataProvider = "seeds", timeOut = 120_000)
   public void noRequestRunsTwiceOrInSpiteOfItsRefusal(int seed) throws Exception {
     try (Run run = new Run(seed)) {
@@ -66,7 +69,28 @@
     }
   }
 
+  /** How a server answers a request. */
+  private enum Answer {
+    /** With a length. */
+    FRAMED,
+    /** Without a length: the answer ends with its connection. */
+    UNFRAMED,
+    /** Without a length, and reset halfway. */
+    RESET;
+
+    /** Chooses by the request: most answers have a length. */
+    private static Answer of(String requestId) {
+      return switch (Math.floorMod(requestId.hashCode(), 8)) {
+        case 0 -> UNFRAMED;
+        case 1 -> RESET;
+        default -> FRAMED;
+      };
+    }
+  }
+
   private static final class Run implements AutoCloseable {
+    private static final String UNFRAMED_HEAD = "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n\r\n";
+
     private final Random random;
     private final List<ScriptedServer> servers = new ArrayList<>();
     private final List<List<CuttableLink>> links = new ArrayList<>();
@@ -98,10 +122,22 @@
 
     private boolean execute(ScriptedServer.Received request) throws IOException {
       String id = request.header("Request-Id");
-      if (!id.isEmpty()) {
-        executions.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+      if (id.isEmpty()) {
+        return request.respond(200, id);
       }
-      return request.respond(200, id);
+      executions.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+      return switch (faultsOver ? Answer.FRAMED : Answer.of(id)) {
+        case FRAMED -> request.respond(200, id);
+        case UNFRAMED -> {
+          request.write(UNFRAMED_HEAD.formatted(id) + id);
+          yield false;
+        }
+        case RESET -> {
+          request.write(UNFRAMED_HEAD.formatted(id) + id.substring(0, id.length() / 2));
+          request.awaitCloseOrPause();
+          yield request.reset();
+        }
+      };
     }
 
     void play() throws IOException, InterruptedException {
--- a/front/src/test/java/org/magnoliaswitch/front/testing/CuttableLink.java
+++ b/front/src/test/java/org/magnoliaswitch/front/testing/CuttableLink.java
@@ -198,18 +198,9 @@
             () -> {
               try (from;
                   to) {
-                InputStream in = from.getInputStream();
-                OutputStream out = to.getOutputStream();
-                byte[] buffer = new byte[8192];
-                int length = in.read(buffer);
-                while (length >= 0) {
-                  (requests ? requestsPass : answersPass).await();
-                  out.write(buffer, 0, length);
-                  uses.addAndGet(requests ? 1 : 0);
-                  waiting.addAndGet(requests ? 1 : -1);
-                  length = in.read(buffer);
-                }
+                copy(from, to, requests);
               } catch (IOException e) {
+                // It is closed already.
                 return;
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -219,4 +210,24 @@
               }
             });
   }
+
+  private void copy(Socket from, Socket to, boolean requests)
+      throws IOException, InterruptedException {
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      byte[] buffer = new byte[8192];
+      int length = in.read(buffer);
+      while (length >= 0) {
+        (requests ? requestsPass : answersPass).await();
+        out.write(buffer, 0, length);
+        uses.addAndGet(requests ? 1 : 0);
+        waiting.addAndGet(requests ? 1 : -1);
+        length = in.read(buffer);
+      }
+    } catch (IOException e) {
+      // Passed on as a reset, so that the other side does not take it for an ordinary end.
+      reset(to);
+    }
+  }
 }
