Timers of a request's placement run out instead of being cancelled

Cancelling came with: each search of a queued request cancels one timer and starts another.

The cause within the queue is not traced.

--- a/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RequestPlacement.java
@@ -63,7 +63,8 @@
   private final RequestReport report;
   private final Owner owner;
   private final Set<String> attemptedServerIds = new HashSet<>();
-  private Loop.Timer timer = () -> {};
+  private boolean waiting;
+  private int waitCount;
   private int searchCount;
   private boolean firstSearchDone;
   private boolean held;
@@ -130,7 +131,7 @@
   /** Ends the search for a server: timers, pending searches and offers have no effect any more. */
   void stop() {
     leaveQueue();
-    timer.cancel();
+    waiting = false;
     searchCount++;
   }
 
@@ -154,9 +155,23 @@
     placeLater();
   }
 
+  /** Whether the request is placed again after the interval, unless something else happens. */
+  boolean waiting() {
+    return waiting;
+  }
+
   private void placeLater() {
-    timer.cancel();
-    timer = loop.afterMillis(SEARCH_INTERVAL_MILLIS, this::place);
+    waiting = true;
+    waitCount++;
+    int waitNumber = waitCount;
+    loop.afterMillis(SEARCH_INTERVAL_MILLIS, () -> endWait(waitNumber));
+  }
+
+  private void endWait(int waitNumber) {
+    if (waiting && waitNumber == waitCount) {
+      waiting = false;
+      place();
+    }
   }
 
   /**
