Pipelined requests are not started within each other

Callers saw: all connections of an instance hang for good.

A request that is refused while it is started leads to writeCompletedResponses(), that to startEligibleRequests(), that to the start of the next one. Behind an instance's start up to 64 requests wait unstarted on a connection, since no route says that they are idempotent. The queue of timers raises its size before it places an entry, so an overflow there leaves a null. The earlier suspicion, cancelled timers, was wrong.

Change: one loop writes responses and starts requests; a call from within it makes it go round once more. Errors of tasks are logged.

CallerConnectionTest.requestsAnsweredAtOnceAreNotStartedWithinEachOther failed before: 50 starts within each other where 1 is expected.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -9,10 +9,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -65,23 +63,12 @@
   private boolean closing;
   private boolean malformed;
   private boolean stalled;
+  private boolean proceeding;
+  private boolean proceedAgain;
   private long lastUsedNanos;
   private long partialSinceNanos;
   private boolean partial;
 
-  /** A request whose response has not been written yet. */
-  private static final class PendingRequest {
-    private final CallerRequest request;
-    private final boolean keepAlive;
-    private RequestHandler.@Nullable Call call;
-    private @Nullable CallerResponse response;
-
-    PendingRequest(CallerRequest request, boolean keepAlive) {
-      this.request = request;
-      this.keepAlive = keepAlive;
-    }
-  }
-
   CallerConnection(
       Channel channel, RequestHandler handler, CallerListener listener, Clocks clocks) {
     this.channel = channel;
@@ -277,7 +264,29 @@
     if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
       channel.config().setAutoRead(false);
     }
-    startEligibleRequests();
+    proceed();
+  }
+
+  /**
+   * Writes responses and starts requests until neither is possible. A request that is answered
+   * while it is started continues the loop in progress: a call for each of many pipelined requests
+   * would fill the stack.
+   */
+  private void proceed() {
+    proceedAgain = true;
+    if (proceeding) {
+      return;
+    }
+    proceeding = true;
+    try {
+      while (proceedAgain) {
+        proceedAgain = false;
+        writeCompletedResponses();
+        startEligibleRequests();
+      }
+    } finally {
+      proceeding = false;
+    }
   }
 
   private void startEligibleRequests() {
@@ -290,6 +299,9 @@
       if (pending.call == null && pending.response == null && !closing) {
         start(pending);
       }
+      if (proceedAgain) {
+        return;
+      }
       if (!concurrent && pending.response == null) {
         return;
       }
@@ -303,7 +315,7 @@
             pending.request,
             response -> {
               pending.response = response;
-              writeCompletedResponses();
+              proceed();
             });
     pending.call = call;
   }
@@ -322,7 +334,6 @@
       if (pendingRequests.size() < MAX_PIPELINED_REQUESTS && !channel.config().isAutoRead()) {
         channel.config().setAutoRead(true);
       }
-      startEligibleRequests();
     }
   }
 
@@ -334,17 +345,10 @@
     lastHeaders = pending.request.headers();
     boolean keep = pending.keepAlive && !listener.stopping();
     boolean headOnly = HttpMethod.HEAD.equals(pending.request.method());
-    ByteBuf content = headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(response.body());
-    FullHttpResponse message =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(), content);
-    message.headers().set(response.headers());
-    if (!headOnly && response.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
-      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
-    }
     if (keep) {
-      var unused = writer.write(message);
+      var unused = writer.write(response, headOnly, false);
     } else {
-      writeAndClose(message);
+      writeAndClose(response, headOnly);
     }
   }
 
@@ -358,14 +362,14 @@
     PendingRequest last = new PendingRequest(UNPARSABLE_REQUEST, false);
     last.response = new CallerResponse(status, new DefaultHttpHeaders(), new byte[0]);
     pendingRequests.addLast(last);
-    writeCompletedResponses();
+    proceed();
   }
 
   /**
    * Writes the last response of the connection. Requests after it are dropped, and callers repeat
    * them on another connection.
    */
-  private void writeAndClose(FullHttpResponse response) {
+  private void writeAndClose(CallerResponse response, boolean headOnly) {
     closing = true;
     for (PendingRequest pending : pendingRequests) {
       if (pending.call != null && pending.response == null) {
@@ -374,8 +378,7 @@
       listener.release(pending.request.body().length);
     }
     pendingRequests.clear();
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    var unused = writer.write(response).addListener(done -> shutDownThenClose());
+    var unused = writer.write(response, headOnly, true).addListener(done -> shutDownThenClose());
   }
 
   /**
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ResponseWriter.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ResponseWriter.java
@@ -1,12 +1,18 @@
 package org.magnoliaswitch.front.connection;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.core.clock.Clocks;
 
@@ -39,9 +45,24 @@
     this.receivedByNanos = progressNanos;
   }
 
-  /** Writes a response. */
-  ChannelFuture write(FullHttpResponse response) {
-    ChannelFuture written = writeParts(response);
+  /**
+   * Writes a response.
+   *
+   * @param headOnly whether the response answers a HEAD request, so that it has no body
+   * @param close whether it tells the caller that the connection is closed after it
+   */
+  ChannelFuture write(CallerResponse response, boolean headOnly, boolean close) {
+    ByteBuf content = headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(response.body());
+    FullHttpResponse message =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(), content);
+    message.headers().set(response.headers());
+    if (!headOnly && response.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+    }
+    if (close) {
+      message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    ChannelFuture written = writeParts(message);
     channel.flush();
     return written;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/loop/Loop.java
+++ b/front/src/main/java/org/magnoliaswitch/front/loop/Loop.java
@@ -79,6 +79,9 @@
         task.run();
       } catch (RuntimeException e) {
         logger.atSevere().withCause(e).log("event=task_failed");
+      } catch (Error e) {
+        logger.atSevere().withCause(e).log("event=task_failed");
+        throw e;
       }
     };
   }
--- a/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
@@ -83,6 +83,9 @@
             });
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final SlowLink link = new SlowLink();
+    private boolean answersAtOnce;
+    private int nestedStarts;
+    private int deepestStart;
     private final List<String> cut = new ArrayList<>();
     private final RequestHandler handler =
         new RequestHandler() {
@@ -98,7 +101,13 @@
 
           @Override
           public Call start(CallerRequest request, Consumer<CallerResponse> response) {
+            nestedStarts++;
+            deepestStart = Math.max(deepestStart, nestedStarts);
             responseConsumers.add(response);
+            if (answersAtOnce) {
+              respond(responseConsumers.size() - 1);
+            }
+            nestedStarts--;
             return () -> disconnected.add(request.target());
           }
         };
@@ -208,6 +217,23 @@
     assertEquals(caller.responseConsumers.size(), 3);
   }
 
+  /**
+   * Guards against a full stack, which ends the event loop: requests behind one that is answered
+   * late are all answered while they are started.
+   */
+  @Test
+  public void requestsAnsweredAtOnceAreNotStartedWithinEachOther() {
+    Caller caller = new Caller();
+    int behind = 50;
+    caller.send(REQUEST.formatted("once").repeat(1 + behind));
+    assertEquals(caller.responseConsumers.size(), 1);
+    caller.answersAtOnce = true;
+    caller.respond(0);
+    assertEquals(caller.responseConsumers.size(), 1 + behind);
+    assertEquals(caller.received().split("HTTP/1.1 200", -1).length - 1, 1 + behind);
+    assertEquals(caller.deepestStart, 1);
+  }
+
   @Test
   public void pendingRequestsAreNotifiedOfADisconnect() {
     Caller caller = new Caller();
