Instances that followed the store do not believe one that did not

Change: an instance that cannot tell an outage of the store from one of its own links is uncertain, and its lists are inexact. A certain instance neither adopts nor counts them as a confirmation; a certain peer's list that was read later ends the uncertainty. Instances that missed a real outage are uncertain by their own evidence, and retain what they know themselves. An uncertain instance brings back nothing that it has itself seen leave. Failures of less than 2 s are no outage: no entry can expire in that time.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
@@ -4,11 +4,13 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.magnoliaswitch.front.version.Revision;
 import org.magnoliaswitch.front.version.ServerEntry;
 import org.magnoliaswitch.front.version.ServerList;
 
 /**
- * Decides which backend servers exist from a series of discovery reads, some of which fail.
+ * Decides which backend servers exist from a series of lists, read from the store or received from
+ * peers, some of which follow an outage.
  *
  * <p>While the store is unavailable, entries of live servers expire, and right after its recovery a
  * read lists few servers or none. Trusting that read would leave no server to send to, so missing
@@ -16,6 +18,12 @@
  * missing then is dropped. The same holds after the store has been restored from a copy, which
  * lacks the entries of servers that have registered since. Missing entries of draining servers are
  * not retained. Outside of outages a missing entry is dropped at once.
+ *
+ * <p>An instance that could not read the store cannot tell an outage of the store from one of its
+ * own network. It is then <em>uncertain</em> and marks its lists as inexact. An instance that has
+ * followed the store without interruption is certain, and its exact list shows an uncertain one
+ * that there was no outage. A certain instance does not adopt the list of an uncertain one: it may
+ * contain servers that are known to have left.
  */
 public final class DiscoveryReconciler {
   /**
@@ -30,13 +38,32 @@
    */
   static final long OUTAGE_GAP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /**
+   * The same if a read has failed since. Entries do not expire during shorter outages: servers
+   * renew them every 1.5 s, and three intervals must pass in silence.
+   */
+  static final long FAILED_GAP_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /**
+   * How much later the read that ends the retention is due if a peer's list is in force: the peer
+   * usually sends the result of its own read before.
+   */
+  static final long ADOPTED_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private final DepartedServers departed = new DepartedServers();
   private Map<String, ServerEntry> current = Map.of();
-  private boolean hasRead;
+  private boolean hasList;
   private boolean failing;
   private long failedNanos;
   private long lastConfirmedNanos;
-  private long retainUntilNanos;
   private long epoch;
+  private boolean uncertain;
+  private long uncertainSinceNanos;
+  private long uncertainUntilNanos;
+
+  /** Revision of the list that made this instance uncertain. */
+  private Revision uncertainFrom = Revision.NONE;
+
   private boolean retaining;
   private boolean adoptedSince;
   private int retained;
@@ -47,67 +74,128 @@
     failedNanos = begunNanos;
   }
 
+  /** Merges a read with the current servers and returns the list to use. */
+  public ServerList reconcile(ServerList list, long nowNanos) {
+    checkForOutage(list.revision(), nowNanos, nowNanos);
+    if (uncertain && nowNanos - uncertainUntilNanos >= 0) {
+      becomeCertain();
+    }
+    adoptedSince = false;
+    lastConfirmedNanos = nowNanos;
+    Map<String, ServerEntry> merged = new HashMap<>(list.servers());
+    return use(list, merged, nowNanos);
+  }
+
   /**
-   * Records that a peer has confirmed the list in force as of a time: the store was available to
-   * the peer, so a failure before that time and the time since the last own read hide no outage.
+   * Evaluates what the list of a peer, which is not older than the one in force, says about the
+   * store as of a time. Returns whether the list may be used.
    */
-  public void confirmed(long asOfNanos) {
-    if (asOfNanos - lastConfirmedNanos > 0) {
-      lastConfirmedNanos = asOfNanos;
+  public boolean accepts(ServerList list, long asOfNanos, long nowNanos) {
+    Revision revision = list.revision();
+    if (revision.exact()) {
+      if (uncertain && observedLater(revision, asOfNanos)) {
+        becomeCertain();
+      }
+      if (asOfNanos - failedNanos > 0) {
+        failing = false;
+      }
+    } else {
+      checkForOutage(revision, asOfNanos, nowNanos);
     }
-    if (asOfNanos - failedNanos > 0) {
-      failing = false;
+    boolean accepted = revision.exact() || uncertain;
+    if (accepted && asOfNanos - lastConfirmedNanos > 0) {
+      lastConfirmedNanos = asOfNanos;
     }
+    return accepted;
   }
 
-  /** Merges a read with the current servers and returns the list to use. */
-  public ServerList reconcile(ServerList list, long nowNanos) {
-    boolean outage =
-        failing
-            || list.revision().epoch() > epoch
-            || nowNanos - lastConfirmedNanos > OUTAGE_GAP_NANOS;
+  /** Adopts an accepted list of a peer that is newer than the one in force. */
+  public ServerList adopt(ServerList list, long nowNanos) {
     epoch = list.revision().epoch();
-    if (hasRead && outage) {
-      retaining = true;
-      retainUntilNanos = nowNanos + RETENTION_NANOS;
-    }
-    if (retaining && nowNanos - retainUntilNanos >= 0) {
-      retaining = false;
-    }
-    failing = false;
-    adoptedSince = false;
-    hasRead = true;
-    lastConfirmedNanos = nowNanos;
+    adoptedSince = true;
     Map<String, ServerEntry> merged = new HashMap<>(list.servers());
-    keepLaterIncarnations(merged);
+    retaining = !list.revision().exact();
     if (retaining) {
-      current.forEach(
-          (id, entry) -> {
-            if (!entry.draining()) {
-              merged.putIfAbsent(id, entry);
-            }
-          });
+      removeDeparted(merged);
     }
-    current = Map.copyOf(merged);
-    retained = merged.size() - list.servers().size();
-    return new ServerList(retaining ? list.revision().inexact() : list.revision(), merged);
+    return use(list, merged, nowNanos);
+  }
+
+  /**
+   * Whether entries that are missing from the list in force may belong to live servers, or entries
+   * that it contains to departed ones.
+   */
+  public boolean uncertain() {
+    return uncertain;
   }
 
-  /** Returns how many entries that the last read did not contain were retained. */
+  /** Returns how many entries that the last list did not contain were retained. */
   public int retained() {
     return retained;
   }
 
   /**
-   * Returns the time until missing entries are no longer retained; empty while none are retained or
-   * if a peer's list has been adopted since. A read is due at that time. If it were delayed until
-   * the next regular read, servers that left during the outage would receive requests for that much
-   * longer.
+   * Returns the time until a read is due because entries must no longer be retained; empty while
+   * this instance is certain. If the read were delayed until the next regular one, servers that
+   * left during the outage would receive requests for that much longer.
    */
   public OptionalLong untilRetentionEndsNanos(long nowNanos) {
-    return retaining && !adoptedSince
-        ? OptionalLong.of(Math.max(0, retainUntilNanos - nowNanos))
-        : OptionalLong.empty();
+    if (!uncertain) {
+      return OptionalLong.empty();
+    }
+    long due = uncertainUntilNanos + (adoptedSince ? ADOPTED_MARGIN_NANOS : 0);
+    return OptionalLong.of(Math.max(0, due - nowNanos));
+  }
+
+  /**
+   * Becomes uncertain if the store may have been unavailable before a contact with it. Also after a
+   * start, since it is not known what happened before.
+   */
+  private void checkForOutage(Revision revision, long contactNanos, long nowNanos) {
+    long gap = contactNanos - lastConfirmedNanos;
+    boolean outage =
+        revision.epoch() > epoch || gap > OUTAGE_GAP_NANOS || (failing && gap >= FAILED_GAP_NANOS);
+    failing = false;
+    epoch = Math.max(epoch, revision.epoch());
+    if (hasList && !outage) {
+      return;
+    }
+    retaining = hasList;
+    uncertain = true;
+    uncertainSinceNanos = contactNanos;
+    uncertainUntilNanos = nowNanos + RETENTION_NANOS;
+    uncertainFrom = revision;
+  }
+
+  /** Whether a peer has read the store after this instance has become uncertain. */
+  private boolean observedLater(Revision revision, long asOfNanos) {
+    return uncertainFrom.precedes(revision) || asOfNanos - uncertainSinceNanos >= 0;
+  }
+
+  private void becomeCertain() {
+    uncertain = false;
+    retaining = false;
+  }
+
+  private ServerList use(ServerList list, Map<String, ServerEntry> merged, long nowNanos) {
+    keepLaterIncarnations(merged);
+    if (retaining) {
+      retainMissing(merged);
+    }
+    recordDepartures(merged, nowNanos);
+    retained = Math.max(0, merged.size() - list.servers().size());
+    current = Map.copyOf(merged);
+    hasList = true;
+    return new ServerList(uncertain ? list.revision().inexact() : list.revision(), current);
+  }
+
+  private void retainMissing(Map<String, ServerEntry> merged) {
+    current.forEach(
+        (id, entry) -> {
+          if (!entry.draining()) {
+            merged.putIfAbsent(id, entry);
+          }
+        });
   }
 
   /**
@@ -124,18 +212,25 @@
   }
 
   /**
-   * Adopts the list of a peer. If the peer retains entries after an outage, an own read within the
-   * same time must not drop them.
+   * Removes from an uncertain peer's list what this instance knows to have left, and keeps servers
+   * that it knows to be leaving as such: the peer may have missed both.
    */
-  public void adopt(ServerList list, long nowNanos) {
-    boolean retainedByPeer = !list.revision().exact();
-    if (retainedByPeer && !retaining) {
-      retainUntilNanos = nowNanos + RETENTION_NANOS;
-    }
-    retaining = retainedByPeer;
-    epoch = list.revision().epoch();
-    current = list.servers();
-    adoptedSince = true;
-    hasRead = true;
+  private void removeDeparted(Map<String, ServerEntry> merged) {
+    merged.values().removeIf(entry -> !current.containsKey(entry.id()) && departed.contains(entry));
+    merged.replaceAll(
+        (id, entry) -> {
+          ServerEntry known = current.get(id);
+          return known != null && known.draining() && !entry.replaces(known) ? known : entry;
+        });
+  }
+
+  private void recordDepartures(Map<String, ServerEntry> next, long nowNanos) {
+    departed.removeExpired(nowNanos);
+    current.forEach(
+        (id, entry) -> {
+          if (!next.containsKey(id)) {
+            departed.record(entry, nowNanos);
+          }
+        });
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerListSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerListSync.java
@@ -18,6 +18,7 @@
   private final Freshness freshness = new Freshness();
   private volatile int retained;
   private Revision lastIgnoredFor = Revision.NONE;
+  private volatile boolean uncertain;
 
   ServerListSync(KnownState knownState, Environment environment) {
     this.knownState = knownState;
@@ -41,16 +42,39 @@
     return reconciler.untilRetentionEndsNanos(clocks.nanos());
   }
 
+  /**
+   * Returns the list in force as it is told to peers: while this instance is uncertain whether the
+   * store was available, a list that the store returned says nothing about missing servers.
+   */
+  ServerList published() {
+    ServerList inForce = knownState.servers();
+    return reconciler.uncertain() && inForce.revision().exact()
+        ? new ServerList(inForce.revision().inexact(), inForce.servers())
+        : inForce;
+  }
+
+  /** Whether this instance does not know if the store was available to others all the while. */
+  boolean uncertain() {
+    return uncertain;
+  }
+
   /** Applies the list of a peer that the source confirmed as of a time. */
   void received(ServerList list, long asOfNanos) {
-    if (list.revision().newerThan(knownState.servers().revision())) {
-      reconciler.adopt(list, clocks.nanos());
-      knownState.offer(list);
+    if (!list.known() || outdated(list, "peer")) {
+      return;
     }
-    if (list.known() && !outdated(list, "peer")) {
-      freshness.confirmed(asOfNanos);
-      reconciler.confirmed(asOfNanos);
+    long now = clocks.nanos();
+    if (!reconciler.accepts(list, asOfNanos, now)) {
+      metrics.count("server.lists.uncertain", "", "peer");
+      logIgnored(list, "uncertain");
+      return;
     }
+    if (list.revision().newerThan(knownState.servers().revision())) {
+      knownState.offer(reconciler.adopt(list, now));
+      logRetained(reconciler.retained());
+    }
+    logCertainty("peer", list);
+    freshness.confirmed(asOfNanos);
   }
 
   /**
@@ -59,11 +83,12 @@
    */
   boolean read(ServerList list, long asOfNanos) {
     if (outdated(list, "store")) {
-      logIgnored(list);
+      logIgnored(list, "older");
       return false;
     }
     knownState.offer(reconciler.reconcile(list, clocks.nanos()));
     logRetained(reconciler.retained());
+    logCertainty("store", list);
     freshness.confirmed(asOfNanos);
     return true;
   }
@@ -91,13 +116,26 @@
   }
 
   /** Logs an ignored list, once for each list in force. */
-  private void logIgnored(ServerList list) {
+  private void logIgnored(ServerList list, String reason) {
     Revision inForce = knownState.servers().revision();
     if (!inForce.equals(lastIgnoredFor)) {
       lastIgnoredFor = inForce;
       log.stateChange("servers_ignored")
           .add("list", list.revision().toString())
           .add("held", inForce.toString())
+          .add("reason", reason)
+          .write();
+    }
+  }
+
+  private void logCertainty(String source, ServerList list) {
+    boolean before = uncertain;
+    uncertain = reconciler.uncertain();
+    if (uncertain != before) {
+      log.stateChange(uncertain ? "servers_uncertain" : "servers_certain")
+          .add("source", source)
+          .add("list", list.revision().toString())
+          .add("retained", reconciler.retained())
           .write();
     }
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StatePoller.java
@@ -127,9 +127,9 @@
     return servers.ageMillis();
   }
 
-  /** Returns how many servers the last own read did not list and were retained. */
-  public long retainedServers() {
-    return servers.retained();
+  /** Returns the list of servers and what is known about it. */
+  ServerListSync servers() {
+    return servers;
   }
 
   /** Applies the state that a peer has sent. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/StateSync.java
@@ -95,7 +95,7 @@
                     poller.operatorStateAgeMillis(),
                     environment.routes().get(),
                     knownState.evacuations(),
-                    knownState.servers(),
+                    poller.servers().published(),
                     environment.crashes().table()),
             reports -> environment.crashes().receive(reports, CrashWatch.Source.LISTENER),
             this::receivedFromListener,
@@ -143,7 +143,8 @@
         .gauge("evacuated.data.centres", () -> knownState.evacuations().dataCentres().size());
     environment.metrics().gauge("servers.version", () -> knownState.servers().revision().version());
     environment.metrics().gauge("servers.epoch", () -> knownState.servers().revision().epoch());
-    environment.metrics().gauge("servers.retained", poller::retainedServers);
+    environment.metrics().gauge("servers.retained", poller.servers()::retained);
+    environment.metrics().gauge("servers.uncertain", () -> poller.servers().uncertain() ? 1 : 0);
     environment.metrics().gauge("servers", () -> knownState.servers().servers().size());
   }
 
@@ -261,7 +262,7 @@
         poller.ageMillis(),
         environment.instances().count(),
         Optional.empty(),
-        ServerChanges.between(ServerList.EMPTY, knownState.servers()),
+        ServerChanges.between(ServerList.EMPTY, poller.servers().published()),
         knownState.evacuations(),
         List.of(),
         Optional.of(hub.ownIndex()),
--- a/front/src/main/java/org/magnoliaswitch/front/version/Revision.java
+++ b/front/src/main/java/org/magnoliaswitch/front/version/Revision.java
@@ -8,9 +8,10 @@
  * @param epoch how often the source has been restored from a copy; a restored source assigns
  *     versions again, so those of different epochs are unrelated
  * @param version version of the source within the epoch
- * @param exact whether the state is exactly what the source returned; false while it contains
- *     entries that the source has lost and that are retained. An exact state of the same version is
- *     newer, since the source does not change when retention ends
+ * @param exact whether the state is exactly what the source returned and everything that is missing
+ *     from it has left; false while it contains entries that the source may have lost and that are
+ *     retained, or while its holder does not know whether the source was available. An exact state
+ *     of the same version is newer, since the source does not change when retention ends
  */
 public record Revision(long epoch, long version, boolean exact) implements Comparable<Revision> {
   /** Revision before anything has been received. */
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.front.process;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashMap;
@@ -25,6 +26,11 @@
     return new ServerList(Revision.of(0, version), servers);
   }
 
+  /** A peer that can read the store confirms a list as of a time. */
+  private static void confirm(DiscoveryReconciler reconciler, ServerList list, long asOf) {
+    assertTrue(reconciler.accepts(list, asOf, asOf));
+  }
+
   private static Set<String> read(DiscoveryReconciler reconciler, long now, ServerList list) {
     return reconciler.reconcile(list, now).servers().keySet();
   }
@@ -119,7 +125,9 @@
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
       ServerList retained = list(9, "a", "b");
-      reconciler.adopt(new ServerList(retained.revision().inexact(), retained.servers()), SECOND);
+      ServerList inexact = new ServerList(retained.revision().inexact(), retained.servers());
+      assertTrue(reconciler.accepts(inexact, SECOND, SECOND));
+      reconciler.adopt(inexact, SECOND);
       assertEquals(read(reconciler, 2 * SECOND, list(9, "a")), Set.of("a", "b"));
       assertEquals(read(reconciler, 4 * SECOND, list(9, "a")), Set.of("a"));
     }
@@ -170,6 +178,7 @@
       read(reconciler, 0, list(1, "a", "b"));
       reconciler.readFailed(0);
       read(reconciler, 10 * SECOND, list(9, "a"));
+      confirm(reconciler, list(10, "a"), 11 * SECOND);
       reconciler.adopt(list(10, "a"), 11 * SECOND);
       assertTrue(reconciler.untilRetentionEndsNanos(11 * SECOND).isEmpty());
     }
@@ -179,7 +188,7 @@
     public void confirmationByPeerIsNoGap() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
-      reconciler.confirmed(59 * SECOND);
+      confirm(reconciler, list(1, "a", "b"), 59 * SECOND);
       assertEquals(read(reconciler, 60 * SECOND, list(2, "a")), Set.of("a"));
     }
 
@@ -189,7 +198,7 @@
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
       reconciler.readFailed(SECOND);
-      reconciler.confirmed(2 * SECOND);
+      confirm(reconciler, list(1, "a", "b"), 2 * SECOND);
       assertEquals(read(reconciler, 3 * SECOND, list(2, "a")), Set.of("a"));
     }
 
@@ -197,7 +206,7 @@
     public void failureAfterConfirmationIsOutage() {
       DiscoveryReconciler reconciler = new DiscoveryReconciler();
       read(reconciler, 0, list(1, "a", "b"));
-      reconciler.confirmed(SECOND);
+      confirm(reconciler, list(1, "a", "b"), SECOND);
       reconciler.readFailed(2 * SECOND);
       assertEquals(read(reconciler, 3 * SECOND, list(2, "a")), Set.of("a", "b"));
     }
@@ -209,4 +218,103 @@
       assertEquals(read(reconciler, 60 * SECOND, list(9)), Set.of("a"));
     }
   }
+
+  /** Peers that could or could not read the store meanwhile. */
+  public static final class Peers {
+    private static ServerList inexact(ServerList list) {
+      return new ServerList(list.revision().inexact(), list.servers());
+    }
+
+    /** An instance whose list a peer with an exact list has confirmed. */
+    private static DiscoveryReconciler certain(ServerList list) {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      reconciler.reconcile(list, 0);
+      confirm(reconciler, list, 1);
+      assertFalse(reconciler.uncertain());
+      return reconciler;
+    }
+
+    /** Guards against servers that an instance returning from a cut makes all others use again. */
+    @Test
+    public void certainInstanceRefusesListOfUncertainPeer() {
+      DiscoveryReconciler reconciler = certain(list(2, "a"));
+      assertFalse(reconciler.accepts(inexact(list(9, "a", "left")), SECOND, SECOND));
+      assertEquals(read(reconciler, 2 * SECOND, list(9, "a")), Set.of("a"));
+    }
+
+    /** Guards against an instance that refuses all lists when it has missed the outage itself. */
+    @Test
+    public void instanceWithoutContactAcceptsListOfUncertainPeer() {
+      DiscoveryReconciler reconciler = certain(list(2, "a", "b"));
+      ServerList afterOutage = inexact(list(9, "a"));
+      assertTrue(reconciler.accepts(afterOutage, 6 * SECOND, 6 * SECOND));
+      ServerList used = reconciler.adopt(afterOutage, 6 * SECOND);
+      assertEquals(used.servers().keySet(), Set.of("a", "b"));
+      assertFalse(used.revision().exact());
+    }
+
+    /**
+     * Guards against requests to departed servers once a peer has shown that there was no outage.
+     */
+    @Test
+    public void exactListOfPeerEndsRetention() {
+      DiscoveryReconciler reconciler = certain(list(2, "a", "left"));
+      reconciler.readFailed(SECOND);
+      assertEquals(read(reconciler, 5 * SECOND, list(9, "a")), Set.of("a", "left"));
+      confirm(reconciler, list(10, "a"), 6 * SECOND);
+      ServerList used = reconciler.adopt(list(10, "a"), 6 * SECOND);
+      assertEquals(used.servers().keySet(), Set.of("a"));
+      assertTrue(used.revision().exact());
+    }
+
+    /**
+     * Guards against a live server that is dropped since a peer, which has not noticed the outage
+     * yet, still vouches for the list from before it.
+     */
+    @Test
+    public void exactListFromBeforeTheOutageDoesNotEndRetention() {
+      DiscoveryReconciler reconciler = certain(list(2, "a", "b"));
+      reconciler.readFailed(SECOND);
+      read(reconciler, 5 * SECOND, list(2, "a", "b"));
+      confirm(reconciler, list(2, "a", "b"), 2);
+      assertTrue(reconciler.uncertain());
+      assertEquals(read(reconciler, 6 * SECOND, list(3, "a")), Set.of("a", "b"));
+    }
+
+    /**
+     * Guards against an instance that cannot tell an outage from its own cut and brings back a
+     * server that it knows to have left, or takes a leaving one for a ready one.
+     */
+    @Test
+    public void uncertainPeerCannotUndoKnownDeparture() {
+      DiscoveryReconciler reconciler = certain(list(2, "a", "left", "b"));
+      ServerEntry leaving = Servers.entry("b", true);
+      Map<String, ServerEntry> next = Map.of("a", Servers.entry("a", false), "b", leaving);
+      reconciler.reconcile(new ServerList(Revision.of(0, 3), next), SECOND);
+      ServerList returned = inexact(list(9, "a", "left", "b", "new"));
+      assertTrue(reconciler.accepts(returned, 6 * SECOND, 6 * SECOND));
+      Map<String, ServerEntry> used = reconciler.adopt(returned, 6 * SECOND).servers();
+      assertEquals(used.keySet(), Set.of("a", "b", "new"));
+      assertEquals(used.get("b"), leaving);
+      assertTrue(read(reconciler, 7 * SECOND, list(10, "left")).contains("left"));
+    }
+
+    /** Guards against a starting instance whose first list vouches for what happened before. */
+    @Test
+    public void startingInstanceIsUncertainUntilItHasFollowedTheStore() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      assertFalse(reconciler.reconcile(list(1, "a"), 0).revision().exact());
+      long end = DiscoveryReconciler.RETENTION_NANOS;
+      assertEquals(reconciler.untilRetentionEndsNanos(0).orElseThrow(), end);
+      assertTrue(reconciler.reconcile(list(1, "a"), end).revision().exact());
+    }
+
+    /** Guards against departed servers that are kept after a short failure of one instance. */
+    @Test
+    public void shortFailureIsNoOutage() {
+      DiscoveryReconciler reconciler = certain(list(1, "a", "left"));
+      reconciler.readFailed(SECOND);
+      assertEquals(read(reconciler, 2 * SECOND - 1, list(2, "a")), Set.of("a"));
+    }
+  }
 }
