Bytes behind a server's response do not become a part of the next one

Cause: the server sends the beginning of a rejection behind a complete response. ServerConnection saw decoded messages only, so bytes that complete no message stayed in the decoder of the pooled connection. The head of the next response was decoded together with them: its status line became a part of the value of the header that marks a rejection, and its id matched.

Change: the decoder of a server's responses is a class of its own, sees each byte and reports those that arrive while no response is expected; the connection is closed. Bytes that arrive just after the next request was written cannot be told from its response by time, so a head that contains another status line, in its reason or in a header, is malformed, and the request counts as possibly run. A rejection without an id ends the use of its connection: a late copy of it would be taken for the rejection of the next request. A response with an id of a request is none to a health check.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -32,8 +32,10 @@
  *
  * <p>A response is accepted only if it echoes the id of the pending request, because a server may
  * send a second, late response to an earlier request in its place. Such a response is skipped, and
- * the connection is closed after the exchange. Bytes that arrive without a pending request close
- * the connection at once.
+ * the connection is closed after the exchange. A rejection may lack the id; since a late copy of it
+ * could be taken for the rejection of the next request, it ends the use of the connection, too.
+ * Bytes that arrive without a pending request close the connection at once, whether or not they
+ * complete a message.
  */
 public final class ServerConnection extends ChannelInboundHandlerAdapter {
   /** Size limit of the body of a response, which is held in memory. */
@@ -117,6 +119,17 @@
     return pending != null && pending.headRequest();
   }
 
+  /** Whether bytes that arrive now can belong to the response of a pending request. */
+  boolean expectsResponse() {
+    return pending != null && !releasePending;
+  }
+
+  /** Closes the connection, since nothing that follows on it can be matched to a request. */
+  void unsolicitedBytes() {
+    releasePending = false;
+    close();
+  }
+
   /** The instance through which the connection leads; empty if it is a direct one. */
   public Optional<InetSocketAddress> relay() {
     return relay;
@@ -188,10 +201,8 @@
       fail("malformed");
       return;
     }
-    if (pending == null || releasePending) {
-      // Unsolicited bytes: nothing that follows on this connection can be matched to a request.
-      releasePending = false;
-      close();
+    if (!expectsResponse()) {
+      unsolicitedBytes();
       return;
     }
     if (message instanceof HttpResponse response) {
@@ -214,10 +225,10 @@
   }
 
   private boolean matchesRequest(HttpResponse response) {
+    String echoed = response.headers().get(names.requestId());
     if (pending == null || pending.requestId().isEmpty()) {
-      return true;
+      return echoed == null;
     }
-    String echoed = response.headers().get(names.requestId());
     if (echoed == null) {
       // Only a rejection may lack the id; any other response could belong to another request.
       return !outOfSync
@@ -257,8 +268,11 @@
     boolean delimited =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     boolean keepAlive = HttpUtil.isKeepAlive(response) && (delimited || finished.headRequest());
+    boolean identified =
+        finished.requestId().isEmpty() || response.headers().contains(names.requestId());
     keepAliveNanos = keepAliveNanos(response);
-    if (requestIncomplete || outOfSync || closeAnnounced || !keepAlive || !channel.isActive()) {
+    boolean inSync = !requestIncomplete && !outOfSync && identified;
+    if (!inSync || closeAnnounced || !keepAlive || !channel.isActive()) {
       close();
     } else {
       releasePending = true;
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -2,15 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ConnectTimeoutException;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -253,13 +248,13 @@
   private ServerConnection attach(
       Channel channel, ServerConnection.Owner owner, Optional<InetSocketAddress> relay) {
     ServerConnection connection = new ServerConnection(channel, owner, clocks, names, relay);
-    channel.pipeline().get(ResponseDecoder.class).connection = connection;
+    channel.pipeline().get(ServerResponseDecoder.class).connection(connection);
     channel.pipeline().addLast(connection);
     return connection;
   }
 
   private static void addCodec(ChannelPipeline pipeline) {
-    pipeline.addLast(new ResponseDecoder(), new HttpRequestEncoder());
+    pipeline.addLast(new ServerResponseDecoder(), new HttpRequestEncoder());
   }
 
   /** Installs the codec; the connection handler is added once the channel is open. */
@@ -269,38 +264,4 @@
       addCodec(channel.pipeline());
     }
   }
-
-  /**
-   * Decodes responses; a response to a HEAD request has no body. A response without a length is
-   * complete only if its server ended the connection, and not if the connection was cut off.
-   */
-  private static final class ResponseDecoder extends HttpResponseDecoder {
-    private @Nullable ServerConnection connection;
-    private boolean inputEnded;
-
-    ResponseDecoder() {
-      super(new HttpDecoderConfig().setMaxHeaderSize(64 * 1024).setMaxInitialLineLength(8 * 1024));
-    }
-
-    @Override
-    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-      inputEnded |= event instanceof ChannelInputShutdownEvent;
-      super.userEventTriggered(context, event);
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext context) throws Exception {
-      if (!inputEnded && connection != null) {
-        // The decoder would take the end of the connection for that of the response.
-        connection.cutOff();
-      }
-      super.channelInactive(context);
-    }
-
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-      return (connection != null && connection.headPending())
-          || super.isContentAlwaysEmpty(message);
-    }
-  }
 }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
@@ -0,0 +1,102 @@
+package org.magnoliaswitch.front.connection;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decodes the responses of a server, and sees each byte before it becomes a part of one.
+ *
+ * <p>Bytes that arrive while no response is expected are reported to the connection, also if they
+ * complete no message: kept here, they would become the beginning of the next response. Such bytes
+ * may also arrive just after the next request was written. A head that contains the status line of
+ * another one is therefore malformed.
+ *
+ * <p>A response to a HEAD request has no body. A response without a length is complete only if its
+ * server ended the connection, and not if the connection was cut off.
+ */
+final class ServerResponseDecoder extends HttpResponseDecoder {
+  private static final int MAX_HEAD_BYTES = 64 * 1024;
+  private static final int MAX_STATUS_LINE_BYTES = 8 * 1024;
+  private static final String VERSION = "HTTP/1.";
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-5]\\d\\d");
+
+  private @Nullable ServerConnection connection;
+  private boolean inputEnded;
+
+  ServerResponseDecoder() {
+    super(
+        new HttpDecoderConfig()
+            .setMaxHeaderSize(MAX_HEAD_BYTES)
+            .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES));
+  }
+
+  /** Sets the connection whose responses are decoded. */
+  void connection(ServerConnection attached) {
+    connection = attached;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (connection != null && !connection.expectsResponse()) {
+      in.skipBytes(in.readableBytes());
+      connection.unsolicitedBytes();
+      return;
+    }
+    int before = out.size();
+    super.decode(context, in, out);
+    for (Object message : out.subList(before, out.size())) {
+      if (message instanceof HttpResponse head && containsStatusLine(head)) {
+        head.setDecoderResult(
+            DecoderResult.failure(new DecoderException("a second status line in the head")));
+      }
+    }
+  }
+
+  private static boolean containsStatusLine(HttpResponse head) {
+    if (containsStatusLine(head.status().reasonPhrase())) {
+      return true;
+    }
+    for (Map.Entry<String, String> header : head.headers()) {
+      if (containsStatusLine(header.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean containsStatusLine(String text) {
+    return text.contains(VERSION) && STATUS_LINE.matcher(text).find();
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+    inputEnded |= event instanceof ChannelInputShutdownEvent;
+    super.userEventTriggered(context, event);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) throws Exception {
+    if (!inputEnded && connection != null) {
+      // The decoder would take the end of the connection for that of the response.
+      connection.cutOff();
+    }
+    super.channelInactive(context);
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return (connection != null && connection.headPending()) || super.isContentAlwaysEmpty(message);
+  }
+}
--- /dev/null
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -0,0 +1,204 @@
+package org.magnoliaswitch.front.connection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliaswitch.front.testing.ManualClock;
+import org.magnoliaswitch.front.testing.TestHeaders;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which bytes of a server are taken for the response to which request. */
+public final class ServerConnectionTest {
+  /** A connection to a server whose bytes the test writes. */
+  private static final class Connection implements ServerConnection.Owner {
+    private final EmbeddedChannel channel;
+    private final ServerConnection connection;
+    private final List<ServerReply> replies = new ArrayList<>();
+    private int released;
+    private int closed;
+
+    Connection() {
+      ServerResponseDecoder decoder = new ServerResponseDecoder();
+      channel = new EmbeddedChannel(decoder, new HttpRequestEncoder());
+      connection =
+          new ServerConnection(
+              channel, this, new ManualClock().clocks(), TestHeaders.NAMES, Optional.empty());
+      decoder.connection(connection);
+      channel.pipeline().addLast(connection);
+    }
+
+    @Override
+    public void released(ServerConnection idle) {
+      released++;
+    }
+
+    @Override
+    public void closed(ServerConnection unusable) {
+      closed++;
+    }
+
+    void send(HttpMethod method, String id) {
+      connection.send(
+          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"),
+          id.isEmpty() ? Optional.empty() : Optional.of(id),
+          replies::add);
+    }
+
+    /** The server writes bytes that arrive at once. */
+    void receive(String bytes) {
+      channel.writeInbound(Unpooled.wrappedBuffer(bytes.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    List<Integer> statuses() {
+      return replies.stream()
+          .map(reply -> reply instanceof ServerReply.Complete all ? all.status().code() : 0)
+          .toList();
+    }
+  }
+
+  private static String response(String id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\nab";
+  }
+
+  private static final String REJECTION =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+  /** Bytes behind a complete response. */
+  public static final class FurtherBytes {
+    /** Each row: bytes that belong to no request, none of which is a complete message. */
+    @DataProvider
+    public Object[][] incomplete() {
+      return new Object[][] {
+        {"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1"},
+        {"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"},
+        {"HTTP/1.1 503 "},
+        {"H"},
+        {"\r\n"},
+        {"\0"},
+      };
+    }
+
+    /** Guards against the beginning of a message that is taken for that of the next response. */
+    @Test(dataProvider = "incomplete")
+    public void bytesBehindAResponseCloseTheConnection(String bytes) {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(response("one") + bytes);
+      assertEquals(connection.statuses(), List.of(200));
+      assertEquals(connection.released, 0);
+      assertEquals(connection.closed, 1);
+      assertFalse(connection.channel.isOpen());
+    }
+
+    /** Guards against the same when the bytes arrive while the connection is idle. */
+    @Test(dataProvider = "incomplete")
+    public void bytesOnAnIdleConnectionCloseIt(String bytes) {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(response("one"));
+      assertEquals(connection.released, 1);
+      connection.receive(bytes);
+      assertEquals(connection.closed, 1);
+      assertFalse(connection.channel.isOpen());
+    }
+
+    /** Guards against the same before the first request. */
+    @Test(dataProvider = "incomplete")
+    public void bytesBeforeTheFirstRequestCloseTheConnection(String bytes) {
+      Connection connection = new Connection();
+      connection.receive(bytes);
+      assertEquals(connection.closed, 1);
+    }
+
+    /** Guards against a body of a response that must have none, left for the next request. */
+    @Test
+    public void bodyOfAResponseToHeadClosesTheConnection() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.HEAD, "one");
+      connection.receive(response("one"));
+      assertEquals(connection.statuses(), List.of(200));
+      assertEquals(connection.released, 0);
+      assertEquals(connection.closed, 1);
+    }
+
+    /** Guards against closing sound connections, whose responses arrive in pieces. */
+    @Test
+    public void completeResponseReleasesTheConnection() {
+      Connection connection = new Connection();
+      for (int i = 1; i <= 3; i++) {
+        connection.send(HttpMethod.POST, "r" + i);
+        for (char next : response("r" + i).toCharArray()) {
+          connection.receive(String.valueOf(next));
+        }
+        assertEquals(connection.released, i);
+      }
+      assertEquals(connection.statuses(), List.of(200, 200, 200));
+    }
+  }
+
+  /** Bytes that arrive after the next request was written. */
+  public static final class LateBytes {
+    /**
+     * Guards against an executed request that is reported as rejected or failed, because the head
+     * of its response was read as a part of the bytes before it.
+     */
+    @Test(dataProvider = "incomplete", dataProviderClass = FurtherBytes.class)
+    public void lateBytesAreNotJoinedWithTheResponse(String bytes) {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(response("one"));
+      connection.send(HttpMethod.POST, "two");
+      connection.receive(bytes + response("two"));
+      int status = connection.statuses().get(1);
+      assertTrue(status == 0 || status == 200, "status " + status);
+    }
+
+    /** Guards against a late copy of a rejection that is taken for that of the next request. */
+    @Test
+    public void connectionOfARejectionWithoutAnIdIsNotReused() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(REJECTION);
+      assertEquals(connection.statuses(), List.of(503));
+      assertEquals(connection.released, 0);
+      assertEquals(connection.closed, 1);
+    }
+
+    /** Guards against closing the connections of servers that identify their rejections. */
+    @Test
+    public void connectionOfARejectionWithTheIdIsReused() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(
+          "HTTP/1.1 503 B\r\nNot-Run: 1\r\nRequest-Id: one\r\nContent-Length: 0\r\n\r\n");
+      assertEquals(connection.statuses(), List.of(503));
+      assertEquals(connection.released, 1);
+    }
+
+    /** Guards against a late response to a request that is taken for that to a health check. */
+    @Test
+    public void responseToARequestIsNoneToAHealthCheck() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(response("one"));
+      connection.send(HttpMethod.GET, "");
+      connection.receive(response("one"));
+      assertEquals(connection.statuses(), List.of(200));
+      connection.receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      assertEquals(connection.statuses(), List.of(200, 200));
+      assertEquals(connection.closed, 1);
+    }
+  }
+}
