Request bodies reserve the memory that they hold

Cause: reservations counted received bytes. A growing buffer and its last copy hold twice as much, and a rejected connection kept its buffer for half a second after its reservation had ended. No heap dump was made, so which of the two was larger is not known.

Change: the capacity of a buffer is reserved before it is allocated, both copies while it grows, and released after the buffer was dropped. A body of known length is reserved whole at its head, refused at once if it cannot be held, and received without a copy. A rejected body is dropped with its rejection.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -1,7 +1,5 @@
 package org.magnoliaswitch.front.connection;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -48,15 +46,13 @@
   private static final CallerRequest UNPARSABLE_REQUEST =
       new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false, "");
 
-  private static final HttpResponseStatus BAD_REQUEST = HttpResponseStatus.BAD_REQUEST;
-
   private final Channel channel;
   private final RequestHandler handler;
   private final CallerListener listener;
   private final Clocks clocks;
   private final ResponseWriter writer;
   private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
-  private final ByteBuf body = Unpooled.buffer(0);
+  private final BodyBuffer body;
   private @Nullable HttpRequest head;
   private HttpHeaders lastHeaders = EmptyHttpHeaders.INSTANCE;
   private boolean connectionUsed;
@@ -76,6 +72,7 @@
     this.listener = listener;
     this.clocks = clocks;
     this.writer = new ResponseWriter(channel, clocks);
+    this.body = new BodyBuffer(listener.memory());
     this.lastUsedNanos = clocks.nanos();
   }
 
@@ -167,9 +164,8 @@
     if (cutBytes > 0) {
       handler.responseCut(lastHeaders, cutBytes, stalled ? "stalled" : "disconnected");
     }
-    listener.release(body.readableBytes());
-    body.clear();
-    pendingRequests.forEach(pending -> listener.release(pending.request.body().length));
+    body.discard();
+    pendingRequests.forEach(pending -> pending.releaseBody(listener.memory()));
     for (PendingRequest pending : pendingRequests) {
       if (pending.call != null && pending.response == null) {
         pending.call.callerDisconnected();
@@ -189,7 +185,10 @@
     }
     if (message.decoderResult().isFailure()) {
       String reason = message.decoderResult().cause().getClass().getSimpleName();
-      reject(BAD_REQUEST, reason, message instanceof HttpRequest request ? request : head);
+      reject(
+          HttpResponseStatus.BAD_REQUEST,
+          reason,
+          message instanceof HttpRequest request ? request : head);
       return;
     }
     if (message instanceof HttpRequest request) {
@@ -203,15 +202,19 @@
   private void readHead(HttpRequest request) {
     HttpHeaders headers = request.headers();
     if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
-      reject(BAD_REQUEST, "host", request);
+      reject(HttpResponseStatus.BAD_REQUEST, "host", request);
       return;
     }
-    if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
+    long contentLength = HttpUtil.getContentLength(request, 0L);
+    if (contentLength > listener.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body", request);
       return;
     }
+    if (!body.expect((int) contentLength)) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory", request);
+      return;
+    }
     head = request;
-    body.clear();
     if (HttpUtil.is100ContinueExpected(request) && pendingRequests.isEmpty()) {
       Channels.write(
           channel, new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -219,23 +222,18 @@
   }
 
   private void readContent(HttpContent content, HttpRequest request) {
-    int length = body.readableBytes() + content.content().readableBytes();
+    long length = (long) body.length() + content.content().readableBytes();
     if (length > listener.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body", request);
       return;
     }
-    if (!listener.reserve(content.content().readableBytes())) {
+    boolean last = content instanceof LastHttpContent;
+    if (!body.append(content.content()) || (last && !body.trim())) {
       reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory", request);
       return;
     }
-    body.writeBytes(content.content());
-    if (content instanceof LastHttpContent) {
-      byte[] bytes = new byte[body.readableBytes()];
-      body.readBytes(bytes);
-      body.clear();
-      if (body.capacity() > (64 << 10)) {
-        body.capacity(0);
-      }
+    if (last) {
+      byte[] bytes = body.take();
       head = null;
       partial = false;
       boolean usedConnection = connectionUsed;
@@ -338,7 +336,7 @@
   }
 
   private void write(PendingRequest pending, CallerResponse response) {
-    listener.release(pending.request.body().length);
+    pending.releaseBody(listener.memory());
     // Idle time counts from the response rather than from the request, which may have taken longer
     // than the idle timeout.
     lastUsedNanos = clocks.nanos();
@@ -358,6 +356,7 @@
    */
   private void reject(HttpResponseStatus status, String reason, @Nullable HttpRequest request) {
     malformed = true;
+    body.discard();
     handler.rejected(status, reason, Optional.ofNullable(request));
     PendingRequest last = new PendingRequest(UNPARSABLE_REQUEST, false);
     last.response = new CallerResponse(status, new DefaultHttpHeaders(), new byte[0]);
@@ -375,7 +374,7 @@
       if (pending.call != null && pending.response == null) {
         pending.call.callerDisconnected();
       }
-      listener.release(pending.request.body().length);
+      pending.releaseBody(listener.memory());
     }
     pendingRequests.clear();
     var unused = writer.write(response, headOnly, true).addListener(done -> shutDownThenClose());
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
@@ -27,9 +27,8 @@
   private static final int BACKLOG = 1024;
 
   /**
-   * Limit for the bodies of all unanswered requests, in bytes. Up to three copies of a body exist
-   * at a time, and with them this is a quarter of the heap; a full heap would crash the process
-   * with all its requests.
+   * Limit for the bodies of all unanswered requests, in bytes: a quarter of the heap, since a full
+   * heap would crash the process with all its requests.
    */
   private static final long MAX_TOTAL_BODY_BYTES = 32 << 20;
 
@@ -40,8 +39,8 @@
   private final RequestHandler handler;
   private final Supplier<CallerLimits> limits;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private final BodyMemory memory = new BodyMemory(MAX_TOTAL_BODY_BYTES);
   private @Nullable Channel listeningChannel;
-  private long reservedBodyBytes;
   private boolean stopping;
 
   public CallerListener(
@@ -103,18 +102,9 @@
     return connections.size();
   }
 
-  /** Reserves memory for a part of a request body; false if the limit would be exceeded. */
-  boolean reserve(int bytes) {
-    if (reservedBodyBytes + bytes > MAX_TOTAL_BODY_BYTES) {
-      return false;
-    }
-    reservedBodyBytes += bytes;
-    return true;
-  }
-
-  /** Releases reserved memory of a body. */
-  void release(int bytes) {
-    reservedBodyBytes -= bytes;
+  /** Memory for the bodies of requests that are received or not answered yet. */
+  BodyMemory memory() {
+    return memory;
   }
 
   Loop loop() {
--- a/front/src/main/java/org/magnoliaswitch/front/connection/PendingRequest.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/PendingRequest.java
@@ -13,4 +13,9 @@
     this.request = request;
     this.keepAlive = keepAlive;
   }
+
+  /** Releases the memory of the body once the request is answered or given up. */
+  void releaseBody(BodyMemory memory) {
+    memory.release(request.body().length);
+  }
 }
--- a/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
@@ -260,16 +260,36 @@
   public void bodiesAboveTheMemoryLimitAreRejectedUntilMemoryIsReleased() {
     Caller caller = new Caller();
     CallerListener listener = caller.listener;
-    assertTrue(listener.reserve(32 << 20));
+    assertTrue(listener.memory().reserve(32 << 20));
     caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
     assertTrue(caller.received().startsWith("HTTP/1.1 503 "));
-    listener.release(32 << 20);
+    listener.memory().release(32 << 20);
     Caller next = new Caller(listener);
     next.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
     assertEquals(next.responseConsumers.size(), 1);
-    assertFalse(listener.reserve(32 << 20));
+    assertFalse(listener.memory().reserve(32 << 20));
     next.respond(0);
-    assertTrue(listener.reserve(32 << 20));
+    assertTrue(listener.memory().reserve(32 << 20));
+  }
+
+  /** Guards against receiving a body of known length that cannot be held when it is complete. */
+  @Test
+  public void bodyThatCannotBeHeldIsRejectedBeforeItIsSent() {
+    Caller caller = new Caller();
+    assertTrue(caller.listener.memory().reserve((32 << 20) - 2));
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n");
+    assertTrue(caller.received().startsWith("HTTP/1.1 503 "));
+  }
+
+  /** Guards against the buffer of a rejected body that is held until its caller has closed. */
+  @Test
+  public void rejectedBodyIsDroppedAtOnce() {
+    Caller caller = new Caller();
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    assertTrue(caller.listener.memory().reservedBytes() > 0);
+    caller.send("no chunk size\r\n");
+    assertTrue(caller.received().startsWith("HTTP/1.1 400 "));
+    assertEquals(caller.listener.memory().reservedBytes(), 0);
   }
 
   /** Responses that their caller reads slowly. */
