Responses without end are cut off

What callers saw: a server that sends informational responses, or responses to other requests, without end held its request until the route's timeout of 20 s, and its instance with it; what came in a body of one-byte chunks kept the event loop busy for a second.

Cause: each message by itself was within its limits; nothing counted them together. Timers come late, because the loop decodes what it reads before.

Change: one exchange may bring 16 MB in all, 16 responses that are skipped, and 20,000 parts of a body below 64 bytes; beyond, its connection is closed and the request counts as possibly run. Bodies of responses reserve what they hold, 32 MB for all of them together, at the head where the length is known.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/BodyBuffer.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/BodyBuffer.java
@@ -81,6 +81,13 @@
     return complete;
   }
 
+  /** Returns the complete body after {@link #trim}, and no longer counts it as held. */
+  byte[] takeUncounted() {
+    byte[] complete = take();
+    memory.release(complete.length);
+    return complete;
+  }
+
   /** Drops what has been received and releases its memory. */
   void discard() {
     long held = capacity();
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -1,7 +1,5 @@
 package org.magnoliaswitch.front.connection;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -41,6 +39,18 @@
   /** Size limit of the body of a response, which is held in memory. */
   private static final int MAX_BODY_BYTES = 8 << 20;
 
+  /** Limit of what a server may send in one exchange, whatever of it is skipped or framing. */
+  private static final long MAX_EXCHANGE_BYTES = 2L * MAX_BODY_BYTES;
+
+  /** Size below which a part of a body costs more to decode than to receive. */
+  private static final int SMALL_PART_BYTES = 64;
+
+  /** Limit of the small parts of a body, which would otherwise keep the event loop busy. */
+  private static final int MAX_SMALL_PARTS = 20_000;
+
+  /** Limit of informational responses and of responses to other requests in one exchange. */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
   /**
    * Subtracted from the server's keep-alive timeout, so that no request is sent while the server
    * closes the connection.
@@ -64,10 +74,13 @@
   private final Clocks clocks;
   private final HeaderNames names;
   private final Optional<InetSocketAddress> relay;
-  private final ByteBuf body = Unpooled.buffer(0);
+  private final BodyBuffer body;
   private @Nullable PendingRequest pending;
   private @Nullable HttpResponse head;
   private boolean skipping;
+  private int skipped;
+  private int smallParts;
+  private long exchangeBytes;
   private boolean outOfSync;
   private boolean closed;
   private boolean closeAnnounced;
@@ -87,7 +100,9 @@
       Owner owner,
       Clocks clocks,
       HeaderNames names,
+      BodyMemory memory,
       Optional<InetSocketAddress> relay) {
+    this.body = new BodyBuffer(memory);
     this.relay = relay;
     this.channel = channel;
     this.owner = owner;
@@ -106,6 +121,9 @@
     if (pending != null) {
       throw new IllegalStateException("an exchange is already in progress on this connection");
     }
+    skipped = 0;
+    smallParts = 0;
+    exchangeBytes = 0;
     boolean headRequest = HttpMethod.HEAD.equals(request.method());
     ChannelFuture written = channel.writeAndFlush(request);
     pending = new PendingRequest(requestId, headRequest, written, listener);
@@ -124,6 +142,14 @@
     return pending != null && !releasePending;
   }
 
+  /** Records that bytes were decoded; a server that sends without end is cut off. */
+  void decoded(int bytes) {
+    exchangeBytes += bytes;
+    if (exchangeBytes > MAX_EXCHANGE_BYTES) {
+      fail("endless");
+    }
+  }
+
   /** Closes the connection, since nothing that follows on it can be matched to a request. */
   void unsolicitedBytes() {
     releasePending = false;
@@ -214,14 +240,25 @@
   }
 
   private void readHead(HttpResponse response) {
-    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-      skipping = true;
-      return;
+    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    boolean matches = !informational && matchesRequest(response);
+    skipping = !matches;
+    outOfSync |= !informational && !matches;
+    head = matches ? response : null;
+    if (skipping && ++skipped > MAX_SKIPPED_RESPONSES) {
+      fail("endless");
+    } else if (matches && !headPending()) {
+      expectBody(response);
+    }
+  }
+
+  private void expectBody(HttpResponse response) {
+    long length = HttpUtil.getContentLength(response, 0L);
+    if (length > MAX_BODY_BYTES) {
+      fail("too_large");
+    } else if (!body.expect((int) length)) {
+      fail("memory");
     }
-    skipping = !matchesRequest(response);
-    outOfSync |= skipping;
-    head = skipping ? null : response;
-    body.clear();
   }
 
   private boolean matchesRequest(HttpResponse response) {
@@ -239,25 +276,29 @@
   }
 
   private void readContent(HttpContent content) {
-    if (!skipping) {
-      body.writeBytes(content.content());
-      if (body.readableBytes() > MAX_BODY_BYTES) {
-        fail("too_large");
-        return;
-      }
+    boolean small = content.content().readableBytes() < SMALL_PART_BYTES;
+    if (small && ++smallParts > MAX_SMALL_PARTS) {
+      fail("endless");
+      return;
     }
-    if (content instanceof LastHttpContent && !skipping && head != null) {
-      complete(head);
+    HttpResponse response = head;
+    if (skipping || response == null) {
+      return;
+    }
+    if (body.length() + content.content().readableBytes() > MAX_BODY_BYTES) {
+      fail("too_large");
+      return;
+    }
+    boolean last = content instanceof LastHttpContent;
+    if (!body.append(content.content()) || (last && !body.trim())) {
+      fail("memory");
+    } else if (last) {
+      complete(response);
     }
   }
 
   private void complete(HttpResponse response) {
-    byte[] bytes = new byte[body.readableBytes()];
-    body.readBytes(bytes);
-    body.clear();
-    if (body.capacity() > (64 << 10)) {
-      body.capacity(0);
-    }
+    byte[] bytes = body.takeUncounted();
     PendingRequest finished = pending;
     if (finished == null) {
       return;
@@ -307,6 +348,7 @@
   private void close() {
     if (!closed) {
       closed = true;
+      body.discard();
       Channels.close(channel);
       owner.closed(this);
     }
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -36,11 +36,15 @@
    */
   private static final long RELAY_DELAY_MILLIS = 60;
 
+  /** Limit for the bodies of all responses that are being received: a quarter of the heap. */
+  private static final long MAX_TOTAL_BODY_BYTES = 32 << 20;
+
   private final Loop loop;
   private final Clocks clocks;
   private final HeaderNames names;
   private final Optional<RelayConnector> relays;
   private final ServicePaths paths;
+  private final BodyMemory memory = new BodyMemory(MAX_TOTAL_BODY_BYTES);
 
   /** Creates a connector that opens connections directly only. */
   public ServerConnector(Loop loop, Clocks clocks, HeaderNames names) {
@@ -247,7 +251,8 @@
 
   private ServerConnection attach(
       Channel channel, ServerConnection.Owner owner, Optional<InetSocketAddress> relay) {
-    ServerConnection connection = new ServerConnection(channel, owner, clocks, names, relay);
+    ServerConnection connection =
+        new ServerConnection(channel, owner, clocks, names, memory, relay);
     channel.pipeline().get(ServerResponseDecoder.class).connection(connection);
     channel.pipeline().addLast(connection);
     return connection;
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
@@ -55,7 +55,11 @@
       return;
     }
     int before = out.size();
+    int readable = in.readableBytes();
     super.decode(context, in, out);
+    if (connection != null) {
+      connection.decoded(readable - in.readableBytes());
+    }
     for (Object message : out.subList(before, out.size())) {
       if (message instanceof HttpResponse head && containsStatusLine(head)) {
         head.setDecoderResult(
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -34,7 +34,12 @@
       channel = new EmbeddedChannel(decoder, new HttpRequestEncoder());
       connection =
           new ServerConnection(
-              channel, this, new ManualClock().clocks(), TestHeaders.NAMES, Optional.empty());
+              channel,
+              this,
+              new ManualClock().clocks(),
+              TestHeaders.NAMES,
+              new BodyMemory(32 << 20),
+              Optional.empty());
       decoder.connection(connection);
       channel.pipeline().addLast(connection);
     }
