Entries: responses without end, or a byte at a time, are cut off

What callers saw: a server that sends informational responses or trailers without end, or any byte now and then, held an entry's request and a thread beyond its deadline, for as long as it sent.

Cause: the time limit was one of each read, and each read succeeded; nothing counted informational responses. A probe read its response's body without a limit.

Change: the time limit is that of all reads together, checked where the bytes come in. A probe reads 64 KB and closes the connection if there is more.

--- a/core/src/main/java/org/magnoliaswitch/core/connection/DirectDialer.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/DirectDialer.java
@@ -13,8 +13,7 @@
 public record DirectDialer(InetSocketAddress address, Clocks clocks) implements ServerDialer {
   @Override
   public BackendConnection open(int timeoutMillis) throws IOException {
-    return BackendConnection.over(
-        SocketConnector.NETWORK.connect(address, timeoutMillis), clocks.nanos());
+    return BackendConnection.over(SocketConnector.NETWORK.connect(address, timeoutMillis), clocks);
   }
 
   @Override
--- a/core/src/main/java/org/magnoliaswitch/core/process/PathDialer.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/PathDialer.java
@@ -53,7 +53,7 @@
 
   private BackendConnection openDirectly(int timeoutMillis) throws IOException {
     return BackendConnection.over(
-        connections.connectDirectly(service, server, timeoutMillis), clocks.nanos());
+        connections.connectDirectly(service, server, timeoutMillis), clocks);
   }
 
   private BackendConnection openOnDetour(int timeoutMillis) throws IOException {
@@ -70,7 +70,7 @@
   private BackendConnection openThroughPeer(int timeoutMillis) throws IOException {
     Socket socket = relays.open(service, server.id(), timeoutMillis);
     connections.paths().reachedByOther(service, server.id());
-    return BackendConnection.throughPeer(socket, clocks.nanos());
+    return BackendConnection.throughPeer(socket, clocks);
   }
 
   private BackendConnection openInTwoWays(int timeoutMillis) throws IOException {
--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -30,6 +31,9 @@
 
   private static final int TIMEOUT_MILLIS = 200;
 
+  /** Size at which the body of a response to a probe is no longer read. */
+  private static final int MAX_BODY_BYTES = 64 << 10;
+
   /** A server with a contact within this time needs no probe. */
   private static final long RECENT_CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -121,14 +125,17 @@
     connection.send(request);
     ClassicHttpResponse response = connection.receiveHead();
     connection.receiveBody(response);
-    if (response.getEntity() != null) {
-      response.getEntity().getContent().readAllBytes();
-    }
+    boolean complete = response.getEntity() == null || readBody(response.getEntity());
     Header header = response.getFirstHeader(LoadReport.HEADER);
     if (response.getCode() == HttpStatus.SC_OK && header != null && header.getValue() != null) {
       LoadReport.parse(header.getValue()).ifPresent(report -> applyReport(service, handle, report));
     }
-    return true;
+    return complete;
+  }
+
+  /** Reads the body of a response to a probe; returns whether that is all of it. */
+  private static boolean readBody(HttpEntity entity) throws IOException {
+    return entity.getContent().readNBytes(MAX_BODY_BYTES).length < MAX_BODY_BYTES;
   }
 
   private void applyReport(ServiceState service, ServerHandle handle, LoadReport report) {
--- /dev/null
+++ b/core/src/test/java/org/magnoliaswitch/core/connection/BackendConnectionTest.java
@@ -0,0 +1,161 @@
+package org.magnoliaswitch.core.connection;
+
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.magnoliaswitch.core.clock.Clocks;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests servers that send more than the response to a request. */
+public final class BackendConnectionTest {
+  private static final Clocks CLOCKS = Clocks.system();
+  private static final long READ_MILLIS = 300;
+
+  /** Time within which an exchange must end whose reads may take {@link #READ_MILLIS}. */
+  private static final long LIMIT_MILLIS = 3_000;
+
+  private ServerSocket listener = listen();
+
+  private static ServerSocket listen() {
+    try {
+      return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      throw new IllegalStateException("cannot listen on the loopback address", e);
+    }
+  }
+
+  @BeforeMethod
+  public void setUp() throws IOException {
+    listener.close();
+    listener = listen();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void tearDown() throws IOException {
+    listener.close();
+  }
+
+  /** Sends the bytes of a server. */
+  @FunctionalInterface
+  private interface Server {
+    void serve(Socket socket) throws IOException, InterruptedException;
+  }
+
+  private ConnectionPool poolFor(Server server) {
+    ServerSocket accepting = listener;
+    Thread.ofVirtual().start(() -> accept(accepting, server));
+    return new ConnectionPool(
+        new InetSocketAddress("127.0.0.1", accepting.getLocalPort()), 10, CLOCKS);
+  }
+
+  private static void accept(ServerSocket accepting, Server server) {
+    while (!accepting.isClosed()) {
+      try {
+        Socket socket = accepting.accept();
+        Thread.ofVirtual().start(() -> serve(socket, server));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private static void serve(Socket socket, Server server) {
+    try (socket) {
+      server.serve(socket);
+    } catch (IOException e) {
+      // The connection was closed, which ends the bytes.
+      return;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void write(Socket socket, String bytes) throws IOException {
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static int exchange(BackendConnection connection) throws IOException, HttpException {
+    connection.setReadTimeout(TimeUnit.MILLISECONDS.toNanos(READ_MILLIS));
+    connection.send(new BasicClassicHttpRequest("GET", "/"));
+    ClassicHttpResponse response = connection.receiveHead();
+    connection.receiveBody(response);
+    InputStream content = response.getEntity().getContent();
+    byte[] buffer = new byte[8 << 10];
+    int total = 0;
+    for (int count = content.read(buffer); count >= 0; count = content.read(buffer)) {
+      total += count;
+    }
+    return total;
+  }
+
+  /** Each row: a name; what comes once; what is repeated without end. */
+  @DataProvider
+  public static Object[][] endless() {
+    String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return new Object[][] {
+      {"status line", "HTTP/1.1 200 ", "x"},
+      {"header", "HTTP/1.1 200 OK\r\nA: ", "x"},
+      {"headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"body", "HTTP/1.1 200 OK\r\nContent-Length: 2000000000\r\n\r\n", "x"},
+      {"body in chunks", chunked, "1\r\nx\r\n"},
+      {"chunk extension", chunked + "1;", "x"},
+      {"trailers", chunked + "0\r\n", "A: b\r\n"},
+      {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"line breaks", "", "\r\n"},
+      {"garbage", "", "\1\2"},
+    };
+  }
+
+  /** Guards against exchanges that last as long as the server sends. */
+  @Test(dataProvider = "endless", timeOut = 20_000)
+  public void exchangeEndsThoughBytesDoNot(String name, String once, String repeated)
+      throws IOException {
+    ConnectionPool pool =
+        poolFor(
+            socket -> {
+              write(socket, once);
+              while (true) {
+                write(socket, repeated.repeat(1_000));
+              }
+            });
+    BackendConnection connection = pool.acquire(Long.MAX_VALUE, 1_000);
+    long begun = CLOCKS.nanos();
+    assertThrows(Exception.class, () -> exchange(connection));
+    pool.discard(connection);
+    assertTrue(CLOCKS.nanos() - begun < TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS), name);
+  }
+
+  /** Guards against a server that prolongs an exchange by a byte now and then. */
+  @Test(dataProvider = "endless", timeOut = 20_000)
+  public void exchangeEndsThoughBytesTrickle(String name, String once, String repeated)
+      throws IOException {
+    ConnectionPool pool =
+        poolFor(
+            socket -> {
+              write(socket, once);
+              while (true) {
+                write(socket, repeated);
+                TimeUnit.MILLISECONDS.sleep(READ_MILLIS / 3);
+              }
+            });
+    BackendConnection connection = pool.acquire(Long.MAX_VALUE, 1_000);
+    long begun = CLOCKS.nanos();
+    assertThrows(Exception.class, () -> exchange(connection));
+    pool.discard(connection);
+    assertTrue(CLOCKS.nanos() - begun < TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS), name);
+  }
+}
