Entries: a connection with bytes behind its response is not reused

What callers saw: bytes that a server sends behind a complete response became the beginning of the response to the next request on that connection, at entries as at the instances of the front.

Cause: the pool took the end of a response for the end of what the server sends.

Change: before a connection is given back, and before it is used again, the pool asks without waiting whether bytes have arrived; if so, it is closed.

Tests: BackendConnectionTest.connectionWithBytesBehindTheResponseIsNotReused and idleConnectionThatReceivedBytesIsNotReused, both of which failed before.

--- a/core/src/main/java/org/magnoliaswitch/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/ConnectionPool.java
@@ -79,7 +79,7 @@
 
   /** Returns a connection whose exchange ended with a complete response. */
   public void release(BackendConnection connection) {
-    if (!connection.reusable()) {
+    if (!connection.reusable() || connection.hasFurtherBytes()) {
       discard(connection);
       return;
     }
@@ -134,6 +134,10 @@
 
   private @Nullable BackendConnection acquireIdle(long maxIdleNanos) {
     for (BackendConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
+      if (next.hasFurtherBytes()) {
+        discard(next);
+        continue;
+      }
       if (usable(next, maxIdleNanos)) {
         return next;
       }
--- a/core/src/test/java/org/magnoliaswitch/core/connection/BackendConnectionTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/connection/BackendConnectionTest.java
@@ -1,5 +1,7 @@
 package org.magnoliaswitch.core.connection;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotSame;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
@@ -28,6 +30,8 @@
   /** Time within which an exchange must end whose reads may take {@link #READ_MILLIS}. */
   private static final long LIMIT_MILLIS = 3_000;
 
+  private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+
   private ServerSocket listener = listen();
 
   private static ServerSocket listen() {
@@ -88,6 +92,14 @@
     socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  private static void readRequest(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      head.append((char) in.read());
+    }
+  }
+
   private static int exchange(BackendConnection connection) throws IOException, HttpException {
     connection.setReadTimeout(TimeUnit.MILLISECONDS.toNanos(READ_MILLIS));
     connection.send(new BasicClassicHttpRequest("GET", "/"));
@@ -158,4 +170,64 @@
     pool.discard(connection);
     assertTrue(CLOCKS.nanos() - begun < TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS), name);
   }
+
+  /** Guards against bytes behind a response that become a part of the next one. */
+  @Test(timeOut = 20_000)
+  public void connectionWithBytesBehindTheResponseIsNotReused() throws Exception {
+    ConnectionPool pool =
+        poolFor(
+            socket -> {
+              while (true) {
+                readRequest(socket);
+                write(socket, RESPONSE + "HTTP/1.1 503 Busy\r\nA: 1");
+              }
+            });
+    BackendConnection first = pool.acquire(Long.MAX_VALUE, 1_000);
+    assertEquals(exchange(first), 2);
+    pool.release(first);
+    assertEquals(pool.openConnections(), 0);
+    BackendConnection second = pool.acquire(Long.MAX_VALUE, 1_000);
+    assertNotSame(second, first);
+    assertEquals(exchange(second), 2);
+  }
+
+  /** Guards against the same when the bytes arrive while the connection is idle. */
+  @Test(timeOut = 20_000)
+  public void idleConnectionThatReceivedBytesIsNotReused() throws Exception {
+    ConnectionPool pool =
+        poolFor(
+            socket -> {
+              readRequest(socket);
+              write(socket, RESPONSE);
+              TimeUnit.MILLISECONDS.sleep(50);
+              write(socket, "HTTP/1.1 503 Busy\r\nA: 1");
+              TimeUnit.SECONDS.sleep(5);
+            });
+    BackendConnection first = pool.acquire(Long.MAX_VALUE, 1_000);
+    assertEquals(exchange(first), 2);
+    pool.release(first);
+    assertEquals(pool.openConnections(), 1);
+    TimeUnit.MILLISECONDS.sleep(150);
+    assertNotSame(pool.acquire(Long.MAX_VALUE, 1_000), first);
+    assertEquals(pool.openConnections(), 1);
+  }
+
+  /** Guards against closing sound connections. */
+  @Test(timeOut = 20_000)
+  public void connectionWithNothingBehindTheResponseIsReused() throws Exception {
+    ConnectionPool pool =
+        poolFor(
+            socket -> {
+              while (true) {
+                readRequest(socket);
+                write(socket, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + RESPONSE);
+              }
+            });
+    BackendConnection first = pool.acquire(Long.MAX_VALUE, 1_000);
+    for (int i = 0; i < 3; i++) {
+      assertEquals(exchange(first), 2);
+      pool.release(first);
+      assertEquals(pool.acquire(Long.MAX_VALUE, 1_000), first);
+    }
+  }
 }
