--- a/front/src/main/java/org/magnoliaswitch/front/process/ServerListSync.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/ServerListSync.java
@@ -32,7 +32,7 @@
     return freshness.ageMillis(clocks.nanos());
   }
 
-  /** Returns how many servers the last own read did not list and were retained. */
+  /** Returns how many servers the last list did not contain and were retained. */
   int retained() {
     return retained;
   }
