Responses that callers do not read are limited

What callers saw: connections that pipeline requests for large responses and read nothing end the process of their instance, with the requests of all others.

Cause: requests are limited by their number and the memory of their bodies, but a request counted only until its response was handed over to the connection. What the caller had not read stayed in the heap without a limit, and further requests of the connection went on being started.

Change: a response is held from its arrival until its last byte was sent. A connection starts no request beyond 4 MB of held responses, each running request taken to bring as much as the largest so far. If all connections hold 32 MB, the one that holds the most is closed. The pipeline of requests moves from CallerConnection into a class.

Tests: RequestPipelineTest, ResponseBacklogTest (new code), UnreadResponsesTest. The caller of CallerConnectionTest is a file of its own now, EmbeddedCaller; its checks are the same.

Why it works: what one connection can hold is bounded by what its caller reads, and what all hold by a limit that leaves half of the heap.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -19,9 +19,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -32,14 +29,10 @@
 /**
  * One HTTP/1.1 connection of a caller.
  *
- * <p>Callers may pipeline requests. Idempotent requests run concurrently, and their responses are
- * written in order. Any other request waits until it is the oldest, because a response that closes
- * the connection makes the caller repeat all requests after it.
+ * <p>Receives requests, writes their responses and decides when the connection is closed; the
+ * requests in between are those of its {@link RequestPipeline}.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-  /** Limit of unanswered requests on one connection; further bytes stay in the kernel's buffer. */
-  private static final int MAX_PIPELINED_REQUESTS = 64;
-
   /** Time to wait for the caller to close the connection once it must have received everything. */
   private static final long CLOSE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -51,7 +44,7 @@
   private final CallerListener listener;
   private final Clocks clocks;
   private final ResponseWriter writer;
-  private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
+  private final RequestPipeline pipeline;
   private final BodyBuffer body;
   private @Nullable HttpRequest head;
   private HttpHeaders lastHeaders = EmptyHttpHeaders.INSTANCE;
@@ -59,8 +52,7 @@
   private boolean closing;
   private boolean malformed;
   private boolean stalled;
-  private boolean proceeding;
-  private boolean proceedAgain;
+  private long evictedBytes;
   private long lastUsedNanos;
   private long partialSinceNanos;
   private boolean partial;
@@ -73,6 +65,7 @@
     this.clocks = clocks;
     this.writer = new ResponseWriter(channel, clocks);
     this.body = new BodyBuffer(listener.memory());
+    this.pipeline = new RequestPipeline(this, channel, handler, listener);
     this.lastUsedNanos = clocks.nanos();
   }
 
@@ -94,7 +87,7 @@
       closeIfStalled(nowNanos);
       return;
     }
-    if (!pendingRequests.isEmpty() || closing) {
+    if (!pipeline.isEmpty() || closing) {
       return;
     }
     CallerLimits limits = listener.limits();
@@ -139,7 +132,7 @@
    * that arrived in one read with the end of the previous request.
    */
   boolean busy() {
-    return partial || head != null || !pendingRequests.isEmpty();
+    return partial || head != null || !pipeline.isEmpty();
   }
 
   /** Bytes of responses that have not been sent yet. */
@@ -160,18 +153,18 @@
   public void channelInactive(ChannelHandlerContext context) {
     closing = true;
     listener.closed(this);
+    reportCutResponses();
+    body.discard();
+    pipeline.close();
+  }
+
+  private void reportCutResponses() {
     long cutBytes = writer.unsentBytes() + writer.lostBytes();
-    if (cutBytes > 0) {
+    if (evictedBytes > 0) {
+      handler.responseCut(lastHeaders, evictedBytes, "memory");
+    } else if (cutBytes > 0) {
       handler.responseCut(lastHeaders, cutBytes, stalled ? "stalled" : "disconnected");
     }
-    body.discard();
-    pendingRequests.forEach(pending -> pending.releaseBody(listener.memory()));
-    for (PendingRequest pending : pendingRequests) {
-      if (pending.call != null && pending.response == null) {
-        pending.call.callerDisconnected();
-      }
-    }
-    pendingRequests.clear();
   }
 
   @Override
@@ -215,7 +208,7 @@
       return;
     }
     head = request;
-    if (HttpUtil.is100ContinueExpected(request) && pendingRequests.isEmpty()) {
+    if (HttpUtil.is100ContinueExpected(request) && pipeline.isEmpty()) {
       Channels.write(
           channel, new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
@@ -238,7 +231,7 @@
       partial = false;
       boolean usedConnection = connectionUsed;
       connectionUsed = true;
-      enqueue(
+      pipeline.add(
           new CallerRequest(
               request.method(),
               request.uri(),
@@ -257,86 +250,8 @@
         : "";
   }
 
-  private void enqueue(CallerRequest request, boolean keepAlive) {
-    pendingRequests.addLast(new PendingRequest(request, keepAlive));
-    if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
-      channel.config().setAutoRead(false);
-    }
-    proceed();
-  }
-
-  /**
-   * Writes responses and starts requests until neither is possible. A request that is answered
-   * while it is started continues the loop in progress: a call for each of many pipelined requests
-   * would fill the stack.
-   */
-  private void proceed() {
-    proceedAgain = true;
-    if (proceeding) {
-      return;
-    }
-    proceeding = true;
-    try {
-      while (proceedAgain) {
-        proceedAgain = false;
-        writeCompletedResponses();
-        startEligibleRequests();
-      }
-    } finally {
-      proceeding = false;
-    }
-  }
-
-  private void startEligibleRequests() {
-    boolean oldest = true;
-    for (PendingRequest pending : pendingRequests.toArray(new PendingRequest[0])) {
-      boolean concurrent = handler.idempotent(pending.request);
-      if (!oldest && !concurrent) {
-        return;
-      }
-      if (pending.call == null && pending.response == null && !closing) {
-        start(pending);
-      }
-      if (proceedAgain) {
-        return;
-      }
-      if (!concurrent && pending.response == null) {
-        return;
-      }
-      oldest = false;
-    }
-  }
-
-  private void start(PendingRequest pending) {
-    RequestHandler.Call call =
-        handler.start(
-            pending.request,
-            response -> {
-              pending.response = response;
-              proceed();
-            });
-    pending.call = call;
-  }
-
-  private void writeCompletedResponses() {
-    Iterator<PendingRequest> oldestFirst = pendingRequests.iterator();
-    while (oldestFirst.hasNext() && !closing) {
-      PendingRequest pending = oldestFirst.next();
-      if (pending.response == null) {
-        break;
-      }
-      oldestFirst.remove();
-      write(pending, pending.response);
-    }
-    if (!closing) {
-      if (pendingRequests.size() < MAX_PIPELINED_REQUESTS && !channel.config().isAutoRead()) {
-        channel.config().setAutoRead(true);
-      }
-    }
-  }
-
-  private void write(PendingRequest pending, CallerResponse response) {
-    pending.releaseBody(listener.memory());
+  /** Writes the next response; it closes the connection if this instance is about to stop. */
+  void write(PendingRequest pending, CallerResponse response) {
     // Idle time counts from the response rather than from the request, which may have taken longer
     // than the idle timeout.
     lastUsedNanos = clocks.nanos();
@@ -344,12 +259,27 @@
     boolean keep = pending.keepAlive && !listener.stopping();
     boolean headOnly = HttpMethod.HEAD.equals(pending.request.method());
     if (keep) {
-      var unused = writer.write(response, headOnly, false);
+      var unused =
+          writer
+              .write(response, headOnly, false)
+              .addListener(done -> pipeline.sent(response, done.isSuccess()));
     } else {
       writeAndClose(response, headOnly);
     }
   }
 
+  /** Whether no further response is written. */
+  boolean closing() {
+    return closing;
+  }
+
+  /** Closes the connection, since its responses take too much of the memory of all. */
+  void evict(long heldBytes) {
+    evictedBytes = heldBytes;
+    closing = true;
+    Channels.close(channel);
+  }
+
   /**
    * Rejects bytes that are no acceptable request. The response is written after those of the
    * requests before, and closes the connection.
@@ -358,10 +288,8 @@
     malformed = true;
     body.discard();
     handler.rejected(status, reason, Optional.ofNullable(request));
-    PendingRequest last = new PendingRequest(UNPARSABLE_REQUEST, false);
-    last.response = new CallerResponse(status, new DefaultHttpHeaders(), new byte[0]);
-    pendingRequests.addLast(last);
-    proceed();
+    pipeline.addRejected(
+        UNPARSABLE_REQUEST, new CallerResponse(status, new DefaultHttpHeaders(), new byte[0]));
   }
 
   /**
@@ -370,14 +298,15 @@
    */
   private void writeAndClose(CallerResponse response, boolean headOnly) {
     closing = true;
-    for (PendingRequest pending : pendingRequests) {
-      if (pending.call != null && pending.response == null) {
-        pending.call.callerDisconnected();
-      }
-      pending.releaseBody(listener.memory());
-    }
-    pendingRequests.clear();
-    var unused = writer.write(response, headOnly, true).addListener(done -> shutDownThenClose());
+    pipeline.drop();
+    var unused =
+        writer
+            .write(response, headOnly, true)
+            .addListener(
+                done -> {
+                  pipeline.sent(response, false);
+                  shutDownThenClose();
+                });
   }
 
   /**
--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerListener.java
@@ -32,6 +32,9 @@
    */
   private static final long MAX_TOTAL_BODY_BYTES = 32 << 20;
 
+  /** Limit for the responses that wait for their callers, in bytes: another quarter of the heap. */
+  private static final long MAX_TOTAL_RESPONSE_BYTES = 32 << 20;
+
   private static final long SWEEP_MILLIS = 500;
 
   private final Loop loop;
@@ -40,6 +43,7 @@
   private final Supplier<CallerLimits> limits;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final BodyMemory memory = new BodyMemory(MAX_TOTAL_BODY_BYTES);
+  private final ResponseBacklog responses = new ResponseBacklog(MAX_TOTAL_RESPONSE_BYTES);
   private @Nullable Channel listeningChannel;
   private boolean stopping;
 
@@ -107,6 +111,16 @@
     return memory;
   }
 
+  /** Memory for the responses that wait for their callers. */
+  ResponseBacklog responses() {
+    return responses;
+  }
+
+  /** Bytes of the responses that wait for their callers; any thread may ask. */
+  public long waitingResponseBytes() {
+    return responses.heldBytes();
+  }
+
   Loop loop() {
     return loop;
   }
--- a/front/src/main/java/org/magnoliaswitch/front/process/Front.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/Front.java
@@ -64,6 +64,7 @@
     new StatusListener(loop, () -> new StatusListener.Status(true, environment.metrics().scrape()))
         .bind(metrics);
     callers.bind(environment.settings().callers());
+    environment.metrics().gauge("answers.waiting.bytes", callers::waitingResponseBytes);
     loop.everyMillis(SWEEP_MILLIS, environment.servers()::sweep);
     environment
         .log()
--- a/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
@@ -4,169 +4,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.google.common.base.Ticker;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundHandlerAdapter;
-import io.netty.channel.ChannelPromise;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import java.nio.charset.StandardCharsets;
-import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import org.magnoliaswitch.core.clock.Clocks;
-import org.magnoliaswitch.front.loop.Loop;
-import org.magnoliaswitch.front.version.CallerLimits;
 import org.testng.annotations.Test;
 
 /** Tests caller connections over time, with a clock that the test advances. */
 public final class CallerConnectionTest {
-  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
-  private static final CallerLimits LIMITS =
-      new CallerLimits(8_192, 1_000, 3 * SECOND, 15 * SECOND);
   private static final String REQUEST = "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n";
 
-  /** The link to a caller that reads only what the test lets it read. */
-  private static final class SlowLink extends ChannelOutboundHandlerAdapter {
-    private record Write(ChannelHandlerContext context, Object message, ChannelPromise promise) {}
-
-    private final Deque<Write> held = new ArrayDeque<>();
-    private boolean holding;
-
-    @Override
-    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-      Write write = new Write(context, message, promise);
-      if (holding) {
-        held.add(write);
-      } else {
-        pass(write);
-      }
-    }
-
-    private static void pass(Write write) {
-      var unused = write.context.writeAndFlush(write.message, write.promise);
-    }
-
-    private void readOne() {
-      pass(held.removeFirst());
-    }
-
-    private void readAll() {
-      while (!held.isEmpty()) {
-        readOne();
-      }
-    }
-  }
-
-  /** A caller on an embedded channel, with its own clock. */
-  private static final class Caller {
-    private long nowNanos = 100 * SECOND;
-    private final List<Consumer<CallerResponse>> responseConsumers = new ArrayList<>();
-    private final List<String> disconnected = new ArrayList<>();
-    private final Clocks clocks =
-        new Clocks(
-            InstantSource.system(),
-            new Ticker() {
-              @Override
-              public long read() {
-                return nowNanos;
-              }
-            });
-    private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final SlowLink link = new SlowLink();
-    private boolean answersAtOnce;
-    private int nestedStarts;
-    private int deepestStart;
-    private final List<String> cut = new ArrayList<>();
-    private final RequestHandler handler =
-        new RequestHandler() {
-          @Override
-          public boolean idempotent(CallerRequest request) {
-            return !request.target().startsWith("/once");
-          }
-
-          @Override
-          public void responseCut(HttpHeaders lastHeaders, long unsentBytes, String reason) {
-            cut.add(reason);
-          }
-
-          @Override
-          public Call start(CallerRequest request, Consumer<CallerResponse> response) {
-            nestedStarts++;
-            deepestStart = Math.max(deepestStart, nestedStarts);
-            responseConsumers.add(response);
-            if (answersAtOnce) {
-              respond(responseConsumers.size() - 1);
-            }
-            nestedStarts--;
-            return () -> disconnected.add(request.target());
-          }
-        };
-    private final CallerListener listener;
-    private final CallerConnection connection;
-
-    Caller() {
-      listener = new CallerListener(Loop.start(), clocks, handler, () -> LIMITS);
-      connection = install();
-    }
-
-    /** Creates another caller of the same instance. */
-    Caller(CallerListener listener) {
-      this.listener = listener;
-      connection = install();
-    }
-
-    private CallerConnection install() {
-      CallerConnection created = new CallerConnection(channel, handler, listener, clocks);
-      channel
-          .pipeline()
-          .addLast(link, new CallerRequestDecoder(LIMITS), new HttpResponseEncoder(), created);
-      return created;
-    }
-
-    private void send(String bytes) {
-      connection.bytesReceived();
-      channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
-    }
-
-    private void respond(int index) {
-      respond(index, 0);
-    }
-
-    private void respond(int index, int bodyBytes) {
-      byte[] body = new byte[bodyBytes];
-      responseConsumers
-          .get(index)
-          .accept(new CallerResponse(HttpResponseStatus.OK, new DefaultHttpHeaders(), body));
-    }
-
-    private void advance(long seconds) {
-      nowNanos += seconds * SECOND;
-      connection.sweep(nowNanos);
-      channel.runPendingTasks();
-    }
-
-    private String received() {
-      StringBuilder text = new StringBuilder();
-      for (Object part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
-        text.append(((ByteBuf) part).toString(StandardCharsets.US_ASCII));
-      }
-      return text.toString();
-    }
-  }
-
   @Test
   public void idleConnectionIsClosed() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send(REQUEST.formatted("a"));
     caller.respond(0);
     caller.advance(14);
@@ -182,7 +29,7 @@
    */
   @Test
   public void idleTimeCountsFromTheResponse() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send(REQUEST.formatted("a"));
     caller.advance(10);
     caller.respond(0);
@@ -192,7 +39,7 @@
 
   @Test
   public void incompleteHeadersAreRejectedAfterTheTimeout() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send("GET /a HTTP/1.1\r\nHo");
     caller.advance(2);
     assertTrue(caller.channel.isOpen());
@@ -208,7 +55,7 @@
    */
   @Test
   public void nonIdempotentRequestWaitsUntilItIsTheOldest() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send(REQUEST.formatted("a") + REQUEST.formatted("once") + REQUEST.formatted("b"));
     assertEquals(caller.responseConsumers.size(), 1);
     caller.respond(0);
@@ -223,7 +70,7 @@
    */
   @Test
   public void requestsAnsweredAtOnceAreNotStartedWithinEachOther() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     int behind = 50;
     caller.send(REQUEST.formatted("once").repeat(1 + behind));
     assertEquals(caller.responseConsumers.size(), 1);
@@ -236,7 +83,7 @@
 
   @Test
   public void pendingRequestsAreNotifiedOfADisconnect() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send(REQUEST.formatted("a") + REQUEST.formatted("b"));
     caller.channel.finish();
     caller.channel.runPendingTasks();
@@ -245,7 +92,7 @@
 
   @Test
   public void bodyAboveTheLimitIsRejected() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
     assertTrue(caller.received().startsWith("HTTP/1.1 413 "));
     assertEquals(caller.responseConsumers.size(), 0);
@@ -258,13 +105,13 @@
    */
   @Test
   public void bodiesAboveTheMemoryLimitAreRejectedUntilMemoryIsReleased() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     CallerListener listener = caller.listener;
     assertTrue(listener.memory().reserve(32 << 20));
     caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
     assertTrue(caller.received().startsWith("HTTP/1.1 503 "));
     listener.memory().release(32 << 20);
-    Caller next = new Caller(listener);
+    EmbeddedCaller next = new EmbeddedCaller(listener);
     next.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
     assertEquals(next.responseConsumers.size(), 1);
     assertFalse(listener.memory().reserve(32 << 20));
@@ -275,7 +122,7 @@
   /** Guards against receiving a body of known length that cannot be held when it is complete. */
   @Test
   public void bodyThatCannotBeHeldIsRejectedBeforeItIsSent() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     assertTrue(caller.listener.memory().reserve((32 << 20) - 2));
     caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n");
     assertTrue(caller.received().startsWith("HTTP/1.1 503 "));
@@ -284,7 +131,7 @@
   /** Guards against the buffer of a rejected body that is held until its caller has closed. */
   @Test
   public void rejectedBodyIsDroppedAtOnce() {
-    Caller caller = new Caller();
+    EmbeddedCaller caller = new EmbeddedCaller();
     caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
     assertTrue(caller.listener.memory().reservedBytes() > 0);
     caller.send("no chunk size\r\n");
@@ -296,8 +143,8 @@
   public static final class BeingSent {
     private static final int LARGE_BODY_BYTES = 1 << 20;
 
-    private static Caller slowCaller() {
-      Caller caller = new Caller();
+    private static EmbeddedCaller slowCaller() {
+      EmbeddedCaller caller = new EmbeddedCaller();
       caller.link.holding = true;
       caller.send(REQUEST.formatted("a"));
       caller.respond(0, LARGE_BODY_BYTES);
@@ -307,7 +154,7 @@
     /** Guards against closing a connection as idle while its caller reads a response. */
     @Test
     public void connectionIsNotIdle() {
-      Caller caller = slowCaller();
+      EmbeddedCaller caller = slowCaller();
       for (int i = 0; i < 4; i++) {
         caller.advance(10);
         assertTrue(caller.channel.isOpen());
@@ -324,7 +171,7 @@
     /** Guards against a caller that reads nothing and holds its connection for ever. */
     @Test
     public void callerThatStopsReadingIsDisconnected() {
-      Caller caller = slowCaller();
+      EmbeddedCaller caller = slowCaller();
       caller.link.readOne();
       caller.advance(14);
       assertTrue(caller.channel.isOpen());
@@ -336,7 +183,7 @@
     /** Guards against a stop that cuts responses off which were handed over before. */
     @Test
     public void stopWaitsForThem() {
-      Caller caller = slowCaller();
+      EmbeddedCaller caller = slowCaller();
       caller.connection.closeIfIdle();
       assertTrue(caller.channel.isOpen());
       caller.link.readAll();
@@ -348,7 +195,7 @@
     /** Guards against a stop that cuts off the response which announces the close. */
     @Test
     public void stopWaitsForTheLastOne() {
-      Caller caller = new Caller();
+      EmbeddedCaller caller = new EmbeddedCaller();
       caller.link.holding = true;
       caller.listener.startDraining();
       caller.send(REQUEST.formatted("a") + REQUEST.formatted("b"));
