Tests of core: model checks and crash replays run their rows in parallel

Each row is a simulation of its own without a real clock, with its own seed. Change: their data providers are parallel; rows, seeds and checks are the same.

--- a/core/src/test/java/org/magnoliaswitch/core/crash/CrashReplayTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/crash/CrashReplayTest.java
@@ -23,7 +23,7 @@
   /** Maximum share of attempts whose bystander requests may be refused. */
   private static final double MAX_REFUSED_SHARE = 0.001;
 
-  @DataProvider
+  @DataProvider(parallel = true)
   public Object[][] sizes() {
     return new Object[][] {
       {"one instance", 1, 19, 120, 1},
@@ -59,7 +59,7 @@
     assertTrue(max <= allowed, name + ": " + max + " servers crashed");
   }
 
-  @DataProvider
+  @DataProvider(parallel = true)
   public Object[][] losses() {
     return new Object[][] {
       {"one of three data centres at once", 18, 19, 120, new long[] {5_000}, 0.34, false, SEEDS},
--- a/core/src/test/java/org/magnoliaswitch/core/request/AtMostOnceExecutorModelTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/AtMostOnceExecutorModelTest.java
@@ -46,7 +46,7 @@
   private static final int CALLERS = 4;
   private static final int ATTEMPTS = 4;
 
-  @DataProvider
+  @DataProvider(parallel = true)
   public static Object[][] cases() {
     List<Object[]> cases = new ArrayList<>();
     for (int bits = 0; bits < 32; bits++) {
