An instance does not stay uncertain over a rounded age

What was seen: StateSyncRestoreTest.restoredStateReachesInstanceRejectedByPlatform took 8.6, 14.9, 20.5 and 30 s in four runs, the last of which failed on its time-out; 2.9 s before instances could be uncertain.

Cause: an exact list of a certain peer ends the uncertainty if the peer read the store no earlier than the contact that began it. Both times come from an age in whole milliseconds and the arrival of a message. While the reader's age tells of the same moment in each message, as with a long poll that hangs, chance decided, and each message was another draw.

Evidence: the log shows the seed certain after 2.2 s and the other instance never, with an age that grows by as much as the time.

Change: half a second earlier is late enough. A certain peer that read the store then had read it within the two seconds before, so an outage between that and the contact was too short for an entry to expire.

Test: exactListAsOfTheSameTimeEndsTheUncertainty, which failed before.

--- a/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/DiscoveryReconciler.java
@@ -50,6 +50,14 @@
    */
   static final long ADOPTED_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /**
+   * How much earlier a peer may have read the store than the contact that made this instance
+   * uncertain. The times of both are rounded and include the delay of messages. A certain peer that
+   * read the store then had read it before as well, so that an outage in between was too short for
+   * entries to expire.
+   */
+  static final long CONTACT_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private final DepartedServers departed = new DepartedServers();
   private Map<String, ServerEntry> current = Map.of();
   private boolean hasList;
@@ -93,7 +101,7 @@
   public boolean accepts(ServerList list, long asOfNanos, long nowNanos) {
     Revision revision = list.revision();
     if (revision.exact()) {
-      if (uncertain && observedLater(revision, asOfNanos)) {
+      if (uncertain && observedSince(revision, asOfNanos)) {
         becomeCertain();
       }
       if (asOfNanos - failedNanos > 0) {
@@ -167,9 +175,10 @@
     uncertainFrom = revision;
   }
 
-  /** Whether a peer has read the store after this instance has become uncertain. */
-  private boolean observedLater(Revision revision, long asOfNanos) {
-    return uncertainFrom.precedes(revision) || asOfNanos - uncertainSinceNanos >= 0;
+  /** Whether a peer has read the store since the contact that made this instance uncertain. */
+  private boolean observedSince(Revision revision, long asOfNanos) {
+    return uncertainFrom.precedes(revision)
+        || asOfNanos - uncertainSinceNanos >= -CONTACT_TOLERANCE_NANOS;
   }
 
   private void becomeCertain() {
--- a/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/DiscoveryReconcilerTest.java
@@ -281,6 +281,20 @@
       assertEquals(read(reconciler, 6 * SECOND, list(3, "a")), Set.of("a", "b"));
     }
 
+    /**
+     * Guards against an instance that stays uncertain because a certain peer's age, rounded and
+     * delayed, seems to grow by a millisecond between two messages.
+     */
+    @Test
+    public void exactListAsOfTheSameTimeEndsTheUncertainty() {
+      DiscoveryReconciler reconciler = new DiscoveryReconciler();
+      ServerList first = inexact(list(2, "a"));
+      assertTrue(reconciler.accepts(first, 6 * SECOND, 6 * SECOND));
+      reconciler.adopt(first, 6 * SECOND);
+      confirm(reconciler, list(2, "a"), 6 * SECOND - TimeUnit.MILLISECONDS.toNanos(1));
+      assertFalse(reconciler.uncertain());
+    }
+
     /**
      * Guards against an instance that cannot tell an outage from its own cut and brings back a
      * server that it knows to have left, or takes a leaving one for a ready one.
