Health checks: an empty id in a response is none

Cause: takes a response with an id for one to a request, and skips it while a health check is pending. A server that echoes the header always sends it empty. Its health checks were never answered, so that a cold server got no requests until the end of its warm-up, and a connection more was lost with each check.

Change: an empty id counts as none, for health checks as for rejections.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -262,11 +262,12 @@
   }
 
   private boolean matchesRequest(HttpResponse response) {
-    String echoed = response.headers().get(names.requestId());
+    // A server that always echoes the header sends it empty for a request without an id.
+    String echoed = response.headers().get(names.requestId(), "");
     if (pending == null || pending.requestId().isEmpty()) {
-      return echoed == null;
+      return echoed.isEmpty();
     }
-    if (echoed == null) {
+    if (echoed.isEmpty()) {
       // Only a rejection may lack the id; any other response could belong to another request.
       return !outOfSync
           && (response.headers().contains(names.notExecuted())
@@ -310,7 +311,7 @@
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     boolean keepAlive = HttpUtil.isKeepAlive(response) && (delimited || finished.headRequest());
     boolean identified =
-        finished.requestId().isEmpty() || response.headers().contains(names.requestId());
+        finished.requestId().isEmpty() || !response.headers().get(names.requestId(), "").isEmpty();
     keepAliveNanos = keepAliveNanos(response);
     boolean inSync = !requestIncomplete && !outOfSync && identified;
     if (!inSync || closeAnnounced || !keepAlive || !channel.isActive()) {
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -192,6 +192,15 @@
       assertEquals(connection.released, 1);
     }
 
+    /** Guards against health checks that count as unanswered where a server echoes an empty id. */
+    @Test
+    public void emptyIdAnswersAHealthCheck() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.GET, "");
+      connection.receive(response(""));
+      assertEquals(connection.statuses(), List.of(200));
+    }
+
     /** Guards against a late response to a request that is taken for that to a health check. */
     @Test
     public void responseToARequestIsNoneToAHealthCheck() {
--- a/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/EvacuationTest.java
@@ -125,7 +125,7 @@
    * to any of them until a health check reports that its server is warm. It must send from then on;
    * otherwise a third of the slots would be idle while callers are refused.
    */
-  @Test
+  @Test(timeOut = 20_000)
   public void serversThatReportToBeWarmAreUsedImmediately()
       throws IOException, InterruptedException {
     Script warm =
