Entries: further requests do not destroy a response after the close

What callers saw: at an entry that stops, a caller that pipelines two requests behind the last response lost what it had not read of that response.

Cause: the library closes a connection once it has read a request behind the response that announces the close. A request that arrives at the closed socket resets it, and the reset destroys what the kernel still holds.

A stop waits for such callers for as long as the slowest needs to receive what the kernel may hold.

--- a/entry/src/main/java/org/magnoliaswitch/entry/CallerListener.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/CallerListener.java
@@ -16,7 +16,6 @@
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.SecureRequestCustomizer;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.SslConnectionFactory;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -32,6 +31,12 @@
   private static final int ACCEPT_QUEUE = 1_024;
   private static final int MAX_THREADS = 32;
 
+  /** Makes the library choose the number of threads. */
+  private static final int DEFAULT_THREADS = -1;
+
+  /** Time in which the slowest caller, at 512 KB/s, receives the 4 MB that the kernel may hold. */
+  private static final long RECEIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(8_500);
+
   /** Heap used by an idle connection, including its buffers. */
   private static final long CONNECTION_BYTES = 32 * 1024;
 
@@ -39,7 +44,7 @@
       (int) Math.min(100_000, Runtime.getRuntime().maxMemory() / CONNECTION_BYTES);
 
   private final Server server;
-  private final ServerConnector connector;
+  private final LingeringConnector connector;
   private final CallerHandler handler;
   private final Clocks clocks;
 
@@ -87,6 +92,7 @@
       handler.whenIdle().get(limitMillis, TimeUnit.MILLISECONDS);
       completed = true;
       awaitClosed(closed, endNanos - clocks.nanos());
+      connector.awaitCallers(Math.min(endNanos, clocks.nanos() + RECEIVE_NANOS));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (ExecutionException | TimeoutException e) {
@@ -114,7 +120,7 @@
     }
   }
 
-  private ServerConnector createConnector(EntrySettings settings) throws IOException {
+  private LingeringConnector createConnector(EntrySettings settings) throws IOException {
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
     configuration.setResponseHeaderSize(MAX_HEADER_BYTES);
@@ -124,16 +130,19 @@
     // The header cache takes 98 KB per connection: 1,900 connections filled a heap of 256 MB.
     configuration.setHeaderCacheSize(0);
     HttpConnectionFactory httpFactory = new HttpConnectionFactory(configuration);
-    ServerConnector listener;
+    LingeringConnector listener;
     if (settings.tls().isPresent()) {
       configuration.addCustomizer(new SecureRequestCustomizer(false));
       listener =
-          new ServerConnector(
+          new LingeringConnector(
               server,
+              clocks,
+              DEFAULT_THREADS,
+              DEFAULT_THREADS,
               new SslConnectionFactory(sslContextFactory(settings.tls().get()), "http/1.1"),
               httpFactory);
     } else {
-      listener = new ServerConnector(server, 1, 2, httpFactory);
+      listener = new LingeringConnector(server, clocks, 1, 2, httpFactory);
     }
     listener.setHost(settings.host());
     listener.setPort(settings.callerPort());
