Test of keys in the text of updates: hash codes of objects are left out

Cause: the text contains the identity hash code of an object, and "RouteTable@" contains "b1", one of the test's keys. By count of positions one run in some eighteen does. Change: hash codes are taken out before the text is searched; the check for both keys is the same.

--- a/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/peer/RouteUpdateCodecTest.java
@@ -233,7 +233,8 @@
     /** Guards against keys in log lines that show an update. */
     @Test
     public void textOfAnUpdateContainsNoKey() {
-      String text = FULL + " " + CHANGES + " " + RED;
+      // The hash codes of objects may contain the text of a key by chance.
+      String text = (FULL + " " + CHANGES + " " + RED).replaceAll("@[0-9a-f]+\\b", "");
       assertFalse(text.contains("r1") || text.contains("b1"), text);
     }
   }
