Tests of the entry: ports are handed out once

Cause: the system had given the port, which was free a moment before, to another socket before the entry bound it; ports of the system's choice are also those of outgoing connections. Change: entries of tests take ports from a range of their own, each once, as instances of front's tests do.

--- a/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/RunningEntry.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -45,7 +44,7 @@
   private final ControlPlane control;
   private final CallerListener callers;
   private final int callerPort;
-  private final int peerPort = freePort();
+  private final int peerPort = PortAllocator.allocate();
 
   RunningEntry() throws Exception {
     this(SocketConnector.NETWORK);
@@ -58,10 +57,10 @@
     this.backends = new BackendFleet(Clocks.system());
     Service service = service();
     service.servers().forEach(s -> backends.add(s, new BackendBehaviour(6, 20, 1, 0.1, 1)));
-    this.controlPort = freePort();
+    this.controlPort = PortAllocator.allocate();
     backends.addControlPort("127.0.0.1", controlPort);
     backends.start();
-    this.callerPort = freePort();
+    this.callerPort = PortAllocator.allocate();
     this.control = control("entry-1", List.of(), connector);
     this.callers = startListener("entry-1");
     submitConfiguration(service);
@@ -74,7 +73,7 @@
     this.platform = ended.platform;
     this.backends = ended.backends;
     this.controlPort = ended.controlPort;
-    this.callerPort = freePort();
+    this.callerPort = PortAllocator.allocate();
     this.control = control("entry-2", List.of(), SocketConnector.NETWORK);
     this.callers = startListener("entry-2");
   }
@@ -84,7 +83,7 @@
     this.platform = seed.platform;
     this.backends = seed.backends;
     this.controlPort = seed.controlPort;
-    this.callerPort = freePort();
+    this.callerPort = PortAllocator.allocate();
     this.control = control(name, List.of(new Address("127.0.0.1", seed.peerPort)), connector);
     this.callers = startListener(name);
   }
@@ -265,7 +264,8 @@
     List<BackendServer> servers = new java.util.ArrayList<>();
     for (int i = 0; i < SERVERS; i++) {
       servers.add(
-          new BackendServer("s" + i, "dc-1", "127.0.0.1", freePort(), 6, 250, ServerState.ACTIVE));
+          new BackendServer(
+              "s" + i, "dc-1", "127.0.0.1", PortAllocator.allocate(), 6, 250, ServerState.ACTIVE));
     }
     return new Service("booking", "/booking", "bookings", 0.5, servers);
   }
@@ -288,10 +288,4 @@
             "harmWeight": 1, "deadlineMillis": 3000}]}
         """;
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
 }
