Log and count bytes of servers that are no response to the pending request

Callers got successes although their servers had answered with failures; the record cannot tell whether a late response was skipped, refused or believed. An instance now writes one line, unmatched_bytes, for each response with another id, without an id, with the beginning of another one in its head, and for bytes that arrive while nothing is pending, with the exchange's number on its connection, the connection's age and its relay, and counts them; the line send names the exchange and the connection's age. The parsing of Keep-Alive moves to a class of its own.

--- a/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
+++ b/front/src/main/java/org/magnoliaswitch/front/FrontProcess.java
@@ -31,6 +31,7 @@
 import org.magnoliaswitch.front.process.StateSource;
 import org.magnoliaswitch.front.process.StateSync;
 import org.magnoliaswitch.front.process.TeamQuotas;
+import org.magnoliaswitch.front.process.UnmatchedBytesLog;
 import org.magnoliaswitch.front.relay.RelayConnector;
 import org.magnoliaswitch.front.relay.RelayDiscovery;
 import org.magnoliaswitch.front.relay.RelayListener;
@@ -74,7 +75,9 @@
     Optional<RelayConnector> relayConnector =
         discovery.map(
             known -> new RelayConnector(requests, clocks, knownRelays, known::askForOthers));
-    ServerConnector connector = new ServerConnector(requests, clocks, names, relayConnector);
+    ServerConnector connector =
+        new ServerConnector(
+            requests, clocks, names, relayConnector, new UnmatchedBytesLog(log, metrics));
     ServicePaths paths = connector.paths();
     AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
     InstanceCount instances = new InstanceCount(ASSUMED_INSTANCES, clocks);
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -18,7 +18,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.front.loop.Channels;
@@ -51,15 +50,6 @@
   /** Limit of informational responses and of responses to other requests in one exchange. */
   private static final int MAX_SKIPPED_RESPONSES = 16;
 
-  /**
-   * Subtracted from the server's keep-alive timeout, so that no request is sent while the server
-   * closes the connection.
-   */
-  private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-  private static final String KEEP_ALIVE = "keep-alive";
-  private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
-
   /** The pool that a connection belongs to. */
   interface Owner {
     /** Called when the connection can carry another exchange. */
@@ -67,6 +57,9 @@
 
     /** Called when the connection cannot be used any more. */
     void closed(ServerConnection connection);
+
+    /** Called when the server sent something else than the response to the pending request. */
+    void unmatched(ServerConnection connection, UnmatchedBytes bytes);
   }
 
   private final Channel channel;
@@ -85,6 +78,8 @@
   private boolean closed;
   private boolean closeAnnounced;
   private boolean releasePending;
+  private final long openedNanos;
+  private int exchanges;
   private long idleSinceNanos;
   private long keepAliveNanos = Long.MAX_VALUE;
 
@@ -108,7 +103,8 @@
     this.owner = owner;
     this.clocks = clocks;
     this.names = names;
-    this.idleSinceNanos = clocks.nanos();
+    this.openedNanos = clocks.nanos();
+    this.idleSinceNanos = openedNanos;
   }
 
   /**
@@ -124,6 +120,7 @@
     skipped = 0;
     smallParts = 0;
     exchangeBytes = 0;
+    exchanges++;
     boolean headRequest = HttpMethod.HEAD.equals(request.method());
     ChannelFuture written = channel.writeAndFlush(request);
     pending = new PendingRequest(requestId, headRequest, written, listener);
@@ -152,10 +149,23 @@
 
   /** Closes the connection, since nothing that follows on it can be matched to a request. */
   void unsolicitedBytes() {
+    if (!closed) {
+      owner.unmatched(this, new UnmatchedBytes(UnmatchedBytes.Kind.UNSOLICITED, "", "", 0));
+    }
     releasePending = false;
     close();
   }
 
+  /** Number of exchanges begun on the connection, including a pending one. */
+  public int exchanges() {
+    return exchanges;
+  }
+
+  /** Time for which the connection has been open. */
+  public long ageNanos() {
+    return clocks.nanos() - openedNanos;
+  }
+
   /** The instance through which the connection leads; empty if it is a direct one. */
   public Optional<InetSocketAddress> relay() {
     return relay;
@@ -224,6 +234,10 @@
       return;
     }
     if (message.decoderResult().isFailure()) {
+      if (message.decoderResult().cause() instanceof JoinedHeadsException
+          && message instanceof HttpResponse response) {
+        reportUnmatched(UnmatchedBytes.Kind.JOINED_HEADS, response);
+      }
       fail("malformed");
       return;
     }
@@ -245,6 +259,12 @@
     skipping = !matches;
     outOfSync |= !informational && !matches;
     head = matches ? response : null;
+    if (!informational && !matches) {
+      boolean identified = !echoedId(response).isEmpty();
+      reportUnmatched(
+          identified ? UnmatchedBytes.Kind.OTHER_REQUEST : UnmatchedBytes.Kind.WITHOUT_ID,
+          response);
+    }
     if (skipping && ++skipped > MAX_SKIPPED_RESPONSES) {
       fail("endless");
     } else if (matches && !headPending()) {
@@ -252,6 +272,17 @@
     }
   }
 
+  private void reportUnmatched(UnmatchedBytes.Kind kind, HttpResponse response) {
+    String pendingId = pending == null ? "" : pending.requestId().orElse("");
+    owner.unmatched(
+        this, new UnmatchedBytes(kind, pendingId, echoedId(response), response.status().code()));
+  }
+
+  /** The id in a response; a server that always echoes the header sends it empty where none was. */
+  private String echoedId(HttpResponse response) {
+    return response.headers().get(names.requestId(), "");
+  }
+
   private void expectBody(HttpResponse response) {
     long length = HttpUtil.getContentLength(response, 0L);
     if (length > MAX_BODY_BYTES) {
@@ -262,8 +293,7 @@
   }
 
   private boolean matchesRequest(HttpResponse response) {
-    // A server that always echoes the header sends it empty for a request without an id.
-    String echoed = response.headers().get(names.requestId(), "");
+    String echoed = echoedId(response);
     if (pending == null || pending.requestId().isEmpty()) {
       return echoed.isEmpty();
     }
@@ -310,9 +340,8 @@
     boolean delimited =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     boolean keepAlive = HttpUtil.isKeepAlive(response) && (delimited || finished.headRequest());
-    boolean identified =
-        finished.requestId().isEmpty() || !response.headers().get(names.requestId(), "").isEmpty();
-    keepAliveNanos = keepAliveNanos(response);
+    boolean identified = finished.requestId().isEmpty() || !echoedId(response).isEmpty();
+    keepAliveNanos = KeepAliveTimeout.nanos(response);
     boolean inSync = !requestIncomplete && !outOfSync && identified;
     if (!inSync || closeAnnounced || !keepAlive || !channel.isActive()) {
       close();
@@ -354,19 +383,4 @@
       owner.closed(this);
     }
   }
-
-  private static long keepAliveNanos(HttpResponse response) {
-    String value = response.headers().get(KEEP_ALIVE);
-    int start = value == null ? -1 : value.indexOf(KEEP_ALIVE_TIMEOUT);
-    if (value == null || start < 0) {
-      return Long.MAX_VALUE;
-    }
-    int end = start + KEEP_ALIVE_TIMEOUT.length();
-    long seconds = 0;
-    while (end < value.length() && Character.isDigit(value.charAt(end))) {
-      seconds = Math.min(Integer.MAX_VALUE, seconds * 10 + (value.charAt(end) - '0'));
-      end++;
-    }
-    return Math.max(0, TimeUnit.SECONDS.toNanos(seconds) - KEEP_ALIVE_MARGIN_NANOS);
-  }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnector.java
@@ -44,20 +44,27 @@
   private final HeaderNames names;
   private final Optional<RelayConnector> relays;
   private final ServicePaths paths;
+  private final UnmatchedBytesListener unmatchedBytes;
   private final BodyMemory memory = new BodyMemory(MAX_TOTAL_BODY_BYTES);
 
   /** Creates a connector that opens connections directly only. */
   public ServerConnector(Loop loop, Clocks clocks, HeaderNames names) {
-    this(loop, clocks, names, Optional.empty());
+    this(loop, clocks, names, Optional.empty(), UnmatchedBytesListener.NONE);
   }
 
   /**
    * Creates a connector.
    *
    * @param relays opens connections through other instances; absent if there are none
+   * @param unmatchedBytes receives what servers send besides the responses to requests
    */
   public ServerConnector(
-      Loop loop, Clocks clocks, HeaderNames names, Optional<RelayConnector> relays) {
+      Loop loop,
+      Clocks clocks,
+      HeaderNames names,
+      Optional<RelayConnector> relays,
+      UnmatchedBytesListener unmatchedBytes) {
+    this.unmatchedBytes = unmatchedBytes;
     this.loop = loop;
     this.clocks = clocks;
     this.names = names;
@@ -65,6 +72,11 @@
     this.paths = new ServicePaths();
   }
 
+  /** Receives what servers send besides the responses to requests. */
+  UnmatchedBytesListener unmatchedBytes() {
+    return unmatchedBytes;
+  }
+
   /** The paths of this instance to the servers of each service. */
   public ServicePaths paths() {
     return paths;
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
@@ -270,6 +270,11 @@
       publishIdleCount();
     }
 
+    @Override
+    public void unmatched(ServerConnection connection, UnmatchedBytes bytes) {
+      connector.unmatchedBytes().received(state.entry(), connection, bytes);
+    }
+
     @Override
     public void closed(ServerConnection connection) {
       all.remove(connection);
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -62,8 +61,7 @@
     }
     for (Object message : out.subList(before, out.size())) {
       if (message instanceof HttpResponse head && containsStatusLine(head)) {
-        head.setDecoderResult(
-            DecoderResult.failure(new DecoderException("a second status line in the head")));
+        head.setDecoderResult(DecoderResult.failure(new JoinedHeadsException()));
       }
     }
   }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/UnmatchedBytes.java
@@ -0,0 +1,29 @@
+package org.magnoliaswitch.front.connection;
+
+import java.util.Locale;
+
+/**
+ * What a server sent besides the response to the pending request.
+ *
+ * @param pendingId id of the pending request; empty if none is pending or it has no id
+ * @param echoedId id that the bytes carry; empty if they carry none
+ * @param status status that the bytes state; 0 if they are no response
+ */
+public record UnmatchedBytes(Kind kind, String pendingId, String echoedId, int status) {
+  /** Why the bytes are not the response to the pending request. */
+  public enum Kind {
+    /** A response with the id of another request. */
+    OTHER_REQUEST,
+    /** A response without an id, although the pending request has one. */
+    WITHOUT_ID,
+    /** A head that contains a second status line: the beginnings of two responses. */
+    JOINED_HEADS,
+    /** Bytes that arrived while no request was pending. */
+    UNSOLICITED;
+
+    /** The kind as metrics and log lines name it. */
+    public String label() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+}
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -232,6 +232,8 @@
         .add("sample_age_ms", TimeUnit.NANOSECONDS.toMillis(pool.state().sampleAgeNanos(sentNanos)))
         .add("in_flight", pool.state().inFlight())
         .add("near", String.valueOf(inOwnDataCentre()))
+        .add("exchange", target.exchanges() + 1)
+        .add("connection_age_ms", TimeUnit.NANOSECONDS.toMillis(target.ageNanos()))
         .add("relay", target.relay().map(InetSocketAddress::getHostString).orElse("-"))
         .write();
     Optional<String> echoedId = Optional.of(requestId).filter(id -> !id.isEmpty());
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.magnoliaswitch.front.connection.UnmatchedBytes.Kind;
 import org.magnoliaswitch.front.testing.ManualClock;
 import org.magnoliaswitch.front.testing.TestHeaders;
 import org.testng.annotations.DataProvider;
@@ -26,6 +27,7 @@
     private final EmbeddedChannel channel;
     private final ServerConnection connection;
     private final List<ServerReply> replies = new ArrayList<>();
+    private final List<UnmatchedBytes> unmatched = new ArrayList<>();
     private int released;
     private int closed;
 
@@ -54,6 +56,11 @@
       closed++;
     }
 
+    @Override
+    public void unmatched(ServerConnection source, UnmatchedBytes bytes) {
+      unmatched.add(bytes);
+    }
+
     void send(HttpMethod method, String id) {
       connection.send(
           new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"),
@@ -77,6 +84,17 @@
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\nab";
   }
 
+  /** A response whose header of the id is the first or the last one. */
+  private static String response(String status, String id, boolean idFirst) {
+    String echoed = "Request-Id: " + id + "\r\n";
+    String length = "Content-Length: 2\r\n";
+    String headers = idFirst ? echoed + length : length + echoed;
+    return "HTTP/1.1 " + status + "\r\n" + headers + "\r\nab";
+  }
+
+  private static final List<String> STATUSES =
+      List.of("200 OK", "500 Internal Server Error", "504 Gateway Timeout");
+
   private static final String REJECTION =
       "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -170,6 +188,45 @@
       assertTrue(status == 0 || status == 200, "status " + status);
     }
 
+    /** Each row: statuses of the late copy and of the next response, and where the id stands. */
+    @DataProvider
+    public Object[][] lateCopies() {
+      List<Object[]> rows = new ArrayList<>();
+      for (String copy : STATUSES) {
+        for (String next : STATUSES) {
+          rows.add(new Object[] {copy, next, true});
+          rows.add(new Object[] {copy, next, false});
+        }
+      }
+      return rows.toArray(new Object[0][]);
+    }
+
+    /**
+     * Guards against a success in place of the failure of a server, or the reverse: the status of a
+     * late copy that breaks off, at any byte, with the headers and the body of the next response.
+     */
+    @Test(dataProvider = "lateCopies")
+    public void statusOfALateCopyIsNotTakenForThatOfTheNextResponse(
+        String copyStatus, String nextStatus, boolean idFirst) {
+      String copy = response(copyStatus, "one", idFirst);
+      String next = response(nextStatus, "two", idFirst);
+      for (int end = 1; end <= copy.length(); end++) {
+        String begun = copy.substring(0, end);
+        Connection connection = new Connection();
+        connection.send(HttpMethod.POST, "one");
+        connection.receive(copy);
+        connection.send(HttpMethod.POST, "two");
+        connection.receive(begun);
+        connection.receive(next);
+        List<Integer> statuses = connection.statuses();
+        boolean sound =
+            statuses.size() == 1
+                || statuses.get(1) == 0
+                || statuses.get(1) == Integer.parseInt(nextStatus.substring(0, 3));
+        assertTrue(sound, statuses + " after " + begun);
+      }
+    }
+
     /** Guards against a late copy of a rejection that is taken for that of the next request. */
     @Test
     public void connectionOfARejectionWithoutAnIdIsNotReused() {
@@ -215,4 +272,51 @@
       assertEquals(connection.closed, 1);
     }
   }
+
+  /** What is reported of bytes that are no response to the pending request. */
+  public static final class Reports {
+    /** Each row: what arrives while request two is pending, and what is reported of it. */
+    @DataProvider
+    public Object[][] whilePending() {
+      return new Object[][] {
+        {response("one"), new UnmatchedBytes(Kind.OTHER_REQUEST, "two", "one", 200)},
+        {
+          "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n",
+          new UnmatchedBytes(Kind.WITHOUT_ID, "two", "", 500)
+        },
+        {
+          "HTTP/1.1 500 " + response("two"),
+          new UnmatchedBytes(Kind.JOINED_HEADS, "two", "two", 500)
+        },
+      };
+    }
+
+    /** Guards against late responses that leave no trace in the log. */
+    @Test(dataProvider = "whilePending")
+    public void lateBytesAreReported(String bytes, UnmatchedBytes reported) {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "two");
+      connection.receive(bytes);
+      assertEquals(connection.unmatched, List.of(reported));
+    }
+
+    /** Guards against a line for each part of what arrives on an idle connection. */
+    @Test
+    public void unsolicitedBytesAreReportedOnce() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(response("one") + response("one") + response("one"));
+      assertEquals(connection.unmatched, List.of(new UnmatchedBytes(Kind.UNSOLICITED, "", "", 0)));
+    }
+
+    /** Guards against reports of informational responses and of sound ones. */
+    @Test
+    public void soundResponsesAreNotReported() {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive("HTTP/1.1 100 Continue\r\n\r\n" + response("one"));
+      assertEquals(connection.statuses(), List.of(200));
+      assertEquals(connection.unmatched, List.of());
+    }
+  }
 }
