Failing tests: a second response is believed after one without an id

Callers get a success although their server answered with a failure: the server's first response carries no id, so the front skips it, and its second, late one, which carries the id, is passed on. A request that may run once gets 200 for the server's 500; 5 rows of two tests fail.

--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -227,6 +227,31 @@
       }
     }
 
+    /** Each row: a first response that no id tells to be the one to the pending request. */
+    @DataProvider
+    public Object[][] unidentified() {
+      return new Object[][] {
+        {"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"},
+        {"HTTP/1.1 504 E\r\nRequest-Id: \r\nContent-Length: 1\r\n\r\nx"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"},
+        {response("other") + "HTTP/1.1 503 B\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+      };
+    }
+
+    /**
+     * Guards against a success in place of a failure: of a server that answers twice, the second
+     * response is believed since the first one did not name its request.
+     */
+    @Test(dataProvider = "unidentified")
+    public void responseAfterAnUnidentifiedOneIsNotBelieved(String first) {
+      Connection connection = new Connection();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(first);
+      connection.receive(response("one"));
+      assertEquals(connection.statuses(), List.of(0));
+      assertEquals(connection.closed, 1);
+    }
+
     /** Guards against a late copy of a rejection that is taken for that of the next request. */
     @Test
     public void connectionOfARejectionWithoutAnIdIsNotReused() {
--- a/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
@@ -77,6 +77,11 @@
             r.write("HTTP/1.1 200 X\r\nRequest-Id: old\r\nContent-Length: 3\r\n\r\nold");
             return r.respond(200, "own");
           };
+      Script failureWithoutIdFirst =
+          r -> {
+            r.write("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+            return r.respond(200, "own");
+          };
       Script withoutId =
           r -> {
             r.write("HTTP/1.1 200 X\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc");
@@ -94,6 +99,7 @@
         {"not executed", notExecuted, 503},
         {"replaced", replaced, 503},
         {"response to another request first", otherResponseFirst, 200},
+        {"failure without an id first", failureWithoutIdFirst, 502},
         {"no id", withoutId, 502},
         {"failed", failed, 500},
       };
