Tests of relayed requests wait until the path through another instance is known

cancelWorkWhoseCallerHasLeft waited 20 s for a request that had been refused: on a machine with a load average of 40 to 50, eight requests had passed 0.4 s after the start, and the peer that knows the way was heard 0.3 s later (log: refused reason=unreachable before peer_heard). What they check is unchanged.

--- a/front/src/test/java/org/magnoliaswitch/front/request/CutDeployment.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/CutDeployment.java
@@ -129,6 +129,14 @@
     return served;
   }
 
+  /** Sends requests until one is served. */
+  void awaitServed(RunningFront front, String method, String route) throws IOException {
+    int served = 0;
+    while (served == 0) {
+      served = served(front, method, route, 1);
+    }
+  }
+
   /** Largest number of executions of one request. */
   long mostExecutions() {
     return servers.stream()
--- a/front/src/test/java/org/magnoliaswitch/front/request/UnreachableServersTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/UnreachableServersTest.java
@@ -191,7 +191,7 @@
       try (CutDeployment deployment = new CutDeployment(1, 1, script);
           Socket caller = deployment.last().connect()) {
         deployment.cut(Cut.RESET);
-        deployment.served(deployment.last(), "POST", "once", DISCOVERY);
+        deployment.awaitServed(deployment.last(), "POST", "once");
         RunningFront.send(caller, "POST", "/once" + SLOW, TIMEOUT_MILLIS, "Connection: close\r\n");
         received.await();
         deployment.first().stop(() -> {});
@@ -219,7 +219,7 @@
           };
       try (CutDeployment deployment = new CutDeployment(1, 1, script)) {
         deployment.cut(Cut.RESET);
-        deployment.served(deployment.last(), "GET", "safe", DISCOVERY);
+        deployment.awaitServed(deployment.last(), "GET", "safe");
         try (Socket caller = deployment.last().connect()) {
           RunningFront.send(caller, "GET", "/safe" + SLOW, 15_000, "");
           received.await();
