A response without an id ends the exchange

What callers saw: a success although their server had answered with a failure. A request that may run once got 200 where the server's answer was 500.

Cause: the front skipped a response that names no request and kept waiting. If it was the server's answer, the next response with the id was a second one, from a server that answers twice, and was passed on. Class: after an answer that cannot be attributed, a later one is taken for the first.

Why it works: once such a response arrives, nothing that follows on the connection counts. The request may have run: an idempotent one is sent to another server, any other gets 502 at once, where it waited for its timeout before. A late response without an id that belongs to an earlier request costs the pending one the same; late responses with an id are still skipped.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -29,10 +29,11 @@
  *
  * <p>A response is accepted only if it echoes the id of the pending request, because a server may
  * send a second, late response to an earlier request in its place. Such a response is skipped, and
- * the connection is closed after the exchange. A rejection may lack the id; since a late copy of it
- * could be taken for the rejection of the next request, it ends the use of the connection, too.
- * Bytes that arrive without a pending request close the connection at once, whether or not they
- * complete a message.
+ * the connection is closed after the exchange. A response without an id ends the exchange: it may
+ * be the one to the pending request, and a later response with the id a second one that differs. A
+ * rejection may lack the id; since a late copy of it could be taken for the rejection of the next
+ * request, it ends the use of the connection, too. Bytes that arrive without a pending request
+ * close the connection at once, whether or not they complete a message.
  */
 public final class ServerConnection extends ChannelInboundHandlerAdapter {
   /** Size limit of the body of a response, which is held in memory. */
@@ -254,21 +255,30 @@
   }
 
   private void readHead(HttpResponse response) {
-    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    boolean matches = !informational && matchesRequest(response);
-    skipping = !matches;
-    outOfSync |= !informational && !matches;
-    head = matches ? response : null;
-    if (!informational && !matches) {
-      boolean identified = !echoedId(response).isEmpty();
-      reportUnmatched(
-          identified ? UnmatchedBytes.Kind.OTHER_REQUEST : UnmatchedBytes.Kind.WITHOUT_ID,
-          response);
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skip();
+    } else if (matchesRequest(response)) {
+      skipping = false;
+      head = response;
+      if (!headPending()) {
+        expectBody(response);
+      }
+    } else if (!echoedId(response).isEmpty()) {
+      outOfSync = true;
+      reportUnmatched(UnmatchedBytes.Kind.OTHER_REQUEST, response);
+      skip();
+    } else {
+      // It may be the response to the pending request; what follows would then be a second one.
+      reportUnmatched(UnmatchedBytes.Kind.WITHOUT_ID, response);
+      fail("unidentified");
     }
-    if (skipping && ++skipped > MAX_SKIPPED_RESPONSES) {
+  }
+
+  private void skip() {
+    skipping = true;
+    head = null;
+    if (++skipped > MAX_SKIPPED_RESPONSES) {
       fail("endless");
-    } else if (matches && !headPending()) {
-      expectBody(response);
     }
   }
 
