Evacuations: one that a restored store still has ends when it is taken back

The set of evacuated data centres read in epoch 3 equalled the one of epoch 2, so KnownState took the new revision but didn't pass it on to the servers. When the removal arrived in epoch 3, they compared it with epoch 2, and took it for an evacuation that the copy lacks. The instances had read the row in epoch 3 and its removal after it.

KnownState now passes evacuations on when their epoch is new, too. An evacuation that has been read in an epoch and is missing later in the same one was taken back; one that the epoch never showed is kept as before.

--- a/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/KnownState.java
@@ -67,7 +67,9 @@
           .add("source", source)
           .write();
     }
-    if (changed || !before.known()) {
+    // The same set in a later epoch is declared there too, and is not lost when it ends there.
+    boolean restored = next.revision().epoch() > before.revision().epoch();
+    if (changed || restored || !before.known()) {
       loop.execute(() -> directory.evacuate(next));
     }
     return changed;
