Evacuations: those that two copies in a row lack are kept from the second one on

A store is restored, and again within the 5 s for which a lost evacuation is kept. The operator may have declared it again in between, which the second copy lacks as well, and declares it once more within two seconds of the second restore. The retention counted from the first restore and could end before that: servers of an evacuated data centre got requests.

Found by reading, while the retention was traced for soak. The time now counts from the first read of the newest epoch.

ServerDirectoryRestoreTest: evacuationThatTwoCopiesLackIsKeptFromTheSecondOneOn failed before (the server accepted work 5 s after the first restore).

--- a/front/src/main/java/org/magnoliaswitch/front/process/EvacuationState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/EvacuationState.java
@@ -22,6 +22,8 @@
   /** Applies declared evacuations and returns the number of lost ones that stay in force. */
   int apply(Evacuations next, long nowNanos) {
     if (next.revision().epoch() > declared.revision().epoch()) {
+      // What the copy before lacked may have been declared again there, and lost once more.
+      keptUntilNanos.replaceAll((dataCentre, until) -> nowNanos + HOLD_NANOS);
       for (String dataCentre : declared.dataCentres()) {
         keptUntilNanos.put(dataCentre, nowNanos + HOLD_NANOS);
       }
--- a/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryRestoreTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/process/ServerDirectoryRestoreTest.java
@@ -148,5 +148,23 @@
       directory.sweep();
       assertTrue(server(directory, "a").acceptsWork());
     }
+
+    /** Guards against requests to an evacuated data centre when two restores follow each other. */
+    @Test
+    public void evacuationThatTwoCopiesLackIsKeptFromTheSecondOneOn() {
+      ManualClock time = new ManualClock();
+      ServerDirectory directory = directory(time.clocks(), Warmup.UNLIMITED);
+      apply(directory, Revision.of(1, 8), Servers.entry("a", false));
+      directory.evacuate(evacuations(1, 9, "here"));
+      directory.evacuate(evacuations(2, 4));
+      time.advance(EvacuationState.HOLD_NANOS - 1);
+      directory.evacuate(evacuations(3, 2));
+      time.advance(EvacuationState.HOLD_NANOS - 1);
+      directory.sweep();
+      assertFalse(server(directory, "a").acceptsWork());
+      time.advance(1);
+      directory.sweep();
+      assertTrue(server(directory, "a").acceptsWork());
+    }
   }
 }
