A header line without a colon spoils a response

What callers saw: a success with a spoiled head. A server in trouble writes a line such as "no colon here" among its headers; the instance passed the response on with a header "no" of no value.

Cause: the decoder takes the first blank for the end of a header's name in responses, and a missing colon for an empty value. SpoiledHeads plays six lines in three places. Why it works: a line that is no header shows that the bytes are not what the server meant, so nothing in the head is believed.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -66,6 +67,18 @@
     }
   }
 
+  /**
+   * Refuses a header line without a colon behind its name, which the decoder of responses would
+   * otherwise take for a header without a value: the head is spoiled, and its status, too, may be.
+   */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    if (line[start + length] != ':') {
+      throw new IllegalArgumentException("no colon behind the name of a header");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
   private static boolean containsStatusLine(HttpResponse head) {
     if (containsStatusLine(head.status().reasonPhrase())) {
       return true;
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -302,6 +302,30 @@
     }
   }
 
+  /** Heads that a server has spoiled. */
+  public static final class SpoiledHeads {
+    /** Each row: a line in place of a header. */
+    @DataProvider
+    public Object[][] lines() {
+      return new Object[][] {
+        {"no colon here"}, {"X-Value value"}, {"X-Blank "}, {"a b: c"}, {"nocolon"}, {"Name : v"},
+      };
+    }
+
+    /** Guards against a spoiled head that is passed on as a success, wherever its id stands. */
+    @Test(dataProvider = "lines")
+    public void headWithALineThatIsNoHeaderIsRefused(String line) {
+      String sound = response("one");
+      for (String before : List.of("Request-Id", "Content-Length", "\r\n")) {
+        int at = sound.lastIndexOf(before);
+        Connection connection = new Connection();
+        connection.send(HttpMethod.POST, "one");
+        connection.receive(sound.substring(0, at) + line + "\r\n" + sound.substring(at));
+        assertEquals(connection.statuses(), List.of(0), before);
+      }
+    }
+  }
+
   /** What is reported of bytes that are no response to the pending request. */
   public static final class Reports {
     /** Each row: what arrives while request two is pending, and what is reported of it. */
