A connection to a server carries each id once

What callers saw: a success although their server had answered with a failure, and requests that may run once executed twice or refused though they had run, when a request was sent again under its id. The server's second answer to the first send, late, bears the same id, and was taken for the answer to the second send.

Cause: the id names the request, not the send.

Change: ResponseMatcher tells whether a response belongs to the pending request, to an earlier one on the connection (skipped), or to none that is known. The last ends the exchange, since it may be the pending request's own response with a damaged id, and what follows a second one. A request without an id gets a connection of its own.

Why it works: each response on a connection names one send on it or none.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -27,13 +26,10 @@
 /**
  * One HTTP/1.1 connection to a backend server, which carries one exchange at a time.
  *
- * <p>A response is accepted only if it echoes the id of the pending request, because a server may
- * send a second, late response to an earlier request in its place. Such a response is skipped, and
- * the connection is closed after the exchange. A response without an id ends the exchange: it may
- * be the one to the pending request, and a later response with the id a second one that differs. A
- * rejection may lack the id; since a late copy of it could be taken for the rejection of the next
- * request, it ends the use of the connection, too. Bytes that arrive without a pending request
- * close the connection at once, whether or not they complete a message.
+ * <p>A response is accepted only if it belongs to the pending request, see {@link ResponseMatcher}.
+ * A late one to an earlier request is skipped, and the connection is closed after the exchange. One
+ * whose request is not known ends the exchange. Bytes that arrive without a pending request close
+ * the connection at once, whether or not they complete a message.
  */
 public final class ServerConnection extends ChannelInboundHandlerAdapter {
   /** Size limit of the body of a response, which is held in memory. */
@@ -66,7 +62,7 @@
   private final Channel channel;
   private final Owner owner;
   private final Clocks clocks;
-  private final HeaderNames names;
+  private final ResponseMatcher matcher;
   private final Optional<InetSocketAddress> relay;
   private final BodyBuffer body;
   private @Nullable PendingRequest pending;
@@ -75,7 +71,6 @@
   private int skipped;
   private int smallParts;
   private long exchangeBytes;
-  private boolean outOfSync;
   private boolean closed;
   private boolean closeAnnounced;
   private boolean releasePending;
@@ -103,7 +98,7 @@
     this.channel = channel;
     this.owner = owner;
     this.clocks = clocks;
-    this.names = names;
+    this.matcher = new ResponseMatcher(names);
     this.openedNanos = clocks.nanos();
     this.idleSinceNanos = openedNanos;
   }
@@ -122,6 +117,7 @@
     smallParts = 0;
     exchangeBytes = 0;
     exchanges++;
+    matcher.sent(requestId);
     boolean headRequest = HttpMethod.HEAD.equals(request.method());
     ChannelFuture written = channel.writeAndFlush(request);
     pending = new PendingRequest(requestId, headRequest, written, listener);
@@ -157,6 +153,16 @@
     close();
   }
 
+  /** Whether the connection may carry a request with the id; empty for a health check. */
+  boolean mayCarry(Optional<String> requestId) {
+    return matcher.mayCarry(requestId);
+  }
+
+  /** Closes the connection after the next exchange, whose response cannot be told from others. */
+  public void closeAfterExchange() {
+    closeAnnounced = true;
+  }
+
   /** Number of exchanges begun on the connection, including a pending one. */
   public int exchanges() {
     return exchanges;
@@ -257,20 +263,28 @@
   private void readHead(HttpResponse response) {
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skip();
-    } else if (matchesRequest(response)) {
-      skipping = false;
-      head = response;
-      if (!headPending()) {
-        expectBody(response);
+      return;
+    }
+    switch (matcher.match(response)) {
+      case PENDING -> accept(response);
+      case EARLIER -> {
+        reportUnmatched(UnmatchedBytes.Kind.OTHER_REQUEST, response);
+        skip();
+      }
+      case UNKNOWN -> {
+        boolean identified = !matcher.echoedId(response).isEmpty();
+        reportUnmatched(
+            identified ? UnmatchedBytes.Kind.UNKNOWN_ID : UnmatchedBytes.Kind.WITHOUT_ID, response);
+        fail("unidentified");
       }
-    } else if (!echoedId(response).isEmpty()) {
-      outOfSync = true;
-      reportUnmatched(UnmatchedBytes.Kind.OTHER_REQUEST, response);
-      skip();
-    } else {
-      // It may be the response to the pending request; what follows would then be a second one.
-      reportUnmatched(UnmatchedBytes.Kind.WITHOUT_ID, response);
-      fail("unidentified");
+    }
+  }
+
+  private void accept(HttpResponse response) {
+    skipping = false;
+    head = response;
+    if (!headPending()) {
+      expectBody(response);
     }
   }
 
@@ -285,12 +299,8 @@
   private void reportUnmatched(UnmatchedBytes.Kind kind, HttpResponse response) {
     String pendingId = pending == null ? "" : pending.requestId().orElse("");
     owner.unmatched(
-        this, new UnmatchedBytes(kind, pendingId, echoedId(response), response.status().code()));
-  }
-
-  /** The id in a response; a server that always echoes the header sends it empty where none was. */
-  private String echoedId(HttpResponse response) {
-    return response.headers().get(names.requestId(), "");
+        this,
+        new UnmatchedBytes(kind, pendingId, matcher.echoedId(response), response.status().code()));
   }
 
   private void expectBody(HttpResponse response) {
@@ -302,20 +312,6 @@
     }
   }
 
-  private boolean matchesRequest(HttpResponse response) {
-    String echoed = echoedId(response);
-    if (pending == null || pending.requestId().isEmpty()) {
-      return echoed.isEmpty();
-    }
-    if (echoed.isEmpty()) {
-      // Only a rejection may lack the id; any other response could belong to another request.
-      return !outOfSync
-          && (response.headers().contains(names.notExecuted())
-              || response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code());
-    }
-    return echoed.equals(pending.requestId().get());
-  }
-
   private void readContent(HttpContent content) {
     boolean small = content.content().readableBytes() < SMALL_PART_BYTES;
     if (small && ++smallParts > MAX_SMALL_PARTS) {
@@ -349,10 +345,10 @@
     boolean requestIncomplete = !finished.written().isDone();
     boolean delimited =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    boolean keepAlive = HttpUtil.isKeepAlive(response) && (delimited || finished.headRequest());
-    boolean identified = finished.requestId().isEmpty() || !echoedId(response).isEmpty();
+    // A late copy of a response to HEAD would have a length, but no body.
+    boolean keepAlive = HttpUtil.isKeepAlive(response) && delimited && !finished.headRequest();
     keepAliveNanos = KeepAliveTimeout.nanos(response);
-    boolean inSync = !requestIncomplete && !outOfSync && identified;
+    boolean inSync = !requestIncomplete && matcher.inSyncAfter(response);
     if (!inSync || closeAnnounced || !keepAlive || !channel.isActive()) {
       close();
     } else {
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -46,18 +47,26 @@
   }
 
   /**
-   * Acquires the most recently used idle connection, if it was used recently enough.
+   * Acquires the most recently used idle connection that may carry the request, if it was used
+   * recently enough.
    *
    * @param maxIdleNanos idle time after which a connection is not reused for the request
+   * @param requestId id of the request; empty for a health check
    */
-  public Optional<ServerConnection> acquireIdle(long maxIdleNanos) {
-    ServerConnection connection = idle.peekLast();
-    if (connection == null || !connection.usable(clocks.nanos(), maxIdleNanos)) {
-      return Optional.empty();
+  public Optional<ServerConnection> acquireIdle(long maxIdleNanos, Optional<String> requestId) {
+    Iterator<ServerConnection> latestFirst = idle.descendingIterator();
+    while (latestFirst.hasNext()) {
+      ServerConnection connection = latestFirst.next();
+      if (!connection.usable(clocks.nanos(), maxIdleNanos)) {
+        return Optional.empty();
+      }
+      if (connection.mayCarry(requestId)) {
+        latestFirst.remove();
+        publishIdleCount();
+        return Optional.of(connection);
+      }
     }
-    idle.removeLast();
-    publishIdleCount();
-    return Optional.of(connection);
+    return Optional.empty();
   }
 
   /** Whether connections are opened through other instances. */
--- a/front/src/main/java/org/magnoliaswitch/front/connection/UnmatchedBytes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/UnmatchedBytes.java
@@ -12,8 +12,10 @@
 public record UnmatchedBytes(Kind kind, String pendingId, String echoedId, int status) {
   /** Why the bytes are not the response to the pending request. */
   public enum Kind {
-    /** A response with the id of another request. */
+    /** A response with the id of an earlier request on the connection. */
     OTHER_REQUEST,
+    /** A response with an id that the connection has not carried. */
+    UNKNOWN_ID,
     /** A response without an id, although the pending request has one. */
     WITHOUT_ID,
     /** A head that contains a second status line: the beginnings of two responses. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -92,7 +92,10 @@
     boolean reuseAny =
         idempotent || !environment.settings().mechanisms().enabled(Mechanism.FRESH_CONNECTIONS);
     Optional<ServerConnection> idle =
-        pool.acquireIdle(reuseAny ? MAX_IDLE_NANOS : MAX_IDLE_NON_IDEMPOTENT_NANOS);
+        echoedId().isEmpty()
+            ? Optional.empty()
+            : pool.acquireIdle(
+                reuseAny ? MAX_IDLE_NANOS : MAX_IDLE_NON_IDEMPOTENT_NANOS, echoedId());
     if (idle.isPresent()) {
       write(idle.get());
     } else {
@@ -236,8 +239,15 @@
         .add("connection_age_ms", TimeUnit.NANOSECONDS.toMillis(target.ageNanos()))
         .add("relay", target.relay().map(InetSocketAddress::getHostString).orElse("-"))
         .write();
-    Optional<String> echoedId = Optional.of(requestId).filter(id -> !id.isEmpty());
-    target.send(message, echoedId, this::handleReply);
+    if (echoedId().isEmpty()) {
+      target.closeAfterExchange();
+    }
+    target.send(message, echoedId(), this::handleReply);
+  }
+
+  /** The id that the response must echo; a request without one gets a connection of its own. */
+  private Optional<String> echoedId() {
+    return Optional.of(requestId).filter(id -> !id.isEmpty());
   }
 
   private boolean inOwnDataCentre() {
--- a/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/LoadProber.java
@@ -119,7 +119,7 @@
     }
 
     void probe(ServerPool pool, String healthPath) {
-      Optional<ServerConnection> idle = pool.acquireIdle(MAX_IDLE_NANOS);
+      Optional<ServerConnection> idle = pool.acquireIdle(MAX_IDLE_NANOS, Optional.empty());
       if (idle.isPresent()) {
         outstanding++;
         probe(pool, idle.get(), healthPath);
