--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -98,7 +98,8 @@
         && !load.pause().active(now);
   }
 
-  private void probe(ServiceState service, ServerHandle handle) {
+  /** Sends one probe and waits for its end. */
+  void probe(ServiceState service, ServerHandle handle) {
     probesSent.incrementAndGet();
     try {
       BackendConnection connection = handle.pool().acquire(Long.MAX_VALUE, TIMEOUT_MILLIS);
--- a/core/src/test/java/org/magnoliaswitch/core/testing/ScriptedServer.java
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/ScriptedServer.java
@@ -6,9 +6,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.function.IntFunction;
 
 /** A server that responds to each request as a test prescribes, including malformed responses. */
@@ -28,8 +30,33 @@
     record Hang() implements Action {}
   }
 
+  /**
+   * A request as the server received it.
+   *
+   * @param index number of the request at this server, from 0
+   * @param onConnection number of the request on its connection, from 0
+   * @param head request line and header
+   */
+  public record Received(int index, int onConnection, String head) {
+    private static final String ID = "x-request-id:";
+
+    /** The id of the request, empty if it has none. */
+    public String id() {
+      return head.lines()
+          .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(ID))
+          .map(line -> line.substring(ID.length()).strip())
+          .findFirst()
+          .orElse("");
+    }
+
+    /** Whether this is a request for the load of the server. */
+    public boolean probe() {
+      return head.startsWith("GET /load ");
+    }
+  }
+
   private final ServerSocket listener;
-  private final IntFunction<Action> actions;
+  private final Function<Received, Action> actions;
   private final AtomicInteger requests = new AtomicInteger();
   private final AtomicInteger connections = new AtomicInteger();
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
@@ -39,11 +66,20 @@
    * action.
    */
   public ScriptedServer(IntFunction<Action> actions) throws IOException {
+    this((Received received) -> actions.apply(received.index()));
+  }
+
+  private ScriptedServer(Function<Received, Action> actions) throws IOException {
     this.actions = actions;
     this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     Thread.ofVirtual().start(this::accept);
   }
 
+  /** Starts a server on a free port whose actions depend on the requests. */
+  public static ScriptedServer answering(Function<Received, Action> actions) throws IOException {
+    return new ScriptedServer(actions);
+  }
+
   /** Returns the port of the listening socket. */
   public int port() {
     return listener.getLocalPort();
@@ -83,8 +119,10 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = socket.getInputStream();
-      while (readRequest(in)) {
-        Action action = actions.apply(requests.getAndIncrement());
+      int onConnection = 0;
+      for (String head = readRequest(in); !head.isEmpty(); head = readRequest(in)) {
+        Action action =
+            actions.apply(new Received(requests.getAndIncrement(), onConnection++, head));
         switch (action) {
           case Action.Send send -> write(socket, send.bytes());
           case Action.SendAndClose send -> {
@@ -112,21 +150,24 @@
     socket.getOutputStream().flush();
   }
 
-  /** Reads a request head and a body of the length that Content-Length announces. */
-  private static boolean readRequest(InputStream in) throws IOException {
+  /**
+   * Reads a request head and a body of the length that Content-Length announces; returns the head,
+   * or nothing at the end of the connection.
+   */
+  private static String readRequest(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
       int next = in.read();
       if (next < 0) {
-        return false;
+        return "";
       }
       head.append((char) next);
     }
-    int at = head.toString().toLowerCase(java.util.Locale.ROOT).indexOf("content-length:");
+    int at = head.toString().toLowerCase(Locale.ROOT).indexOf("content-length:");
     if (at >= 0) {
       String value = head.substring(at + 15, head.indexOf("\r\n", at)).strip();
       byte[] unused = in.readNBytes(Integer.parseInt(value));
     }
-    return true;
+    return head.toString();
   }
 }
