Log of unmatched bytes: unsolicited ones name the last request

A second answer to a request could not be found by the request's id: nothing is pending when it arrives. The id that a server puts into a response is cut to 64 characters, since it is written up to 500 times a second.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ResponseMatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ResponseMatcher.java
@@ -47,6 +47,11 @@
     id.ifPresent(sentIds::add);
   }
 
+  /** The id of the last request that was sent; empty if it had none, or none was sent. */
+  String lastId() {
+    return pendingId.orElse("");
+  }
+
   /** Finds the request that a final response belongs to, while one is pending. */
   Match match(HttpResponse response) {
     String echoed = echoedId(response);
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -147,7 +147,8 @@
   /** Closes the connection, since nothing that follows on it can be matched to a request. */
   void unsolicitedBytes() {
     if (!closed) {
-      owner.unmatched(this, new UnmatchedBytes(UnmatchedBytes.Kind.UNSOLICITED, "", "", 0));
+      owner.unmatched(
+          this, new UnmatchedBytes(UnmatchedBytes.Kind.UNSOLICITED, matcher.lastId(), "", 0));
     }
     releasePending = false;
     close();
@@ -297,10 +298,10 @@
   }
 
   private void reportUnmatched(UnmatchedBytes.Kind kind, HttpResponse response) {
-    String pendingId = pending == null ? "" : pending.requestId().orElse("");
     owner.unmatched(
         this,
-        new UnmatchedBytes(kind, pendingId, matcher.echoedId(response), response.status().code()));
+        new UnmatchedBytes(
+            kind, matcher.lastId(), matcher.echoedId(response), response.status().code()));
   }
 
   private void expectBody(HttpResponse response) {
--- a/front/src/main/java/org/magnoliaswitch/front/connection/UnmatchedBytes.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/UnmatchedBytes.java
@@ -5,11 +5,19 @@
 /**
  * What a server sent besides the response to the pending request.
  *
- * @param pendingId id of the pending request; empty if none is pending or it has no id
+ * @param lastId id of the pending request, or of the last one if none is pending; empty if it has
+ *     none
  * @param echoedId id that the bytes carry; empty if they carry none
  * @param status status that the bytes state; 0 if they are no response
  */
-public record UnmatchedBytes(Kind kind, String pendingId, String echoedId, int status) {
+public record UnmatchedBytes(Kind kind, String lastId, String echoedId, int status) {
+  private static final int MAX_ID_LENGTH = 64;
+
+  /** Bounds the id, which the server has chosen. */
+  public UnmatchedBytes {
+    echoedId = echoedId.substring(0, Math.min(MAX_ID_LENGTH, echoedId.length()));
+  }
+
   /** Why the bytes are not the response to the pending request. */
   public enum Kind {
     /** A response with the id of an earlier request on the connection. */
--- a/front/src/main/java/org/magnoliaswitch/front/process/UnmatchedBytesLog.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/UnmatchedBytesLog.java
@@ -21,7 +21,7 @@
   public void received(ServerEntry server, ServerConnection connection, UnmatchedBytes bytes) {
     metrics.count("unmatched.bytes", server.service(), bytes.kind().label());
     log.failure("unmatched_bytes")
-        .add("request", bytes.pendingId())
+        .add("request", bytes.lastId())
         .add("service", server.service())
         .add("server", server.id())
         .add("kind", bytes.kind().label())
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -364,7 +364,8 @@
       Connection connection = new Connection();
       connection.send(HttpMethod.POST, "one");
       connection.receive(response("one") + response("one") + response("one"));
-      assertEquals(connection.unmatched, List.of(new UnmatchedBytes(Kind.UNSOLICITED, "", "", 0)));
+      assertEquals(
+          connection.unmatched, List.of(new UnmatchedBytes(Kind.UNSOLICITED, "one", "", 0)));
     }
 
     /** Guards against reports of informational responses and of sound ones. */
