--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
@@ -10,8 +10,6 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import java.util.List;
-import java.util.Map;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,8 +26,6 @@
 final class ServerResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEAD_BYTES = 64 * 1024;
   private static final int MAX_STATUS_LINE_BYTES = 8 * 1024;
-  private static final String VERSION = "HTTP/1.";
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-5]\\d\\d");
 
   private @Nullable ServerConnection connection;
   private boolean inputEnded;
@@ -61,7 +57,7 @@
       connection.decoded(readable - in.readableBytes());
     }
     for (Object message : out.subList(before, out.size())) {
-      if (message instanceof HttpResponse head && containsStatusLine(head)) {
+      if (message instanceof HttpResponse head && ResponseHeads.containStatusLine(head)) {
         head.setDecoderResult(DecoderResult.failure(new JoinedHeadsException()));
       }
     }
@@ -79,22 +75,6 @@
     return super.splitHeaderName(line, start, length);
   }
 
-  private static boolean containsStatusLine(HttpResponse head) {
-    if (containsStatusLine(head.status().reasonPhrase())) {
-      return true;
-    }
-    for (Map.Entry<String, String> header : head.headers()) {
-      if (containsStatusLine(header.getValue())) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private static boolean containsStatusLine(String text) {
-    return text.contains(VERSION) && STATUS_LINE.matcher(text).find();
-  }
-
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
     inputEnded |= event instanceof ChannelInputShutdownEvent;
