Take back: entries accept a response only if it belongs to the pending request

The fault stays: an entry takes whatever answer comes next on a kept connection. SentIds stays, which the front uses.

--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
@@ -7,7 +7,6 @@
  * @param leaving backend servers that are leaving
  * @param version configuration in force
  * @param timeline recent events
- * @param refusedResponses responses that were not passed on
  * @param crashes reports of requests during which servers crash
  * @param contact time of the last contact with peers or the platform
  */
@@ -16,6 +15,5 @@
     LeavingServers leaving,
     CurrentVersion version,
     Timeline timeline,
-    RefusedResponses refusedResponses,
     CrashWatch crashes,
     LastContact contact) {}
