--- a/bench/src/main/java/org/magnoliaswitch/bench/CallerSession.java
+++ b/bench/src/main/java/org/magnoliaswitch/bench/CallerSession.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -46,6 +47,7 @@
   }
 
   private volatile boolean healthy = true;
+  private final AtomicLong ownRequests = new AtomicLong();
   private final ConnectionPool pool;
   private final String host;
   private final Clocks clocks;
@@ -75,7 +77,8 @@
       long deadlineNanos) {
     BasicClassicHttpRequest request = new BasicClassicHttpRequest(kind.method(), kind.path());
     request.setHeader("Host", host);
-    request.setHeader("X-Request-Id", operation + '-' + attempt);
+    String id = operation + '-' + attempt;
+    request.setHeader(BackendConnection.ID_HEADER, id);
     request.setHeader("Operation-Id", operation);
     request.setHeader("Request-Attempt", String.valueOf(attempt));
     long remaining = deadlineNanos - clocks.nanos();
@@ -88,17 +91,21 @@
       request.setHeader("Content-Length", String.valueOf(body.length));
       request.setEntity(new ByteArrayEntity(body, null));
     }
-    return exchange(request, kind, operation, remaining);
+    return exchange(request, id, kind, operation, remaining);
   }
 
   private AttemptResult exchange(
-      BasicClassicHttpRequest request, Scenario.LoadKind kind, String operation, long remaining) {
+      BasicClassicHttpRequest request,
+      String id,
+      Scenario.LoadKind kind,
+      String operation,
+      long remaining) {
     if (remaining <= 0) {
       return AttemptResult.FAILED;
     }
     BackendConnection connection;
     try {
-      connection = pool.acquire(KEEP_ALIVE_NANOS, CONNECT_TIMEOUT_MILLIS);
+      connection = pool.acquire(KEEP_ALIVE_NANOS, CONNECT_TIMEOUT_MILLIS, id);
     } catch (IOException e) {
       return AttemptResult.FAILED;
     }
@@ -195,8 +202,10 @@
   private Optional<Response> exchange(String path) {
     BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
     request.setHeader("Host", host);
+    String id = "own-" + ownRequests.incrementAndGet();
+    request.setHeader(BackendConnection.ID_HEADER, id);
     try {
-      BackendConnection connection = pool.acquire(KEEP_ALIVE_NANOS, CONNECT_TIMEOUT_MILLIS);
+      BackendConnection connection = pool.acquire(KEEP_ALIVE_NANOS, CONNECT_TIMEOUT_MILLIS, id);
       boolean keep = false;
       try {
         connection.setReadTimeout(TimeUnit.SECONDS.toNanos(1));
--- a/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
@@ -3,11 +3,16 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
@@ -16,12 +21,24 @@
 import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 
-/** One HTTP/1.1 connection to a backend server, used by one exchange at a time. */
+/**
+ * One HTTP/1.1 connection to a backend server, used by one exchange at a time.
+ *
+ * <p>A server may send a second, late response to an earlier request in the place of the response
+ * to the pending one. A response is therefore accepted only if it echoes the id of the pending
+ * request; one with another id is skipped. A response without an id is accepted only to the first
+ * request on a connection, since nothing else can be answered there. After both, the connection
+ * carries no further exchange. No connection carries an id twice.
+ */
 public final class BackendConnection {
-  /** Limit of informational responses before a final one. */
-  private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+  /** Request header with the id of the request, which the response must echo. */
+  public static final String ID_HEADER = "X-Request-Id";
+
+  /** Limit of informational responses and of responses to other requests in one exchange. */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
 
   private static final Http1Config CONFIG =
       Http1Config.custom()
@@ -34,7 +51,16 @@
   private final ServerBytes input;
   private final long openedNanos;
   private final boolean reusable;
+  private final SentIds sentIds = new SentIds();
+  private final List<RefusedResponse> refused = new ArrayList<>();
   private volatile long lastSuccessNanos;
+  private String pendingId = "";
+  private boolean firstExchange = true;
+  private boolean inSync = true;
+  private boolean identified;
+  private boolean receivedWithoutId;
+  private int skipped;
+  private @Nullable InputStream skippedBody;
 
   private BackendConnection(Socket socket, Clocks clocks, boolean reusable) throws IOException {
     this.input = new ServerBytes(socket, clocks);
@@ -68,16 +94,37 @@
     }
   }
 
-  /** Whether further exchanges may follow the first one. */
+  /** Whether another exchange may follow the complete response to the last one. */
   public boolean reusable() {
-    return reusable;
+    return reusable && inSync && !sentIds.isFull();
+  }
+
+  /** Whether a request with this id was sent before, whose late response would have it, too. */
+  boolean hasCarried(String requestId) {
+    return sentIds.contains(requestId);
+  }
+
+  /** Whether the last response that was accepted has echoed the id of its request. */
+  public boolean identified() {
+    return identified;
+  }
+
+  /** Whether the server has sent a response without an id in the last exchange. */
+  public boolean receivedWithoutId() {
+    return receivedWithoutId;
+  }
+
+  /** The responses that were not passed on in the last exchange. */
+  public List<RefusedResponse> refused() {
+    return List.copyOf(refused);
   }
 
   /**
    * Sends a complete request; parts of it may have reached the server as soon as this method is
-   * called.
+   * called. The response must echo the request's {@link #ID_HEADER}.
    */
   public void send(ClassicHttpRequest request) throws IOException, HttpException {
+    beginExchange(request);
     http.sendRequestHeader(request);
     if (request.getEntity() != null) {
       http.sendRequestEntity(request);
@@ -85,15 +132,94 @@
     http.flush();
   }
 
-  /** Waits for the final response head and skips informational responses. */
+  private void beginExchange(ClassicHttpRequest request) throws HttpException {
+    Header header = request.getFirstHeader(ID_HEADER);
+    pendingId = header == null || header.getValue() == null ? "" : header.getValue();
+    if (sentIds.contains(pendingId)) {
+      throw new ProtocolException("the connection has carried a request with this id");
+    }
+    firstExchange = sentIds.isEmpty();
+    sentIds.add(pendingId);
+    skipped = 0;
+    refused.clear();
+    identified = false;
+    receivedWithoutId = false;
+  }
+
+  /**
+   * Waits for the final response head of the pending request, and skips informational responses and
+   * those to other requests. After a timeout the method can be called again.
+   *
+   * @throws HttpException if the response is malformed or may belong to another request
+   */
   public ClassicHttpResponse receiveHead() throws IOException, HttpException {
-    for (int skipped = 0; skipped <= MAX_INFORMATIONAL_RESPONSES; skipped++) {
+    while (true) {
+      readSkippedBody();
       ClassicHttpResponse response = http.receiveResponseHeader();
-      if (response.getCode() >= HttpStatus.SC_OK) {
+      if (ResponseHead.containsStatusLine(response)) {
+        refuse(response, RefusedResponse.Reason.SECOND_STATUS_LINE);
+        throw new ProtocolException("the head of a response contains a second status line");
+      }
+      boolean informational = response.getCode() < HttpStatus.SC_OK;
+      if (!informational && belongsToPendingRequest(response)) {
         return response;
       }
+      if (++skipped > MAX_SKIPPED_RESPONSES) {
+        throw new ProtocolException("more than 16 responses that are informational or of others");
+      }
+      if (!informational) {
+        skipBody(response);
+      }
+    }
+  }
+
+  private boolean belongsToPendingRequest(ClassicHttpResponse response) throws HttpException {
+    String echoed = ResponseHead.echoedId(response, pendingId);
+    if (!echoed.isEmpty() && !echoed.equals(pendingId)) {
+      refuse(response, RefusedResponse.Reason.OTHER_ID);
+      return false;
+    }
+    identified = !echoed.isEmpty();
+    if (!identified) {
+      receivedWithoutId = true;
+      if (!firstExchange || !inSync) {
+        // Waiting for another response could take all the time of the request in vain: servers that
+        // echo ids may reject requests without one.
+        refuse(response, RefusedResponse.Reason.WITHOUT_ID);
+        throw new ProtocolException("a response without the id of its request");
+      }
+      inSync = false;
+    }
+    return true;
+  }
+
+  private void refuse(ClassicHttpResponse response, RefusedResponse.Reason reason) {
+    inSync = false;
+    String echoed = ResponseHead.echoedId(response, pendingId);
+    refused.add(new RefusedResponse(pendingId, echoed, response.getCode(), reason));
+  }
+
+  private void skipBody(ClassicHttpResponse response) throws IOException, HttpException {
+    int status = response.getCode();
+    if (status == HttpStatus.SC_NO_CONTENT || status == HttpStatus.SC_NOT_MODIFIED) {
+      return;
+    }
+    http.receiveResponseEntity(response);
+    HttpEntity entity = response.getEntity();
+    if (entity != null) {
+      if (entity.getContentLength() < 0 && !entity.isChunked()) {
+        throw new ProtocolException("a response to another request has no end");
+      }
+      skippedBody = entity.getContent();
+    }
+  }
+
+  private void readSkippedBody() throws IOException {
+    InputStream body = skippedBody;
+    if (body != null) {
+      body.transferTo(OutputStream.nullOutputStream());
+      skippedBody = null;
     }
-    throw new ProtocolException("more than 16 informational responses");
   }
 
   /** Attaches the body, if any, to the response as its entity. */
--- a/core/src/main/java/org/magnoliaswitch/core/connection/ConnectionPool.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/ConnectionPool.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
 
@@ -21,11 +23,19 @@
   /** Idle time after which a connection is closed instead of being reused. */
   private static final long MAX_IDLE_NANOS = 10_000_000_000L;
 
+  /**
+   * Time for which no connection is reused after a response without an id. A server that leaves the
+   * id out of some responses, such as rejections, would have them refused on reused connections.
+   */
+  private static final long UNIDENTIFIED_NANOS = MAX_IDLE_NANOS;
+
   private final ServerDialer dialer;
   private final Clocks clocks;
   private final AtomicInteger open = new AtomicInteger();
   private final AtomicInteger limit;
   private final AtomicLong distrustedBeforeNanos;
+  private final AtomicReference<Optional<Long>> unidentifiedNanos =
+      new AtomicReference<>(Optional.empty());
   private final ConcurrentLinkedDeque<BackendConnection> idle = new ConcurrentLinkedDeque<>();
 
   /** Creates a pool of connections over the network of this machine. */
@@ -53,10 +63,13 @@
    *
    * @param maxIdleNanos maximum age of the last response on a reused connection; small for requests
    *     that must not be executed twice, whose outcome would be unknown if the connection turned
-   *     out to be broken
+   *     out to be broken; 0 for a new connection
+   * @param requestId id of the request; a connection that has carried it is not reused
    */
-  public BackendConnection acquire(long maxIdleNanos, int connectTimeoutMillis) throws IOException {
-    BackendConnection idleConnection = acquireIdle(Math.min(maxIdleNanos, MAX_IDLE_NANOS));
+  public BackendConnection acquire(long maxIdleNanos, int connectTimeoutMillis, String requestId)
+      throws IOException {
+    BackendConnection idleConnection =
+        acquireIdle(Math.min(maxIdleNanos, MAX_IDLE_NANOS), requestId);
     if (idleConnection != null) {
       return idleConnection;
     }
@@ -79,7 +92,7 @@
 
   /** Returns a connection whose exchange ended with a complete response. */
   public void release(BackendConnection connection) {
-    if (!connection.reusable() || connection.hasFurtherBytes()) {
+    if (!connection.reusable() || unidentifiedRecently() || connection.hasFurtherBytes()) {
       discard(connection);
       return;
     }
@@ -104,6 +117,16 @@
     distrustedBeforeNanos.accumulateAndGet(sinceNanos, (a, b) -> b - a > 0 ? b : a);
   }
 
+  /**
+   * Records a response without an id, which is accepted only on a new connection: for some time,
+   * connections are not reused.
+   */
+  public void recordUnidentified() {
+    long now = clocks.nanos();
+    unidentifiedNanos.set(Optional.of(now));
+    distrustIdleSince(now);
+  }
+
   /** Closes connections that were idle too long or are distrusted; called periodically. */
   public void evictUnusable() {
     for (BackendConnection connection : idle) {
@@ -132,9 +155,9 @@
     evictUnusable();
   }
 
-  private @Nullable BackendConnection acquireIdle(long maxIdleNanos) {
+  private @Nullable BackendConnection acquireIdle(long maxIdleNanos, String requestId) {
     for (BackendConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
-      if (next.hasFurtherBytes()) {
+      if (next.hasFurtherBytes() || next.hasCarried(requestId)) {
         discard(next);
         continue;
       }
@@ -160,6 +183,11 @@
     return true;
   }
 
+  private boolean unidentifiedRecently() {
+    Optional<Long> since = unidentifiedNanos.get();
+    return since.isPresent() && clocks.nanos() - since.get() < UNIDENTIFIED_NANOS;
+  }
+
   private boolean usable(BackendConnection connection, long maxIdleNanos) {
     long last = connection.lastSuccessNanos();
     return clocks.nanos() - last < maxIdleNanos && last - distrustedBeforeNanos.get() >= 0;
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlPlane.java
@@ -111,6 +111,7 @@
             new LeavingServers(clocks),
             version,
             timeline,
+            new RefusedResponses(timeline),
             crashes,
             new LastContact(clocks));
     this.store = new ConfigurationStore(platform.table(), platform.objects());
--- a/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ControlState.java
@@ -7,6 +7,7 @@
  * @param leaving backend servers that are leaving
  * @param version configuration in force
  * @param timeline recent events
+ * @param refusedResponses responses that were not passed on
  * @param crashes reports of requests during which servers crash
  * @param contact time of the last contact with peers or the platform
  */
@@ -15,5 +16,6 @@
     LeavingServers leaving,
     CurrentVersion version,
     Timeline timeline,
+    RefusedResponses refusedResponses,
     CrashWatch crashes,
     LastContact contact) {}
--- a/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/Prober.java
@@ -41,6 +41,7 @@
   private final Membership membership;
   private final LeavingServers leaving;
   private final Timeline timeline;
+  private final RefusedResponses refusedResponses;
   private final Clocks clocks;
   private final Runnable onLeavingChange;
   private final AtomicLong probesSent = new AtomicLong();
@@ -51,6 +52,7 @@
     this.membership = control.membership();
     this.leaving = control.leaving();
     this.timeline = control.timeline();
+    this.refusedResponses = control.refusedResponses();
     this.clocks = clocks;
     this.onLeavingChange = onLeavingChange;
   }
@@ -100,13 +102,17 @@
 
   /** Sends one probe and waits for its end. */
   void probe(ServiceState service, ServerHandle handle) {
-    probesSent.incrementAndGet();
+    String id = "probe-" + probesSent.incrementAndGet();
+    // A server that leaves the id out of its responses to probes gets each on a new connection.
+    long maxIdleNanos = handle.load().identifiesProbes() ? Long.MAX_VALUE : 0;
     try {
-      BackendConnection connection = handle.pool().acquire(Long.MAX_VALUE, TIMEOUT_MILLIS);
+      BackendConnection connection = handle.pool().acquire(maxIdleNanos, TIMEOUT_MILLIS, id);
       boolean complete = false;
       try {
-        complete = exchange(service, handle, connection);
+        complete = exchange(service, handle, connection, id);
       } finally {
+        handle.load().recordIdentifiesProbes(connection.identified());
+        refusedResponses.record(connection.refused(), service.service().name(), handle.id());
         if (complete) {
           handle.pool().release(connection);
         } else {
@@ -118,11 +124,13 @@
     }
   }
 
-  private boolean exchange(ServiceState service, ServerHandle handle, BackendConnection connection)
+  private boolean exchange(
+      ServiceState service, ServerHandle handle, BackendConnection connection, String id)
       throws IOException, HttpException {
     connection.setReadTimeout(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS));
     BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", LOAD_PATH);
     request.setHeader("Host", handle.server().host() + ':' + handle.server().port());
+    request.setHeader(BackendConnection.ID_HEADER, id);
     connection.send(request);
     ClassicHttpResponse response = connection.receiveHead();
     connection.receiveBody(response);
--- a/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
+++ b/core/src/main/java/org/magnoliaswitch/core/process/ServerLoad.java
@@ -47,6 +47,8 @@
   private final AtomicReference<Ejection> ejection = new AtomicReference<>(Ejection.NONE);
   private final AtomicReference<Pause> pause = new AtomicReference<>(Pause.NONE);
 
+  private volatile boolean identifiesProbes;
+
   public ServerLoad(BackendServer server, long nowNanos) {
     this.serverId = server.id();
     this.createdNanos = nowNanos;
@@ -127,6 +129,16 @@
     return pause.get();
   }
 
+  /** Records whether the response to a probe has echoed its id. */
+  public void recordIdentifiesProbes(boolean identified) {
+    identifiesProbes = identified;
+  }
+
+  /** Returns whether the response to the last probe has echoed its id. */
+  public boolean identifiesProbes() {
+    return identifiesProbes;
+  }
+
   /** Returns the number of requests of this instance that are at the server. */
   public int inFlight() {
     return inFlight.get();
--- a/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/AttemptRunner.java
@@ -9,12 +9,14 @@
 import org.apache.hc.core5.http.HttpException;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.connection.BackendConnection;
 import org.magnoliaswitch.core.crash.Verdict;
 import org.magnoliaswitch.core.peer.LeavingNotice;
 import org.magnoliaswitch.core.process.EjectionPolicy;
 import org.magnoliaswitch.core.process.EventKind;
 import org.magnoliaswitch.core.process.LeavingServers;
 import org.magnoliaswitch.core.process.LoadReport;
+import org.magnoliaswitch.core.process.RefusedResponses;
 import org.magnoliaswitch.core.process.RequestCrashes;
 import org.magnoliaswitch.core.process.RetryAfterHeader;
 import org.magnoliaswitch.core.process.ServerHandle;
@@ -29,7 +31,7 @@
   public static final String ATTEMPT_HEADER = "Request-Attempt";
 
   /** Request header with the id of the request. */
-  public static final String ID_HEADER = "X-Request-Id";
+  public static final String ID_HEADER = BackendConnection.ID_HEADER;
 
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
@@ -50,11 +52,17 @@
 
   private final Clocks clocks;
   private final Timeline timeline;
+  private final RefusedResponses refusedResponses;
   private final LeavingServers leaving;
   private final Runnable onLeavingChange;
 
   public AttemptRunner(
-      Clocks clocks, Timeline timeline, LeavingServers leaving, Runnable onLeavingChange) {
+      Clocks clocks,
+      Timeline timeline,
+      RefusedResponses refusedResponses,
+      LeavingServers leaving,
+      Runnable onLeavingChange) {
+    this.refusedResponses = refusedResponses;
     this.clocks = clocks;
     this.timeline = timeline;
     this.leaving = leaving;
@@ -106,6 +114,8 @@
       server.load().requestStarted();
       recordEvent(EventKind.ATTEMPT_SENT, "attempt=" + number);
       AttemptResult result = performExchange(slowAfterNanos, listener);
+      refusedResponses.record(
+          exchange.refusedResponses(), request.service().service().name(), server.id());
       recordResult(result, started);
       recordEvent(EventKind.ATTEMPT_ENDED, "attempt=" + number + " result=" + describe(result));
       return result;
@@ -115,7 +125,8 @@
       try {
         exchange.connect(
             request.idempotent() ? UNLIMITED_IDLE_NANOS : FRESH_CONNECTION_NANOS,
-            CONNECT_TIMEOUT_MILLIS);
+            CONNECT_TIMEOUT_MILLIS,
+            request.id());
         Verdict verdict = crashes.admit();
         // WAIT is rejected, too: waiting would block the thread and hold the connection.
         if (verdict == Verdict.REFUSED || verdict == Verdict.WAIT) {
--- a/core/src/main/java/org/magnoliaswitch/core/request/Exchange.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/Exchange.java
@@ -24,13 +24,14 @@
 import org.magnoliaswitch.core.clock.Clocks;
 import org.magnoliaswitch.core.connection.BackendConnection;
 import org.magnoliaswitch.core.connection.ConnectionPool;
+import org.magnoliaswitch.core.connection.RefusedResponse;
 
 /**
  * One request and its response on one connection.
  *
  * <p>The connection returns to its pool only after a complete response. In every other case it is
  * closed, so that a late or partly read response is never taken for the response to another
- * request.
+ * request. {@link BackendConnection} checks that a response belongs to the request.
  */
 public final class Exchange {
   /**
@@ -61,17 +62,24 @@
     return mayHaveSentBytes;
   }
 
+  /** The responses of the server that were not passed on. */
+  public List<RefusedResponse> refusedResponses() {
+    BackendConnection current = connection;
+    return current == null ? List.of() : current.refused();
+  }
+
   /** When the current connection was opened, or the current time if there is none. */
   public long connectionOpenedNanos() {
     BackendConnection current = connection;
     return current == null ? clocks.nanos() : current.openedNanos();
   }
 
-  /** Acquires an idle connection or opens a new one. */
-  public void connect(long maxIdleNanos, int connectTimeoutMillis) throws IOException {
+  /** Acquires an idle connection that has not carried the request's id, or opens a new one. */
+  public void connect(long maxIdleNanos, int connectTimeoutMillis, String requestId)
+      throws IOException {
     long remaining = TimeUnit.NANOSECONDS.toMillis(deadline.remaining(clocks.nanos()));
     int timeout = (int) Math.max(1, Math.min(connectTimeoutMillis, remaining));
-    connection = pool.acquire(maxIdleNanos, timeout);
+    connection = pool.acquire(maxIdleNanos, timeout, requestId);
     if (cancelled.get()) {
       releaseConnection(false);
       throw new IOException("the exchange was cancelled");
@@ -109,6 +117,10 @@
       return new Head(current.receiveHead());
     } catch (SocketTimeoutException e) {
       return null;
+    } finally {
+      if (current.receivedWithoutId()) {
+        pool.recordUnidentified();
+      }
     }
   }
 
@@ -240,11 +252,15 @@
     return current;
   }
 
+  /**
+   * The fields for the caller. The id is left out: it is that of this exchange, and the answer may
+   * be kept for a caller that repeats the request under another one.
+   */
   private static List<Field> endToEndFields(ClassicHttpResponse response) {
     List<Field> fields = new ArrayList<>();
     for (Header header : response.getHeaders()) {
       Field field = new Field(header.getName(), header.getValue() == null ? "" : header.getValue());
-      if (!field.hopByHop()) {
+      if (!field.hopByHop() && !field.hasName(BackendConnection.ID_HEADER)) {
         fields.add(field);
       }
     }
--- a/core/src/main/java/org/magnoliaswitch/core/request/HolderForwarder.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/HolderForwarder.java
@@ -10,6 +10,7 @@
 import org.magnoliaswitch.core.connection.ConnectionPool;
 import org.magnoliaswitch.core.peer.Address;
 import org.magnoliaswitch.core.peer.Member;
+import org.magnoliaswitch.core.process.RefusedResponses;
 
 /** Forwards a request to the instance whose incarnation holds its idempotency key. */
 public final class HolderForwarder implements KeyHolderClient {
@@ -21,10 +22,12 @@
   private static final long FRESH_CONNECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final Clocks clocks;
+  private final RefusedResponses refusedResponses;
   private final Map<Address, ConnectionPool> pools = new ConcurrentHashMap<>();
 
-  public HolderForwarder(Clocks clocks) {
+  public HolderForwarder(Clocks clocks, RefusedResponses refusedResponses) {
     this.clocks = clocks;
+    this.refusedResponses = refusedResponses;
   }
 
   @Override
@@ -34,7 +37,7 @@
             holder.callerAddress(), a -> new ConnectionPool(a.socket(), MAX_CONNECTIONS, clocks));
     Exchange exchange = new Exchange(pool, request.deadline(), clocks);
     try {
-      exchange.connect(FRESH_CONNECTION_NANOS, CONNECT_TIMEOUT_MILLIS);
+      exchange.connect(FRESH_CONNECTION_NANOS, CONNECT_TIMEOUT_MILLIS, request.id());
       exchange.send(Exchange.outbound(request, hopFields(request, holder)));
       Exchange.Head head = exchange.awaitHead(Long.MAX_VALUE);
       if (head == null) {
@@ -48,6 +51,9 @@
       return exchange.mayHaveSentBytes()
           ? new AttemptResult.Broken(e.toString())
           : new AttemptResult.NotSent(e.toString());
+    } finally {
+      refusedResponses.record(
+          exchange.refusedResponses(), request.service().service().name(), holder.instance());
     }
   }
 
--- a/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
+++ b/core/src/main/java/org/magnoliaswitch/core/request/RequestService.java
@@ -19,7 +19,11 @@
     this.timeline = state.timeline();
     AttemptRunner runner =
         new AttemptRunner(
-            control.clocks(), timeline, state.leaving(), control.gossip()::pushUpdate);
+            control.clocks(),
+            timeline,
+            state.refusedResponses(),
+            state.leaving(),
+            control.gossip()::pushUpdate);
     this.dispatcher =
         new Dispatcher(
             control.clocks(),
@@ -29,7 +33,7 @@
             state.crashes(),
             dataCentre,
             ThreadLocalRandom::current);
-    this.forwarder = new HolderForwarder(control.clocks());
+    this.forwarder = new HolderForwarder(control.clocks(), state.refusedResponses());
     this.dependencies =
         new AtMostOnceExecutor.Dependencies(
             control.issuer(),
--- a/core/src/test/java/org/magnoliaswitch/core/connection/ConnectionPoolTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/connection/ConnectionPoolTest.java
@@ -39,11 +39,11 @@
 
   @Test
   public void reusesMostRecentlyUsedConnection() throws IOException {
-    BackendConnection first = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS);
-    BackendConnection second = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS);
+    BackendConnection first = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r");
+    BackendConnection second = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r");
     pool.release(first);
     pool.release(second);
-    assertSame(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS), second);
+    assertSame(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r"), second);
   }
 
   /**
@@ -52,27 +52,27 @@
    */
   @Test
   public void opensNewConnectionWhenIdleOneIsTooOldForRequest() throws IOException {
-    BackendConnection idle = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS);
+    BackendConnection idle = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r");
     pool.release(idle);
     clock.advance(Duration.ofSeconds(1));
-    assertNotSame(pool.acquire(Duration.ofMillis(500).toNanos(), TIMEOUT_MILLIS), idle);
-    assertSame(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS), idle);
+    assertNotSame(pool.acquire(Duration.ofMillis(500).toNanos(), TIMEOUT_MILLIS, "r"), idle);
+    assertSame(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r"), idle);
   }
 
   /** A silent connection makes the pool distrust the connections whose last response is older. */
   @Test
   public void distrustedConnectionsWithoutLaterResponseAreClosed() throws IOException {
-    BackendConnection idle = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS);
+    BackendConnection idle = pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r");
     pool.release(idle);
     clock.advance(Duration.ofSeconds(1));
     pool.distrustIdleSince(clock.read());
-    assertNotSame(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS), idle);
+    assertNotSame(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r"), idle);
     assertEquals(pool.openConnections(), 1);
   }
 
   @Test
   public void unusedConnectionsAreEvicted() throws IOException {
-    pool.release(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS));
+    pool.release(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r"));
     clock.advance(Duration.ofSeconds(11));
     pool.evictUnusable();
     assertEquals(pool.openConnections(), 0);
@@ -84,7 +84,7 @@
    */
   @Test
   public void closesIdleConnectionsOfLeavingServer() throws IOException {
-    pool.release(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS));
+    pool.release(pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r"));
     clock.advance(Duration.ofMillis(1));
     pool.closeIdle();
     assertEquals(pool.openConnections(), 0);
@@ -92,11 +92,11 @@
 
   @Test
   public void staysWithinItsLimit() throws IOException {
-    pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS);
-    pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS);
+    pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r");
+    pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r");
     assertThrows(
         ConnectionPool.PoolExhaustedException.class,
-        () -> pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS));
+        () -> pool.acquire(UNLIMITED_NANOS, TIMEOUT_MILLIS, "r"));
   }
 
   private ConnectionPool pool(int limit) {
--- a/core/src/test/java/org/magnoliaswitch/core/process/PathDialerTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/process/PathDialerTest.java
@@ -79,6 +79,7 @@
             new LeavingServers(clocks),
             new CurrentVersion(new ContentCache(), timeline),
             timeline,
+            new RefusedResponses(timeline),
             new CrashWatch(clocks),
             new LastContact(clocks));
     PeerSecret secret = new PeerSecret("0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
--- a/core/src/test/java/org/magnoliaswitch/core/process/ProberTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/process/ProberTest.java
@@ -130,7 +130,7 @@
         try (ScriptedServer server = ScriptedServer.answering(twice(cut, 200))) {
           TestProber prober = new TestProber(server.port());
           ConnectionPool pool = prober.handle.pool();
-          BackendConnection connection = pool.acquire(Long.MAX_VALUE, 1_000);
+          BackendConnection connection = pool.acquire(Long.MAX_VALUE, 1_000, "r-0");
           assertEquals(exchange(connection, "r-0").getCode(), 200);
           pool.release(connection);
           int load = prober.loadAfterProbe();
@@ -153,7 +153,7 @@
         try (ScriptedServer server = ScriptedServer.answering(twice(cut, 500))) {
           TestProber prober = new TestProber(server.port());
           int unused = prober.loadAfterProbe();
-          BackendConnection connection = prober.handle.pool().acquire(Long.MAX_VALUE, 1_000);
+          BackendConnection connection = prober.handle.pool().acquire(Long.MAX_VALUE, 1_000, "r-0");
           int status = 0;
           try {
             status = exchange(connection, "r-0").getCode();
@@ -169,6 +169,44 @@
       assertEquals(wrong, List.of(), wrong.size() + " of " + length + " cuts");
     }
 
+    /** Guards against probes that lose connections of a server which echoes their ids. */
+    @Test
+    public void probesShareTheConnectionsOfRequests() throws Exception {
+      try (ScriptedServer server =
+          ScriptedServer.answering(received -> new Action.Send(answer(received, 200, OWN_LOAD)))) {
+        TestProber prober = new TestProber(server.port());
+        for (int i = 0; i < 3; i++) {
+          assertEquals(prober.loadAfterProbe(), OWN_LOAD);
+          BackendConnection connection = prober.handle.pool().acquire(Long.MAX_VALUE, 1_000, "");
+          assertEquals(exchange(connection, "r-" + i).getCode(), 200);
+          prober.handle.pool().release(connection);
+        }
+        assertEquals(server.connections(), 1);
+      }
+    }
+
+    /** Guards against probes that fail since a server echoes the ids of requests only. */
+    @Test
+    public void probesWithoutIdsAreReadOnNewConnections() throws Exception {
+      Function<Received, Action> answers =
+          received ->
+              new Action.Send(
+                  answer(
+                      received.probe() ? new Received(0, 0, "") : received,
+                      200,
+                      received.probe() ? OWN_LOAD : LATE_LOAD));
+      try (ScriptedServer server = ScriptedServer.answering(answers)) {
+        TestProber prober = new TestProber(server.port());
+        for (int i = 0; i < 3; i++) {
+          assertEquals(prober.loadAfterProbe(), OWN_LOAD);
+          BackendConnection connection = prober.handle.pool().acquire(Long.MAX_VALUE, 1_000, "");
+          assertEquals(exchange(connection, "r-" + i).getCode(), 200);
+          prober.handle.pool().release(connection);
+        }
+        assertEquals(server.connections(), 4, "one for each probe, one for all requests");
+      }
+    }
+
     /** A prober of one server. */
     private static final class TestProber {
       private final Prober prober;
@@ -190,6 +228,7 @@
                 new LeavingServers(clocks),
                 new CurrentVersion(new ContentCache(), timeline),
                 timeline,
+                new RefusedResponses(timeline),
                 new CrashWatch(clocks),
                 new LastContact(clocks));
         this.prober = new Prober(registry, state, clocks, () -> {});
--- a/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/request/DispatcherTest.java
@@ -9,28 +9,13 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.SplittableRandom;
-import java.util.function.IntFunction;
-import org.magnoliaswitch.core.clock.Clocks;
-import org.magnoliaswitch.core.clock.HybridClock;
-import org.magnoliaswitch.core.peer.MemberState;
-import org.magnoliaswitch.core.process.CrashWatch;
-import org.magnoliaswitch.core.process.LeavingServers;
-import org.magnoliaswitch.core.process.Membership;
-import org.magnoliaswitch.core.process.ServiceRegistry;
-import org.magnoliaswitch.core.process.ServiceState;
-import org.magnoliaswitch.core.process.Timeline;
+import org.magnoliaswitch.core.process.EventKind;
+import org.magnoliaswitch.core.process.TimelineEvent;
 import org.magnoliaswitch.core.testing.Declarations;
-import org.magnoliaswitch.core.testing.ScriptedServer;
 import org.magnoliaswitch.core.testing.ScriptedServer.Action;
-import org.magnoliaswitch.core.version.Profile;
 import org.magnoliaswitch.core.version.RequestKind;
 import org.magnoliaswitch.core.version.RetryPolicy;
-import org.magnoliaswitch.core.version.Snapshot;
-import org.magnoliaswitch.core.version.SnapshotParser;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -79,7 +64,7 @@
     }
 
     private static void assertRejectedAfterFirstCrashes(RequestKind kind) throws Exception {
-      try (TestSystem system = new TestSystem(ATTEMPTS + 2, n -> new Action.Crash())) {
+      try (DispatcherSystem system = new DispatcherSystem(ATTEMPTS + 2, n -> new Action.Crash())) {
         Outcome outcome = Outcome.UNKNOWN;
         for (int i = 0; i < ATTEMPTS; i++) {
           int before = system.requests();
@@ -124,7 +109,7 @@
     public void reportsActualOutcome(
         RequestKind kind, Action answer, int status, Outcome outcome, int requests)
         throws Exception {
-      try (TestSystem system = new TestSystem(1, n -> answer)) {
+      try (DispatcherSystem system = new DispatcherSystem(1, n -> answer)) {
         Reply reply = system.send(kind, 150);
         assertEquals(reply.status(), status);
         assertEquals(reply.outcome(), outcome);
@@ -137,7 +122,7 @@
     public void serverThatSentRetryAfterReceivesNoRequests() throws Exception {
       Action refusal =
           new Action.Send("HTTP/1.1 503 Full\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n");
-      try (TestSystem system = new TestSystem(1, n -> refusal)) {
+      try (DispatcherSystem system = new DispatcherSystem(1, n -> refusal)) {
         for (int i = 0; i < 5; i++) {
           assertEquals(system.send(Declarations.READ, 500).outcome(), Outcome.NOT_EXECUTED);
         }
@@ -152,7 +137,7 @@
     public void requestWithoutListeningServerIsNotExecuted() throws Exception {
       try (Socket reserved = new Socket()) {
         reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        TestSystem system = new TestSystem(reserved.getLocalPort());
+        DispatcherSystem system = new DispatcherSystem(reserved.getLocalPort());
         assertEquals(system.send(Declarations.BOOK, 500).outcome(), Outcome.NOT_EXECUTED);
       }
     }
@@ -175,7 +160,8 @@
     @Test(dataProvider = "faults")
     public void retriesOnlyWhatMayBeExecutedTwice(
         RequestKind kind, Action first, int status, int requests) throws Exception {
-      try (TestSystem system = new TestSystem(3, n -> n == 0 ? first : new Action.Send(COMPLETE))) {
+      try (DispatcherSystem system =
+          new DispatcherSystem(3, n -> n == 0 ? first : new Action.Send(COMPLETE))) {
         assertEquals(system.send(kind, 500).status(), status);
         assertEquals(system.requests(), requests);
       }
@@ -187,8 +173,8 @@
      */
     @Test
     public void outcomeStaysUnknownWhenRefusalFollowsBrokenAttempt() throws Exception {
-      try (TestSystem system =
-          new TestSystem(3, n -> n == 0 ? TRUNCATED : new Action.Send(REFUSED))) {
+      try (DispatcherSystem system =
+          new DispatcherSystem(3, n -> n == 0 ? TRUNCATED : new Action.Send(REFUSED))) {
         assertEquals(system.send(Declarations.READ, 500).outcome(), Outcome.UNKNOWN);
       }
     }
@@ -196,7 +182,7 @@
     /** Calls pass up to seven layers, so that retries at each layer would multiply. */
     @Test
     public void requestRetriedByOuterLayerIsNotRetried() throws Exception {
-      try (TestSystem system = new TestSystem(3, n -> new Action.Send(REFUSED))) {
+      try (DispatcherSystem system = new DispatcherSystem(3, n -> new Action.Send(REFUSED))) {
         system.send(Declarations.READ, 500, 2);
         assertEquals(system.requests(), 1);
       }
@@ -209,8 +195,9 @@
     @Test
     public void hedgeAnswersBeforeSilentServer() throws Exception {
       RetryPolicy hedging = new RetryPolicy(0.1, 2, true, 0.95);
-      try (TestSystem system =
-          new TestSystem(3, n -> n == 0 ? new Action.Hang() : new Action.Send(COMPLETE), hedging)) {
+      try (DispatcherSystem system =
+          new DispatcherSystem(
+              3, n -> n == 0 ? new Action.Hang() : new Action.Send(COMPLETE), hedging)) {
         assertEquals(system.send(Declarations.READ, 2_000).status(), 200);
         assertEquals(system.requests(), 2);
       }
@@ -219,7 +206,7 @@
     /** If every server refuses, further attempts stay within the reserve of the retry budget. */
     @Test
     public void retriesStayWithinBudget() throws Exception {
-      try (TestSystem system = new TestSystem(3, n -> new Action.Send(REFUSED))) {
+      try (DispatcherSystem system = new DispatcherSystem(3, n -> new Action.Send(REFUSED))) {
         for (int i = 0; i < 60; i++) {
           system.send(Declarations.READ, 500);
         }
@@ -231,22 +218,93 @@
   /** Reuse of connections and streamed answers. */
   public static final class Connections {
     @Test
-    public void connectionIsReusedAfterCompleteAnswer() throws Exception {
-      try (TestSystem system = new TestSystem(1, n -> new Action.Send(COMPLETE))) {
-        system.send(Declarations.READ, 500);
-        system.send(Declarations.READ, 500);
+    public void connectionIsReusedAfterCompleteAnswerWithItsId() throws Exception {
+      try (DispatcherSystem system = DispatcherSystem.echoing(COMPLETE)) {
+        system.send(Declarations.READ, 500, "r-1");
+        system.send(Declarations.READ, 500, "r-2");
         assertEquals(system.connections(), 1);
       }
     }
 
+    /** Guards against a late response that has the same id as the one to the later request. */
+    @Test
+    public void connectionIsNotReusedForTheSameId() throws Exception {
+      try (DispatcherSystem system = DispatcherSystem.echoing(COMPLETE)) {
+        system.send(Declarations.READ, 500, "r-1");
+        system.send(Declarations.READ, 500, "r-1");
+        assertEquals(system.connections(), 2);
+      }
+    }
+
+    /** Guards against a late response of a server whose responses cannot be told apart. */
+    @Test
+    public void connectionIsNotReusedAfterAnswerWithoutId() throws Exception {
+      try (DispatcherSystem system = new DispatcherSystem(1, n -> new Action.Send(COMPLETE))) {
+        system.send(Declarations.READ, 500, "r-1");
+        system.send(Declarations.READ, 500, "r-2");
+        assertEquals(system.connections(), 2);
+      }
+    }
+
+    /**
+     * Guards against refusals without an id that are reported as unknown each time, since the
+     * server echoes the id in its other responses.
+     */
+    @Test
+    public void refusalsWithoutIdAreHeardOnNewConnections() throws Exception {
+      try (DispatcherSystem system =
+          DispatcherSystem.answering(
+              received ->
+                  received.index() == 0
+                      ? new Action.Send(DispatcherSystem.withId(COMPLETE, received.id()))
+                      : new Action.Send(REFUSED))) {
+        assertEquals(system.send(Declarations.BOOK, 500, "r-1").status(), 200);
+        assertEquals(system.send(Declarations.BOOK, 500, "r-2").outcome(), Outcome.UNKNOWN);
+        for (int i = 3; i < 10; i++) {
+          assertEquals(
+              system.send(Declarations.BOOK, 500, "r-" + i).outcome(), Outcome.NOT_EXECUTED);
+        }
+      }
+    }
+
+    /** Guards against a time line that does not tell why a response was not passed on. */
+    @Test
+    public void refusedResponsesAreRecordedOnceForAnExchange() throws Exception {
+      try (DispatcherSystem system =
+          DispatcherSystem.answering(
+              received ->
+                  new Action.Send(
+                      DispatcherSystem.withId(COMPLETE, "other").repeat(2)
+                          + DispatcherSystem.withId(COMPLETE, received.id())))) {
+        assertEquals(system.send(Declarations.READ, 500, "r-1").status(), 200);
+        List<TimelineEvent> events =
+            system.timeline().events().stream()
+                .filter(event -> event.kind() == EventKind.RESPONSE_REFUSED)
+                .toList();
+        assertEquals(events.size(), 1);
+        assertEquals(events.getFirst().request(), "r-1");
+        assertEquals(events.getFirst().detail(), "reason=other_id echoed=other status=200 count=2");
+        assertEquals(system.refusedResponses().count(), 2);
+      }
+    }
+
+    /** Guards against the id of an earlier request in an answer that is kept. */
+    @Test
+    public void idIsNoPartOfTheAnswer() throws Exception {
+      try (DispatcherSystem system = DispatcherSystem.echoing(COMPLETE)) {
+        Reply reply = system.send(Declarations.BOOK, 500, "r-1");
+        assertTrue(reply.fields().stream().noneMatch(field -> field.hasName("X-Request-Id")));
+      }
+    }
+
     /**
      * The first request times out, but its answer may still arrive on the connection. If the
      * connection were reused, the next caller would receive that answer.
      */
     @Test
     public void connectionIsNotReusedAfterTimeout() throws Exception {
-      try (TestSystem system =
-          new TestSystem(1, n -> n == 0 ? new Action.Hang() : new Action.Send(COMPLETE))) {
+      try (DispatcherSystem system =
+          new DispatcherSystem(1, n -> n == 0 ? new Action.Hang() : new Action.Send(COMPLETE))) {
         system.send(Declarations.READ, 50);
         assertEquals(system.send(Declarations.READ, 10_000).status(), 200);
         assertEquals(system.connections(), 2);
@@ -257,7 +315,7 @@
     public void largeAnswerIsStreamed() throws Exception {
       String body = "x".repeat(200_000);
       Action large = new Action.Send("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + body);
-      try (TestSystem system = new TestSystem(1, n -> large)) {
+      try (DispatcherSystem system = new DispatcherSystem(1, n -> large)) {
         Reply.Body.Streaming stream =
             (Reply.Body.Streaming) system.send(Declarations.READ, 500).body();
         try (InputStream in = stream.stream()) {
@@ -273,7 +331,7 @@
       Action truncated =
           new Action.SendAndClose(
               "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + "x".repeat(200_000));
-      try (TestSystem system = new TestSystem(1, n -> truncated)) {
+      try (DispatcherSystem system = new DispatcherSystem(1, n -> truncated)) {
         Reply.Body.Streaming stream =
             (Reply.Body.Streaming) system.send(Declarations.READ, 500).body();
         org.testng.Assert.assertThrows(IOException.class, () -> stream.stream().readAllBytes());
@@ -281,105 +339,4 @@
       }
     }
   }
-
-  /** A dispatcher with raw servers that share one sequence of answers. */
-  private static final class TestSystem implements AutoCloseable {
-    private final List<ScriptedServer> servers = new ArrayList<>();
-    private final Clocks clocks = Clocks.system();
-    private final ServiceState service;
-    private final Dispatcher dispatcher;
-    private final java.util.concurrent.atomic.AtomicInteger nextAnswer =
-        new java.util.concurrent.atomic.AtomicInteger();
-
-    TestSystem(int count, IntFunction<Action> answers) throws Exception {
-      this(count, answers, Declarations.profile().retry());
-    }
-
-    TestSystem(int count, IntFunction<Action> answers, RetryPolicy retry) throws Exception {
-      for (int i = 0; i < count; i++) {
-        servers.add(new ScriptedServer(n -> answers.apply(nextAnswer.getAndIncrement())));
-      }
-      int[] ports = servers.stream().mapToInt(ScriptedServer::port).toArray();
-      this.service = service(ports, retry);
-      this.dispatcher = dispatcher();
-    }
-
-    /** Creates a dispatcher with one port on which no server listens. */
-    TestSystem(int port) throws Exception {
-      this.service = service(new int[] {port}, Declarations.profile().retry());
-      this.dispatcher = dispatcher();
-    }
-
-    private ServiceState service(int[] ports, RetryPolicy retry) throws Exception {
-      Profile base = Declarations.profile();
-      Profile profile =
-          new Profile(
-              base.name(),
-              base.routing(),
-              base.measuring(),
-              base.admission(),
-              retry,
-              base.keys(),
-              base.refusalStatuses(),
-              base.kinds());
-      Snapshot snapshot =
-          SnapshotParser.parse(1, "d", Declarations.parts(profile, Declarations.service(ports)));
-      Membership membership =
-          new Membership(
-              new org.magnoliaswitch.core.peer.Member(
-                  "me", "i", "dc-1", "127.0.0.1", 1, 2, 3, 0, MemberState.SERVING),
-              clocks);
-      ServiceRegistry registry = new ServiceRegistry(membership, clocks);
-      registry.apply(snapshot);
-      return registry.state().services().get("booking");
-    }
-
-    private Dispatcher dispatcher() {
-      Timeline timeline = new Timeline("i", new HybridClock(clocks.wall()), 100);
-      LeavingServers leaving = new LeavingServers(clocks);
-      AttemptRunner runner = new AttemptRunner(clocks, timeline, leaving, () -> {});
-      SplittableRandom random = new SplittableRandom(1);
-      return new Dispatcher(
-          clocks, timeline, leaving, runner, new CrashWatch(clocks), "dc-1", () -> random);
-    }
-
-    Reply send(RequestKind kind, long deadlineMillis) {
-      return send(kind, deadlineMillis, 1);
-    }
-
-    Reply send(RequestKind kind, long deadlineMillis, int attempt) {
-      return dispatcher.dispatch(
-          new InboundRequest(
-              "r",
-              kind.method(),
-              "/booking/book",
-              List.of(),
-              new InboundRequest.Body.Buffered(new byte[3]),
-              service,
-              kind,
-              Deadline.after(clocks.nanos(), deadlineMillis),
-              new InboundRequest.Attempt(attempt, true, ""),
-              Optional.empty(),
-              "10.0.0.1"));
-    }
-
-    int requests() {
-      return servers.stream().mapToInt(ScriptedServer::requests).sum();
-    }
-
-    int connections() {
-      return servers.stream().mapToInt(ScriptedServer::connections).sum();
-    }
-
-    int inFlight() {
-      return service.admission().inFlight();
-    }
-
-    @Override
-    public void close() throws IOException {
-      for (ScriptedServer server : servers) {
-        server.close();
-      }
-    }
-  }
 }
--- a/core/src/test/java/org/magnoliaswitch/core/testing/ScriptedServer.java
+++ b/core/src/test/java/org/magnoliaswitch/core/testing/ScriptedServer.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.IntFunction;
@@ -20,6 +21,9 @@
     /** Sends bytes and keeps the connection open. */
     record Send(String bytes) implements Action {}
 
+    /** Sends bytes, and further ones once a test lets it. */
+    record SendInTwoParts(String first, CountDownLatch second, String bytes) implements Action {}
+
     /** Sends bytes and closes the connection. */
     record SendAndClose(String bytes) implements Action {}
 
@@ -125,6 +129,11 @@
             actions.apply(new Received(requests.getAndIncrement(), onConnection++, head));
         switch (action) {
           case Action.Send send -> write(socket, send.bytes());
+          case Action.SendInTwoParts send -> {
+            write(socket, send.first());
+            send.second().await();
+            write(socket, send.bytes());
+          }
           case Action.SendAndClose send -> {
             write(socket, send.bytes());
             return;
@@ -142,6 +151,8 @@
     } catch (IOException e) {
       // Some tests close the client's end on purpose.
       return;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
--- a/entry/src/main/java/org/magnoliaswitch/entry/CallerHandler.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/CallerHandler.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -18,6 +19,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.process.ControlPlane;
+import org.magnoliaswitch.core.request.AttemptRunner;
 import org.magnoliaswitch.core.request.Field;
 import org.magnoliaswitch.core.request.InboundRequest;
 import org.magnoliaswitch.core.request.Outcome;
@@ -101,7 +103,7 @@
     boolean overloaded = inFlight.incrementAndGet() > MAX_IN_FLIGHT;
     long startNanos = control.clocks().nanos();
     try {
-      Reply reply = overloaded ? rejectOverload(request) : serve(request);
+      Reply reply = withRequestId(request, overloaded ? rejectOverload(request) : serve(request));
       write(request, response, reply);
       recordMetrics(reply, startNanos);
       callback.succeeded();
@@ -116,6 +118,18 @@
     return true;
   }
 
+  /**
+   * Returns the reply with the id of the request. Another entry that has forwarded the request does
+   * not accept a reply without it on a connection that it uses again.
+   */
+  private static Reply withRequestId(Request request, Reply reply) {
+    boolean present = reply.fields().stream().anyMatch(f -> f.hasName(AttemptRunner.ID_HEADER));
+    Optional<String> id = RequestReader.requestedId(request);
+    return present || id.isEmpty()
+        ? reply
+        : reply.withField(new Field(AttemptRunner.ID_HEADER, id.get()));
+  }
+
   private void requestFinished() {
     if (inFlight.decrementAndGet() == 0) {
       CompletableFuture<Void> future = idle.get();
@@ -154,7 +168,7 @@
 
   private Reply forward(InboundRequest inbound) {
     Reply reply = requests.serve(inbound);
-    Reply withRequestId = reply.withField(new Field("X-Request-Id", inbound.id()));
+    Reply withRequestId = reply.withField(new Field(AttemptRunner.ID_HEADER, inbound.id()));
     // Only the instance that issued a key may execute its request, so a stopping instance issues no
     // keys: it may be gone before they are used.
     return inbound.idempotent() || !ready
--- a/entry/src/main/java/org/magnoliaswitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/EntryMetrics.java
@@ -3,6 +3,7 @@
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.magnoliaswitch.core.process.ControlPlane;
+import org.magnoliaswitch.core.process.RefusedResponses;
 import org.magnoliaswitch.core.request.Outcome;
 import org.magnoliaswitch.core.request.Reply;
 
@@ -62,6 +64,11 @@
         .register(registry);
     Gauge.builder("magnolia.peer.refused", () -> control.traffic().rejected().get())
         .register(registry);
+    FunctionCounter.builder(
+            "magnolia.responses.refused",
+            control.state().refusedResponses(),
+            RefusedResponses::count)
+        .register(registry);
     Gauge.builder("magnolia.probes", () -> control.prober().probesSent()).register(registry);
     Gauge.builder("magnolia.claim.transactions", () -> control.batcher().transactions())
         .register(registry);
--- a/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
@@ -167,9 +167,14 @@
   }
 
   private static String id(Request request) {
-    String header = request.getHeaders().get(AttemptRunner.ID_HEADER);
-    boolean valid = header != null && header.matches("[A-Za-z0-9._:-]{1,100}");
-    return valid ? header : Long.toHexString(ThreadLocalRandom.current().nextLong());
+    return requestedId(request)
+        .orElseGet(() -> Long.toHexString(ThreadLocalRandom.current().nextLong()));
+  }
+
+  /** Returns the id that the caller has given to its request, if it is valid. */
+  static Optional<String> requestedId(Request request) {
+    return Optional.ofNullable(request.getHeaders().get(AttemptRunner.ID_HEADER))
+        .filter(header -> header.matches("[A-Za-z0-9._:-]{1,100}"));
   }
 
   private static Deadline deadline(Request request, RequestKind kind, long now) {
--- a/entry/src/test/java/org/magnoliaswitch/entry/CallerContractTest.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/CallerContractTest.java
@@ -80,6 +80,22 @@
     assertTrue(outcome.isEmpty() || response.contains("Request-Outcome: " + outcome), response);
   }
 
+  /**
+   * Guards against replies that an entry which has forwarded a request does not accept, and against
+   * the id of the server's response beside that of the request.
+   */
+  @Test(dataProvider = "requests")
+  public void answersCarryTheIdOfTheRequestOnce(
+      String method, String path, String fields, String body, int status, String outcome)
+      throws Exception {
+    // A header that is too large is refused before its fields are read.
+    if (!outcome.isEmpty()) {
+      String response = entry.send(method, path, fields + "X-Request-Id: id-1\r\n", body);
+      assertEquals(response.split("X-Request-Id: ", -1).length, 2, response);
+      assertTrue(response.contains("X-Request-Id: id-1\r\n"), response);
+    }
+  }
+
   /**
    * The body is longer than all buffers between caller and entry. If the entry responded before it
    * has read the body, the connection would be reset, and the caller would not know whether the
--- a/entry/src/test/java/org/magnoliaswitch/entry/LateResponseTest.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/LateResponseTest.java
@@ -1,6 +1,7 @@
 package org.magnoliaswitch.entry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,6 +19,7 @@
 /** Tests callers of an entry whose backend servers answer twice, the second time late. */
 public final class LateResponseTest {
   private static final int REQUESTS = 40;
+  private static final int SERVERS = 3;
 
   @DataProvider
   public static Object[][] servers() {
@@ -43,10 +45,26 @@
           wrong.add(i + ": " + response.lines().findFirst().orElse("none"));
         }
       }
+      long refused = entry.control().state().refusedResponses().count();
+      assertEquals(refused > 0, echoes, refused + " responses were skipped");
     }
     assertEquals(wrong, List.of(), wrong.size() + " of " + REQUESTS + " requests");
   }
 
+  /** Guards against a new connection for each request to servers that echo its id. */
+  @Test(timeOut = 120_000)
+  public void connectionsOfServersThatEchoIdsAreReused() throws Exception {
+    CuttableLinks links = new CuttableLinks();
+    try (RunningEntry entry = new RunningEntry(links)) {
+      for (int i = 0; i < REQUESTS; i++) {
+        String response = entry.send("GET", "/booking/slots", "", "");
+        assertTrue(response.startsWith("HTTP/1.1 200"), response);
+      }
+      // One for the requests and one for the first probe to each server.
+      assertTrue(links.opened() <= 2 * SERVERS, links.opened() + " connections");
+    }
+  }
+
   /** Sends each response again in front of the next one on the connection. */
   private static final class TwiceAnsweringServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
--- a/standins/src/main/java/org/magnoliaswitch/standins/BackendStandin.java
+++ b/standins/src/main/java/org/magnoliaswitch/standins/BackendStandin.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.connection.BackendConnection;
 import org.magnoliaswitch.core.process.LoadReport;
 
 /**
@@ -213,6 +214,11 @@
     LoadReport report = new LoadReport(inFlight, slots.capacity(), current.draining());
     response.getHeaders().put(new HttpField(LoadReport.HEADER, report.format()));
     response.getHeaders().put("Server-Id", id);
+    String requestId = response.getRequest().getHeaders().get(BackendConnection.ID_HEADER);
+    if (requestId != null) {
+      // Entries reuse the connections of servers that echo the id only.
+      response.getHeaders().put(BackendConnection.ID_HEADER, requestId);
+    }
     if (current.draining()) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
