A rejection without an id is believed only in a connection's first exchange

What callers saw: 503, "not executed", for a request that may run once and that its server executed.

Cause: a rejection without an id was taken for that of the pending request while nothing on the connection was out of order. Health checks carry no id: a server that rejects one, answers it a second time, late, and gets a request on the same connection meanwhile, seems to reject the request. A second answer without an id to an earlier request does the same.

Why it works: on a connection that has carried nothing else there is no other exchange that such a rejection could answer. Behind another one it ends the exchange: an idempotent request is sent to another server, any other gets 502. Entries have the same rule already. Servers that echo the id in their rejections notice nothing.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ResponseMatcher.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ResponseMatcher.java
@@ -30,6 +30,7 @@
   private final HeaderNames names;
   private final SentIds sentIds = new SentIds();
   private Optional<String> pendingId = Optional.empty();
+  private int exchanges;
   private boolean outOfSync;
 
   ResponseMatcher(HeaderNames names) {
@@ -43,6 +44,7 @@
 
   /** Records that a request is sent. */
   void sent(Optional<String> id) {
+    exchanges++;
     pendingId = id;
     id.ifPresent(sentIds::add);
   }
@@ -70,14 +72,18 @@
       return echoed.isEmpty();
     }
     if (echoed.isEmpty()) {
-      // Only a rejection may lack the id; any other response could belong to another request.
-      return !outOfSync
-          && (response.headers().contains(names.notExecuted())
-              || response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code());
+      // Only a rejection may lack the id, and only where no earlier exchange, a health check among
+      // them, could be answered by it a second time.
+      return exchanges == 1 && isRejection(response);
     }
     return echoed.equals(pendingId.get());
   }
 
+  private boolean isRejection(HttpResponse response) {
+    return response.headers().contains(names.notExecuted())
+        || response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+  }
+
   /**
    * Whether responses to further requests can be told from late ones. A late copy of a rejection
    * without an id could be taken for the rejection of the next request.
--- a/front/src/test/java/org/magnoliaswitch/front/request/LateResponseTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/LateResponseTest.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.magnoliaswitch.front.testing.RunningFront;
 import org.magnoliaswitch.front.testing.ScriptedServer;
@@ -53,6 +55,45 @@
     }
   }
 
+  /** Each row: a second response without an id. */
+  @DataProvider
+  public Object[][] secondResponsesWithoutId() {
+    return new Object[][] {
+      {"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+      {"HTTP/1.1 421 X\r\nServer-Id: other\r\nContent-Length: 0\r\n\r\n"},
+      {"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"},
+      {"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nold"},
+    };
+  }
+
+  /**
+   * Guards against an executed request that its caller is told was not: the server answers the
+   * exchange before it on the connection, mostly a health check, a second time and without an id.
+   */
+  @Test(dataProvider = "secondResponsesWithoutId", timeOut = 20_000)
+  public void secondResponseWithoutAnIdIsNotThatOfTheRequest(String second) throws IOException {
+    List<ScriptedServer.Received> earlier = new CopyOnWriteArrayList<>();
+    AtomicBoolean answeredTwice = new AtomicBoolean();
+    Script script =
+        r -> {
+          boolean follows = earlier.stream().anyMatch(r::sharesConnectionWith);
+          earlier.add(r);
+          if (follows && !r.healthCheck()) {
+            answeredTwice.set(true);
+            r.write(second);
+          }
+          return r.respond(200, "own");
+        };
+    try (ScriptedServer server = new ScriptedServer("a", script)) {
+      RunningFront front = new RunningFront(LONG_TIMEOUT_MILLIS, server);
+      for (int i = 0; !answeredTwice.get(); i++) {
+        int status = status(front.request("POST", "/once/" + i, LONG_TIMEOUT_MILLIS));
+        assertEquals(status, answeredTwice.get() ? 502 : 200);
+        assertEquals(server.received().size(), i + 1);
+      }
+    }
+  }
+
   /** Guards against a late response to the request before, or a failure for its sake. */
   @Test
   public void lateResponseToTheRequestBeforeIsSkipped() throws IOException {
