A status line of another protocol spoils a response

What callers saw: a status that no client can read, 20 or 0 for example, or a success whose head had been spoiled by its server (HTTP/2.0 200 on a connection of HTTP/1.1, HHTTP/1.1 200).

Cause: the decoder takes any protocol's name and version and any integer, and the status is passed on. Class: a spoiled head is believed in part, as with a header line without a colon.

Why it works: versions other than 1.0 and 1.1 and statuses that RFC 9110 does not know end the exchange before any of the head counts.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.net.ProtocolException;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 
@@ -57,12 +58,20 @@
       connection.decoded(readable - in.readableBytes());
     }
     for (Object message : out.subList(before, out.size())) {
-      if (message instanceof HttpResponse head && ResponseHeads.containStatusLine(head)) {
-        head.setDecoderResult(DecoderResult.failure(new JoinedHeadsException()));
+      if (message instanceof HttpResponse head) {
+        checkHead(head);
       }
     }
   }
 
+  private static void checkHead(HttpResponse head) {
+    if (ResponseHeads.containStatusLine(head)) {
+      head.setDecoderResult(DecoderResult.failure(new JoinedHeadsException()));
+    } else if (ResponseHeads.hasUnknownStatusLine(head) && head.decoderResult().isSuccess()) {
+      head.setDecoderResult(DecoderResult.failure(new ProtocolException("unknown status line")));
+    }
+  }
+
   /**
    * Refuses a header line without a colon behind its name, which the decoder of responses would
    * otherwise take for a header without a value: the head is spoiled, and its status, too, may be.
--- a/front/src/test/java/org/magnoliaswitch/front/connection/SpoiledHeadsTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/SpoiledHeadsTest.java
@@ -29,4 +29,30 @@
       assertEquals(connection.statuses(), List.of(0), before);
     }
   }
+
+  /** Each row: the beginning of a status line. */
+  @DataProvider
+  public Object[][] statusLines() {
+    return new Object[][] {
+      {"HTTP/2.0 200"},
+      {"HTTP/0.9 200"},
+      {"HTTP/11.1 200"},
+      {"HHTTP/1.1 200"},
+      {"HTTP/1.1 20"},
+      {"HTTP/1.1 2000"},
+      {"HTTP/1.1 0"},
+      {"HTTP/1.1 -200"},
+      {"HTTP/1.1 600"},
+    };
+  }
+
+  /** Guards against a spoiled status that is passed on, which callers cannot read. */
+  @Test(dataProvider = "statusLines")
+  public void unknownStatusLineIsRefused(String beginning) {
+    EmbeddedServer connection = new EmbeddedServer();
+    connection.send(HttpMethod.POST, "one");
+    connection.receive(EmbeddedServer.response("one").replace("HTTP/1.1 200", beginning));
+    assertEquals(connection.statuses(), List.of(0));
+    assertEquals(connection.closed, 1);
+  }
 }
