A status line within a skipped response ends the exchange

What callers saw: a success where their server had answered with a failure, if a late second response to an earlier request broke off in its body, the failure filled the rest of that body exactly, and the server answered twice again.

Cause: the body of a skipped response was read without a look at it. What continues it is the response to the pending request, and the next response with the id is a second one.

Evidence: ServerConnectionTest, responseWithinASkippedBodyEndsTheExchange, failed before (200 for the 500); it passes now, also with bytes one by one. A unit test only; not seen on servers.

Why it works: a response that continues a broken one brings its status line into the body that is skipped.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -65,6 +65,7 @@
   private final ResponseMatcher matcher;
   private final Optional<InetSocketAddress> relay;
   private final BodyBuffer body;
+  private final StatusLineScanner skippedBody = new StatusLineScanner();
   private @Nullable PendingRequest pending;
   private @Nullable HttpResponse head;
   private boolean skipping;
@@ -291,6 +292,7 @@
 
   private void skip() {
     skipping = true;
+    skippedBody.reset();
     head = null;
     if (++skipped > MAX_SKIPPED_RESPONSES) {
       fail("endless");
@@ -320,6 +322,10 @@
       return;
     }
     HttpResponse response = head;
+    if (skipping && skippedBody.findIn(content.content())) {
+      // The skipped response broke off, and what continues it may answer the pending request.
+      fail("unidentified");
+    }
     if (skipping || response == null) {
       return;
     }
--- /dev/null
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/StatusLineScanner.java
@@ -0,0 +1,51 @@
+package org.magnoliaswitch.front.connection;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Finds a status line of HTTP/1.0 or HTTP/1.1 in a body that arrives in parts.
+ *
+ * <p>The body of a response that breaks off is continued by the next response on its connection.
+ */
+final class StatusLineScanner {
+  /** A status line up to its status; {@code #} stands for a digit. */
+  private static final String STATUS_LINE = "HTTP/1.# ###";
+
+  private static final char DIGIT = '#';
+
+  /** Number of characters of the status line that the last bytes match. */
+  private int matched;
+
+  /** Begins a new body. */
+  void reset() {
+    matched = 0;
+  }
+
+  /**
+   * Reads a part of the body.
+   *
+   * @return whether a status line ends in this part
+   */
+  boolean findIn(ByteBuf part) {
+    return part.forEachByte(this::noStatusLineEndsAt) >= 0;
+  }
+
+  private boolean noStatusLineEndsAt(byte next) {
+    if (matches(next)) {
+      matched++;
+    } else {
+      // No proper suffix of a beginning of the status line is a beginning itself.
+      matched = next == STATUS_LINE.charAt(0) ? 1 : 0;
+    }
+    if (matched < STATUS_LINE.length()) {
+      return true;
+    }
+    matched = 0;
+    return false;
+  }
+
+  private boolean matches(byte next) {
+    char expected = STATUS_LINE.charAt(matched);
+    return expected == DIGIT ? next >= '0' && next <= '9' : next == expected;
+  }
+}
--- a/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/ServerConnectionTest.java
@@ -176,6 +176,44 @@
       assertEquals(connection.closed, 1);
     }
 
+    /**
+     * Guards against a success in place of a failure: a late response that breaks off in its body
+     * takes up the failure, and the second response to the request is believed, also where the
+     * bytes arrive one by one.
+     */
+    @Test
+    public void responseWithinASkippedBodyEndsTheExchange() {
+      String failure = response("500 Internal Server Error", "two", true);
+      String cut = response("one").replace("Length: 2", "Length: " + (1 + failure.length()));
+      String late = cut.substring(0, cut.length() - 1) + failure + response("two");
+      for (int part : List.of(1, 7, late.length())) {
+        EmbeddedServer connection = new EmbeddedServer();
+        connection.send(HttpMethod.POST, "one");
+        connection.receive(response("one"));
+        connection.send(HttpMethod.POST, "two");
+        for (int from = 0; from < late.length(); from += part) {
+          connection.receive(late.substring(from, Math.min(late.length(), from + part)));
+        }
+        assertEquals(connection.statuses(), List.of(200, 0), "parts of " + part);
+        assertEquals(connection.closed, 1);
+      }
+    }
+
+    /** Guards against a late response whose body is taken for a response because of its text. */
+    @Test
+    public void skippedBodyWithoutAStatusLineDoesNotEndTheExchange() {
+      EmbeddedServer connection = new EmbeddedServer();
+      connection.send(HttpMethod.POST, "one");
+      connection.receive(response("one"));
+      connection.send(HttpMethod.POST, "two");
+      for (String text : List.of("HTTP/1.1 is spoken", "HTTP/1.1", "HTTP/1.1  200", "HHTTP/1.1")) {
+        String late = response("one").replace("Length: 2", "Length: " + text.length());
+        connection.receive(late.substring(0, late.length() - 2) + text);
+      }
+      connection.receive(response("two"));
+      assertEquals(connection.statuses(), List.of(200, 200));
+    }
+
     /** Guards against a late copy of a rejection that is taken for that of the next request. */
     @Test
     public void connectionOfARejectionWithoutAnIdIsNotReused() {
