Entries end an exchange at a response with an unknown id, or after HEAD

What callers saw: a success where their server had answered with a failure, if the id in the failure was spoiled and the server answered a second time; and an answer lost behind a late response to HEAD.

Cause: an entry skipped every response with another id, also one that its connection had never carried, which may be the pending request's own. A late response to HEAD has a length but no body, so the next response was skipped as its body. Class: as in the incident; the front had the same two faults.

Evidence: LateResponsesTest, responseAfterOneWithAnUnknownIdIsNotBelieved and connectionIsNotReusedAfterHead, failed before; they pass now. The second was found by the review of the incident.

Why it works: only an id that the connection has carried proves that a response is a late one.

--- a/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
@@ -29,9 +30,12 @@
  *
  * <p>A server may send a second, late response to an earlier request in the place of the response
  * to the pending one. A response is therefore accepted only if it echoes the id of the pending
- * request; one with another id is skipped. A response without an id is accepted only to the first
- * request on a connection, since nothing else can be answered there. After both, the connection
- * carries no further exchange. No connection carries an id twice.
+ * request; one with the id of an earlier request is skipped. One with an id that the connection
+ * never carried ends the exchange: it may be the response to the pending request, so that a later
+ * one would be a second one that differs. A response without an id is accepted only to the first
+ * request on a connection, since nothing else can be answered there. After each of these, and after
+ * HEAD, whose late response would have a length but no body, the connection carries no further
+ * exchange. No connection carries an id twice.
  */
 public final class BackendConnection {
   /** Request header with the id of the request, which the response must echo. */
@@ -139,6 +143,7 @@
       throw new ProtocolException("the connection has carried a request with this id");
     }
     firstExchange = sentIds.isEmpty();
+    inSync &= !Method.HEAD.isSame(request.getMethod());
     sentIds.add(pendingId);
     skipped = 0;
     refused.clear();
@@ -177,6 +182,9 @@
     String echoed = ResponseHead.echoedId(response, pendingId);
     if (!echoed.isEmpty() && !echoed.equals(pendingId)) {
       refuse(response, RefusedResponse.Reason.OTHER_ID);
+      if (!sentIds.contains(echoed)) {
+        throw new ProtocolException("a response with an id that the connection has not carried");
+      }
       return false;
     }
     identified = !echoed.isEmpty();
