Entries send reads without a body again when their server fails

What callers saw: 502 for a read whose server had cut its answer off, although other servers were there to answer it.

Cause: a request with neither Content-Length nor Transfer-Encoding has no body, but its length is reported as -1, as that of a body in chunks. The entry took it for a stream that can be sent once, and forwarded it with an empty body in chunks. Requests whose body is a stream are neither sent again nor hedged.

Evidence: CallerContractTest.readsWithoutABodyAreSentAgain; with all servers cutting their answers off, one server executed the read before and three do now, the attempts of the profile. Hedging asks for the same property and was not tested by itself.

Why it works: the length alone no longer decides; without Transfer-Encoding the body is empty (RFC 9112, section 6.3), and an empty body is held in memory and can be sent again.

--- a/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
+++ b/entry/src/main/java/org/magnoliaswitch/entry/RequestReader.java
@@ -149,7 +149,10 @@
 
   private static InboundRequest.Body body(Request request, RequestKind kind) throws IOException {
     long length = request.getLength();
-    if (length == 0) {
+    // Without either field a request has no body (RFC 9112, section 6.3), but its length is -1 as
+    // that of a chunked one, which cannot be sent again.
+    boolean chunked = request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    if (length == 0 || (length < 0 && !chunked)) {
       return new InboundRequest.Body.Buffered(new byte[0]);
     }
     InputStream stream = Content.Source.asInputStream(request);
--- a/entry/src/test/java/org/magnoliaswitch/entry/CallerContractTest.java
+++ b/entry/src/test/java/org/magnoliaswitch/entry/CallerContractTest.java
@@ -165,6 +165,16 @@
     assertTrue(book("t-cut", "body").contains("Request-Outcome: unknown"));
   }
 
+  /** Guards against reads without a body that are not sent again when their server fails. */
+  @Test
+  public void readsWithoutABodyAreSentAgain() throws Exception {
+    entry.faults("{\"cutShare\": 1}");
+    String response = entry.send("GET", "/booking/slots", "Operation-Id: read-cut\r\n", "");
+    assertEquals(status(response), 502, response);
+    String executions = entry.executions();
+    assertTrue(executions.contains("read-cut 3\n"), executions);
+  }
+
   /** All servers reject the booking, so it was not executed and its key can be used again. */
   @Test
   public void aRejectedBookingLeavesItsKeyUsable() throws Exception {
