A request whose caller has left ends with its timeout

At a server that hangs, each request that may run once and whose caller had left kept its connection and its place among the requests in flight until the connection ended, so that the server looked busier than it was (by reading) and was offered fewer requests.

Cause: when a caller leaves, the timer of its request is cancelled. A request that may run once is not cancelled at its server, since a partial execution may do harm, and nothing else ended it.

Evidence: DepartedCallerTest. The test advances the clock to the timeout; that a server has its whole time until then has no test.

Why it works: the attempt gets a timer of its own for the time that is left, and then ends as if the caller had stayed until its timeout: the server is recorded as failing and the connection closes after the same 1.5 s. The timer is cancelled when the attempt ends earlier.

--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -21,6 +21,7 @@
 import org.magnoliaswitch.front.load.Placement;
 import org.magnoliaswitch.front.load.ServerNotice;
 import org.magnoliaswitch.front.load.ServiceLoad;
+import org.magnoliaswitch.front.loop.Loop;
 import org.magnoliaswitch.front.process.Environment;
 
 /** One attempt to have a request served by one backend server. */
@@ -35,8 +36,8 @@
   private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
   /**
-   * Time for which a server may continue a non-idempotent request after its caller has received the
-   * final response.
+   * Time for which a server may continue a non-idempotent request after its timeout, when its
+   * caller has received the final response or has left.
    */
   private static final long TIMED_OUT_GRACE_MILLIS = 1_500;
 
@@ -56,6 +57,7 @@
   private double slownessWhenSent = 1;
   private boolean trial;
   private boolean ended;
+  private Optional<Loop.Timer> departedCallerTimer = Optional.empty();
 
   Attempt(
       RoutedExchange exchange,
@@ -153,6 +155,17 @@
     }
   }
 
+  /**
+   * Called when the caller of a non-idempotent request has left. Its server may complete it within
+   * the time that it was given; without a limit, a server that hangs would keep its connection and
+   * its count of requests in flight for ever.
+   */
+  void callerLeft() {
+    departedCallerTimer =
+        Optional.of(
+            environment.loop().after(exchange.remainingNanos(), () -> callerTimedOut(false)));
+  }
+
   private void handleConnected(ServerConnection opened) {
     if (ended || !exchange.awaitsResponse() || !pool.state().acceptsWork()) {
       pool.release(opened);
@@ -322,6 +335,7 @@
 
   private void end() {
     ended = true;
+    departedCallerTimer.ifPresent(Loop.Timer::cancel);
     pool.state().requestEnded();
   }
 }
--- a/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/RoutedExchange.java
@@ -113,6 +113,8 @@
     // Cancelled only if idempotent, since a partial execution of other requests may do harm.
     if (route.idempotent()) {
       executionState.cancelAll();
+    } else {
+      executionState.open().forEach(Attempt::callerLeft);
     }
     reportEnd("caller_left", 0);
     access.giveBack();
