Requests with a transfer coding other than chunked are rejected

What callers saw: the bytes behind the head of a request with Transfer-Encoding identity, gzip or xchunked and no length were read as a further request, which ran. With gzip beside chunked, the body was passed on without its coding.

Cause: the decoder knows bodies in chunks and bodies with a length. It takes any other for an empty one, and ignores codings beside chunked, while the header is not forwarded.

Evidence: CallerConnectionTest.bodyInAnUnknownTransferEncodingIsNotReadAsRequest, 7 of 7 rows failed before; all pass now. bodyInChunksIsAccepted passed before and does now.

Why it works: only the single coding chunked is accepted. The others get 400 and the connection closes, so nothing behind their heads is read. RFC 9112 asks for 400 where chunked is not the last coding; for a known coding before chunked it suggests 501, which is not told apart here.

--- a/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -198,6 +200,10 @@
       reject(HttpResponseStatus.BAD_REQUEST, "host", request);
       return;
     }
+    if (!hasSupportedTransferCoding(headers)) {
+      reject(HttpResponseStatus.BAD_REQUEST, "transfer_encoding", request);
+      return;
+    }
     long contentLength = HttpUtil.getContentLength(request, 0L);
     if (contentLength > listener.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body", request);
@@ -214,6 +220,18 @@
     }
   }
 
+  /**
+   * Whether the body has no transfer coding other than chunked. The decoder takes a body without
+   * that coding for an empty one and its bytes for further requests (RFC 9112, section 6.3); it
+   * removes no other coding, so that servers would receive another body than the caller has sent.
+   */
+  private static boolean hasSupportedTransferCoding(HttpHeaders headers) {
+    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return codings.isEmpty()
+        || (codings.size() == 1
+            && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst()));
+  }
+
   private void readContent(HttpContent content, HttpRequest request) {
     long length = (long) body.length() + content.content().readableBytes();
     if (length > listener.limits().maxBodyBytes()) {
--- a/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/connection/CallerConnectionTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests caller connections over time, with a clock that the test advances. */
@@ -90,6 +91,41 @@
     assertEquals(caller.disconnected, List.of("/a", "/b"));
   }
 
+  @DataProvider
+  public Object[][] transferEncodings() {
+    return new Object[][] {
+      {"identity"},
+      {"gzip"},
+      {"xchunked"},
+      {"chunked, gzip"},
+      {"gzip, chunked"},
+      {"chunked\r\nTransfer-Encoding: identity"},
+      {"identity\r\nContent-Length: 0"},
+    };
+  }
+
+  /** Guards against a body of unknown length that is read as further requests. */
+  @Test(dataProvider = "transferEncodings")
+  public void bodyInAnUnknownTransferEncodingIsNotReadAsRequest(String encoding) {
+    EmbeddedCaller caller = new EmbeddedCaller();
+    caller.send(
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+            + encoding
+            + "\r\n\r\n0\r\n\r\n"
+            + REQUEST.formatted("b"));
+    assertEquals(caller.responseConsumers.size(), 0);
+    assertTrue(caller.received().startsWith("HTTP/1.1 400 "));
+  }
+
+  /** Guards against refusing the encoding that bodies without a length have. */
+  @Test
+  public void bodyInChunksIsAccepted() {
+    EmbeddedCaller caller = new EmbeddedCaller();
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n");
+    caller.send("3\r\nabc\r\n0\r\n\r\n");
+    assertEquals(caller.responseConsumers.size(), 1);
+  }
+
   @Test
   public void bodyAboveTheLimitIsRejected() {
     EmbeddedCaller caller = new EmbeddedCaller();
