The id and host of a request cannot be dropped by its caller

What callers saw: a request with "Connection: Host, Attempt-Id" reached its server without either.

Cause: all headers that a caller lists in Connection are dropped before a request is forwarded, also those that are meant for the server.

Evidence: ExchangeTest$Callers.idAndHostAreForwardedAlthoughTheConnectionHeader- ListsThem failed before (expected [h] but found []) and passes now.

Why it works: Host and the configured id header are copied from the request as received. The deadline, the expected server, the team and the length are set after the copy and were never affected. Other headers are dropped as before, as HTTP asks for.

--- a/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/Attempt.java
@@ -228,7 +228,7 @@
             request.method(),
             request.target(),
             Unpooled.wrappedBuffer(request.body()));
-    message.headers().set(EndToEndHeaders.copyOf(request.headers()));
+    message.headers().set(EndToEndHeaders.ofRequest(request.headers(), environment.names()));
     exchange.access().replaceHeaders(message.headers());
     message.headers().set(environment.names().deadlineMillis(), remainingMillis);
     message.headers().set(environment.names().expectedServer(), serverId());
--- a/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
+++ b/front/src/test/java/org/magnoliaswitch/front/request/ExchangeTest.java
@@ -299,6 +299,27 @@
       }
     }
 
+    /**
+     * Guards against a request that reaches its server without its id or host, because its caller
+     * lists them as headers of the connection.
+     */
+    @Test
+    public void idAndHostAreForwardedAlthoughTheConnectionHeaderListsThem() throws IOException {
+      try (ScriptedServer server = new ScriptedServer("a", r -> r.respond(200, "x"));
+          Socket caller = new RunningFront(LONG_TIMEOUT_MILLIS, server).connect()) {
+        String headers = "Connection: close, host, Request-ID, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n";
+        RunningFront.send(caller, "GET", "/safe/1", LONG_TIMEOUT_MILLIS, headers);
+        String response =
+            new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        ScriptedServer.Received request = server.received().getFirst();
+        assertEquals(request.header("Host"), "h");
+        assertEquals(request.header("Request-Id"), "id-/safe/1");
+        assertEquals(request.header("X-Hop"), "");
+        assertEquals(request.header("X-End"), "2");
+        assertEquals(status(response), 200, response);
+      }
+    }
+
     @Test
     public void aPathWithoutARouteIsNotFound() throws IOException {
       try (ScriptedServer server = new ScriptedServer("a", r -> r.respond(200, "x"))) {
