A huge deadline is not remembered for its route

What callers saw: after one request with a huge deadline, all later requests of the same route counted as late at that instance: they yielded to others under load and were no longer expected to be answered within their objective (by reading; the tests show the time that counts as spent).

Cause: the longest deadline that a route has seen is taken for the full one, and what a request has less for the time that its caller has spent before. That maximum had no bound and is kept until the instance ends.

Evidence: CallerTimeoutTest.hugeDeadlineIsNotRememberedForItsRoute, 3 of 3 rows failed before (11.6 s spent after a deadline of 15 s on a route of 1.5 s); they pass now.

Why it works: a deadline above ten timeouts of the route is not recorded, and the request that states it counts as a first attempt. Callers are known to wait 2.2 timeouts; these count as before. Left: a deadline up to the bound has the same effect still.

--- a/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
+++ b/front/src/main/java/org/magnoliaswitch/front/process/RouteState.java
@@ -10,6 +10,13 @@
 
 /** State of routes and services that outlives a configuration version; used by one thread. */
 public final class RouteState {
+  /**
+   * Multiple of a route's timeout up to which a stated wait is remembered. Callers are known to
+   * wait more than twice the timeout; a single huge value that is remembered makes all later
+   * requests of its route count as late.
+   */
+  private static final int MAX_WAIT_PER_TIMEOUT = 10;
+
   private final RandomGenerator random;
   private final SharedRetryBudget.Limits retryLimits;
   private final Map<String, WeightedServicePicker> pickers = new HashMap<>();
@@ -36,10 +43,12 @@
   /**
    * Records how long a caller of a route is willing to wait, and returns the longest time that any
    * caller of the route, including this one, has been willing to wait. A caller that waits less has
-   * spent the difference on earlier attempts.
+   * spent the difference on earlier attempts. A wait of more than ten timeouts of the route is not
+   * recorded, so it can be longer than the result.
    */
   public long longestWaitNanos(Route route, long callerWaitNanos) {
-    return longestWaits.merge(route.name(), callerWaitNanos, Math::max);
+    boolean plausible = callerWaitNanos / MAX_WAIT_PER_TIMEOUT <= route.timeoutNanos();
+    return longestWaits.merge(route.name(), plausible ? callerWaitNanos : 0, Math::max);
   }
 
   /** Returns the expected latency of a route on an undisturbed server. */
--- a/front/src/main/java/org/magnoliaswitch/front/request/CallerTimeout.java
+++ b/front/src/main/java/org/magnoliaswitch/front/request/CallerTimeout.java
@@ -26,7 +26,8 @@
     if (stated.isEmpty()) {
       return stated;
     }
-    return OptionalLong.of(state.longestWaitNanos(route, stated.getAsLong()) - stated.getAsLong());
+    long longest = state.longestWaitNanos(route, stated.getAsLong());
+    return OptionalLong.of(Math.max(0, longest - stated.getAsLong()));
   }
 
   /** The timeout that the caller states; empty if there is none or if it is not a number. */
