Entries end an exchange at a status line within a skipped response

What callers of an entry saw: a success where their server had answered with a failure, if a late response to an earlier request broke off in its body, the failure filled the rest of that body exactly, and the server answered twice again.

Cause: the body of a skipped response was read without a look at it, as in the front.

Evidence: LateResponsesTest.responseWithinASkippedBodyEndsTheExchange failed before (the 200 was returned); it passes now. A unit test only; not seen on servers.

Why it works: once a status line is found, nothing that follows on the connection counts. The scanner moves to core, which both use.

--- a/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/BackendConnection.java
@@ -3,7 +3,6 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
@@ -56,6 +55,7 @@
   private final long openedNanos;
   private final boolean reusable;
   private final SentIds sentIds = new SentIds();
+  private final StatusLineScanner skippedBytes = new StatusLineScanner();
   private final List<RefusedResponse> refused = new ArrayList<>();
   private volatile long lastSuccessNanos;
   private String pendingId = "";
@@ -219,15 +219,22 @@
         throw new ProtocolException("a response to another request has no end");
       }
       skippedBody = entity.getContent();
+      skippedBytes.reset();
     }
   }
 
-  private void readSkippedBody() throws IOException {
+  private void readSkippedBody() throws IOException, HttpException {
     InputStream body = skippedBody;
-    if (body != null) {
-      body.transferTo(OutputStream.nullOutputStream());
-      skippedBody = null;
+    if (body == null) {
+      return;
+    }
+    for (int next = body.read(); next >= 0; next = body.read()) {
+      if (skippedBytes.endsWith((byte) next)) {
+        // The skipped response broke off, and what continues it may answer the pending request.
+        throw new ProtocolException("the body of a skipped response contains a status line");
+      }
     }
+    skippedBody = null;
   }
 
   /** Attaches the body, if any, to the response as its entity. */
--- a/core/src/main/java/org/magnoliaswitch/core/connection/RefusedResponse.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/RefusedResponse.java
@@ -16,7 +16,7 @@
 
   /** Why a response was not passed on. */
   public enum Reason {
-    /** It has the id of another request; it was skipped. */
+    /** It has the id of another request: skipped if its connection has carried that one. */
     OTHER_ID,
     /** It has no id, though those before it on the connection had one. */
     WITHOUT_ID,
--- a/front/src/main/java/org/magnoliaswitch/front/connection/StatusLineScanner.java
+++ b/core/src/main/java/org/magnoliaswitch/core/connection/StatusLineScanner.java
@@ -1,13 +1,11 @@
-package org.magnoliaswitch.front.connection;
-
-import io.netty.buffer.ByteBuf;
+package org.magnoliaswitch.core.connection;
 
 /**
  * Finds a status line of HTTP/1.0 or HTTP/1.1 in a body that arrives in parts.
  *
  * <p>The body of a response that breaks off is continued by the next response on its connection.
  */
-final class StatusLineScanner {
+public final class StatusLineScanner {
   /** A status line up to its status; {@code #} stands for a digit. */
   private static final String STATUS_LINE = "HTTP/1.# ###";
 
@@ -17,20 +15,12 @@
   private int matched;
 
   /** Begins a new body. */
-  void reset() {
+  public void reset() {
     matched = 0;
   }
 
-  /**
-   * Reads a part of the body.
-   *
-   * @return whether a status line ends in this part
-   */
-  boolean findIn(ByteBuf part) {
-    return part.forEachByte(this::noStatusLineEndsAt) >= 0;
-  }
-
-  private boolean noStatusLineEndsAt(byte next) {
+  /** Reads the next byte of the body and returns whether a status line ends with it. */
+  public boolean endsWith(byte next) {
     if (matches(next)) {
       matched++;
     } else {
@@ -38,10 +28,10 @@
       matched = next == STATUS_LINE.charAt(0) ? 1 : 0;
     }
     if (matched < STATUS_LINE.length()) {
-      return true;
+      return false;
     }
     matched = 0;
-    return false;
+    return true;
   }
 
   private boolean matches(byte next) {
--- a/core/src/test/java/org/magnoliaswitch/core/connection/LateResponsesTest.java
+++ b/core/src/test/java/org/magnoliaswitch/core/connection/LateResponsesTest.java
@@ -189,6 +189,30 @@
     }
   }
 
+  /**
+   * Guards against a success in place of a failure: the failure continues the body of a skipped
+   * response that breaks off, and the second response to the request is believed.
+   */
+  @Test
+  public void responseWithinASkippedBodyEndsTheExchange() throws Exception {
+    String failure = "HTTP/1.1 500 Error\r\nX-Request-Id: r-0\r\nContent-Length: 2\r\n\r\nab";
+    String success = failure.replace("500 Error", "200 OK");
+    String first = success.replace("r-0", "r-9");
+    String cut = first.replace("Length: 2", "Length: " + (1 + failure.length()));
+    String late = cut.substring(0, cut.length() - 1);
+    try (ScriptedServer server =
+        ScriptedServer.answering(
+            r -> new Action.Send(r.onConnection() == 0 ? first : late + failure + success))) {
+      ConnectionPool pool =
+          new ConnectionPool(new InetSocketAddress("127.0.0.1", server.port()), 10, CLOCKS);
+      BackendConnection connection = pool.acquire(Long.MAX_VALUE, 1_000, "r-0");
+      assertEquals(exchange(connection, "r-9"), "200 ab");
+      assertThrows(HttpException.class, () -> exchange(connection, "r-0"));
+      assertFalse(connection.reusable());
+      pool.discard(connection);
+    }
+  }
+
   /** Guards against a late response to HEAD that takes the next one for its body. */
   @Test
   public void connectionIsNotReusedAfterHead() throws Exception {
--- a/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
+++ b/front/src/main/java/org/magnoliaswitch/front/connection/ServerConnection.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.magnoliaswitch.core.clock.Clocks;
+import org.magnoliaswitch.core.connection.StatusLineScanner;
 import org.magnoliaswitch.front.loop.Channels;
 import org.magnoliaswitch.front.relay.RelayConnector;
 import org.magnoliaswitch.front.version.HeaderNames;
@@ -322,7 +323,7 @@
       return;
     }
     HttpResponse response = head;
-    if (skipping && skippedBody.findIn(content.content())) {
+    if (skipping && content.content().forEachByte(next -> !skippedBody.endsWith(next)) >= 0) {
       // The skipped response broke off, and what continues it may answer the pending request.
       fail("unidentified");
     }
